--- /dev/null
+++ b/anvilpaddle-app/cli/operatorClient.ts
@@ -0,0 +1,45 @@
+import { request } from 'undici';
+import { getFaultMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
+
+/** Error of a call to the operators' API. */
+export interface OperatorError {
+  readonly kind: 'refused' | 'unreachable';
+  readonly code: string;
+  readonly message: string;
+}
+
+/** Client of the operators' API. */
+export interface OperatorClient {
+  get(path: string): Promise<Result<unknown, OperatorError>>;
+  post(path: string, body: unknown): Promise<Result<unknown, OperatorError>>;
+}
+
+const CALL_TIMEOUT_MS = 30_000;
+
+/** Client of the entry at a base URL with the operators' key. */
+export const newOperatorClient = (baseUrl: string, key: string): OperatorClient => {
+  const call = async (
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+  ): Promise<Result<unknown, OperatorError>> => {
+    try {
+      const answer = await request(`${baseUrl}/operator/v1${path}`, {
+        method,
+        headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      });
+      const json = (await answer.body.json()) as { error?: { code: string; message: string } };
+      if (json.error !== undefined) return newFailure({ kind: 'refused', ...json.error });
+      return newOk(json);
+    } catch (fault) {
+      return newFailure({
+        kind: 'unreachable',
+        code: 'unreachable',
+        message: getFaultMessage(fault),
+      });
+    }
+  };
+  return { get: (path) => call('GET', path), post: (path, body) => call('POST', path, body) };
+};
--- /dev/null
+++ b/anvilpaddle-app/cli/processCommand.ts
@@ -0,0 +1,59 @@
+import type { z } from 'zod';
+import { loadHashing, newLogger, SystemClock, type Clock, type Logger } from '@anvilpaddle/common';
+import { newEntry } from '../entry/entry';
+import type { Program } from '../process/program';
+import { loadSettings } from '../processSettings/loadSettings';
+import {
+  entryFileSchema,
+  sidecarFileSchema,
+  type EntryFile,
+  type SidecarFile,
+} from '../processSettings/schema';
+import { newSidecar } from '../sidecar/sidecar';
+import { EXIT_CODE } from './exitCode';
+
+/** Stops the program at SIGTERM or SIGINT and ends the process when it has stopped. */
+export const stopOnSignal = (program: Program): void => {
+  let isStopping = false;
+  const stop = (): void => {
+    if (isStopping) return;
+    isStopping = true;
+    program.stop().then(
+      () => process.exit(EXIT_CODE.ok),
+      () => process.exit(EXIT_CODE.failed),
+    );
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+};
+
+const runProgram = async <T extends EntryFile | SidecarFile>(
+  name: string,
+  file: string,
+  schema: z.ZodType<T>,
+  start: (settings: T, clock: Clock, log: Logger) => Promise<Program>,
+): Promise<void> => {
+  const settings = loadSettings(file, schema);
+  if (!settings.ok) {
+    settings.error.faults.forEach((fault) => process.stderr.write(`${fault}\n`));
+    process.exitCode = EXIT_CODE.usage;
+    return;
+  }
+  await loadHashing();
+  const log = newLogger(`anvilpaddle-${name}`, settings.value.process.log_level);
+  try {
+    stopOnSignal(await start(settings.value, new SystemClock(), log));
+    process.stdout.write(`${JSON.stringify({ event: 'ready', role: name })}\n`);
+  } catch (fault) {
+    log.fatal({ err: fault }, 'start failed');
+    process.exit(EXIT_CODE.failed);
+  }
+};
+
+/** Runs an entry until it is told to stop. */
+export const runEntry = (file: string): Promise<void> =>
+  runProgram('entry', file, entryFileSchema, newEntry);
+
+/** Runs a sidecar until it is told to stop. */
+export const runSidecar = (file: string): Promise<void> =>
+  runProgram('sidecar', file, sidecarFileSchema, newSidecar);
--- /dev/null
+++ b/anvilpaddle-app/entry/actions/fileBody.ts
@@ -0,0 +1,13 @@
+import { MS_PER_SECOND } from '@anvilpaddle/common';
+import type { File } from '@anvilpaddle/decisions';
+
+/** File as OpenAI's API shows it; times in seconds. */
+export const getFileBody = (file: File): object => ({
+  id: file.id,
+  object: 'file',
+  bytes: file.bytes,
+  created_at: Math.floor(file.createdAt / MS_PER_SECOND),
+  filename: file.name,
+  purpose: file.purpose,
+  status: 'processed',
+});
--- /dev/null
+++ b/anvilpaddle-app/entry/actions/health.ts
@@ -0,0 +1,16 @@
+import { newFailure } from '@anvilpaddle/common';
+import { newApiError } from '@anvilpaddle/protocol';
+import { ACTION_ACCESS, type Action } from '../action';
+import { answerJson } from '../apiResult';
+
+/** GET /ready: whether the balancer may send requests here. */
+export const readReadiness: Action = {
+  name: 'ready',
+  method: 'GET',
+  path: '/ready',
+  access: ACTION_ACCESS.open,
+  run: async (exchange, services) =>
+    services.isStopping()
+      ? newFailure(newApiError('stopping', 'this entry is stopping'))
+      : answerJson(exchange, { ready: true, revision: services.config.current().revision }),
+};
--- /dev/null
+++ b/anvilpaddle-app/entry/actions/index.ts
@@ -0,0 +1,27 @@
+import type { Action } from '../action';
+import { changeEntries, listEntries, readHistory } from '../operatorActions/entries';
+import { readEffective, readStatus } from '../operatorActions/status';
+import { cancelBatch, createBatch, listBatches, readBatch } from './batches';
+import { readFile, readFileContent, removeFile } from './files';
+import { uploadFile } from './fileUpload';
+import { readReadiness } from './health';
+import { listModels } from './models';
+
+/** All calls that the entry answers itself. */
+export const ACTIONS: readonly Action[] = [
+  readReadiness,
+  listModels,
+  uploadFile,
+  readFile,
+  readFileContent,
+  removeFile,
+  createBatch,
+  readBatch,
+  listBatches,
+  cancelBatch,
+  changeEntries,
+  listEntries,
+  readHistory,
+  readStatus,
+  readEffective,
+];
--- /dev/null
+++ b/anvilpaddle-app/entry/entry.ts
@@ -0,0 +1,186 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { getEffectiveSettings, LeastOfTwoRouter } from '@anvilpaddle/decisions';
+import {
+  getAddressText,
+  listen,
+  newId,
+  newMetrics,
+  type Address,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
+import { newPlatform } from '@anvilpaddle/platform';
+import { HEADER, type Member } from '@anvilpaddle/protocol';
+import { newConfigController } from '../controllers/configController';
+import { newJobController } from '../controllers/jobController';
+import { newLimitController } from '../controllers/limitController';
+import { newMemberController } from '../controllers/memberController';
+import { newPeerClient } from '../peers/peerClient';
+import { newPeerServer } from '../peers/peerServer';
+import { waitUntil, type Program } from '../process/program';
+import type { EntryFile } from '../processSettings/schema';
+import { ACTIONS } from './actions';
+import { newAttemptClient } from './attemptClient';
+import { runFilters, type EntryServices, type Exchange } from './exchange';
+import { newAccountFilter } from './filters/account';
+import { newActFilter } from './filters/act';
+import { newAuthenticateFilter } from './filters/authenticate';
+import { newAuthorizeFilter } from './filters/authorize';
+import { newForwardFilter } from './filters/forward';
+import { newIdentifyFilter } from './filters/identify';
+import { newLimitFilter } from './filters/limit';
+import { newReadRequestFilter } from './filters/readRequest';
+import { newStoppingFilter } from './filters/stopping';
+
+/** A running entry. */
+export interface Entry extends Program {
+  /** Address that callers use. */
+  readonly callers: Address;
+}
+
+const newExchange = (
+  services: EntryServices,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Exchange => {
+  const abort = new AbortController();
+  response.on('close', () => abort.abort());
+  const config = services.config.current();
+  const startedMs = services.clock.monotonic();
+  const settings = getEffectiveSettings(config.levels, { failureDomain: services.failureDomain });
+  return {
+    id: newId('req'),
+    request,
+    response,
+    url: new URL(request.url ?? '/', 'http://entry'),
+    startedMs,
+    signal: abort.signal,
+    config,
+    outcome: { upstream: undefined, attempts: 0, run: 'not_run', firstTokenMs: undefined },
+    deadlineMs: startedMs + settings['request.timeout'],
+    settings,
+    action: undefined,
+    params: {},
+    route: undefined,
+    key: undefined,
+    team: undefined,
+    body: Buffer.alloc(0),
+    json: undefined,
+  };
+};
+
+/** Starts an entry. */
+export const newEntry = async (file: EntryFile, clock: Clock, log: Logger): Promise<Entry> => {
+  const incarnation = newId('inc');
+  const localAddress = file.peers.listen.host;
+  const platform = newPlatform(file.platform.url, file.platform.timeout, localAddress);
+  const secret = file.peers.secrets[0] ?? '';
+  const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
+  const attempts = newAttemptClient(secret, localAddress);
+  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
+  const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const metrics = newMetrics(file.metrics.statsd);
+  let isStopping = false;
+  let open = 0;
+
+  const getSelf = (): Member => ({
+    vm: file.process.vm,
+    address,
+    role: 'entry',
+    failureDomain: file.process.failure_domain,
+    incarnation,
+    leaving: isStopping,
+    models: [],
+    revision: config.current().revision,
+  });
+  const members = newMemberController(
+    platform.vms,
+    peers,
+    getSelf,
+    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    clock,
+    log,
+  );
+  const getEntryCount = (): number => {
+    const others = members
+      .live()
+      .filter(({ role, vm }) => role === 'entry' && vm !== file.process.vm);
+    return others.length + 1;
+  };
+  const limits = newLimitController(config, getEntryCount, clock);
+  const services: EntryServices = {
+    vm: file.process.vm,
+    failureDomain: file.process.failure_domain,
+    operatorKeyHash: file.operators.key_hash,
+    config,
+    members,
+    limits,
+    jobs: newJobController(platform.tables, platform.objects),
+    attempts,
+    revoke: async (sidecar, revocation) => {
+      const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
+      return revoked.ok ? revoked.value.state : undefined;
+    },
+    router: new LeastOfTwoRouter(Math.random),
+    metrics,
+    clock,
+    log,
+    isStopping: () => isStopping,
+  };
+  const filters = [
+    newAccountFilter(services),
+    newStoppingFilter(services),
+    newIdentifyFilter(services, ACTIONS),
+    newAuthenticateFilter(services),
+    newLimitFilter(services),
+    newActFilter(services),
+    newReadRequestFilter(),
+    newAuthorizeFilter(),
+    newForwardFilter(services),
+  ];
+
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const exchange = newExchange(services, request, response);
+    response.setHeader(HEADER.requestId, exchange.id);
+    open += 1;
+    try {
+      await runFilters(filters, exchange);
+    } finally {
+      open -= 1;
+    }
+  };
+
+  await config.refresh();
+  const peerServer = await newPeerServer(
+    file.peers.listen,
+    file.peers.secrets,
+    { 'member.heartbeat': ({ member }) => ({ member: members.hear(member) }) },
+    {},
+    log,
+  );
+  const server = createServer((request, response) => {
+    serve(request, response).catch((fault: unknown) => {
+      log.error({ err: fault }, 'request failed outside of the filters');
+      response.destroy();
+    });
+  });
+  const callers = await listen(server, file.callers.listen);
+  log.info({ callers, address, incarnation }, 'entry is ready');
+
+  return {
+    callers,
+    stop: async () => {
+      isStopping = true;
+      await members.announce();
+      await waitUntil(clock, () => open === 0);
+      server.close();
+      server.closeIdleConnections();
+      await members.close();
+      await limits.close();
+      await config.close();
+      await peerServer.close();
+      metrics.close();
+      await Promise.all([attempts.close(), peers.close(), platform.close()]);
+    },
+  };
+};
--- /dev/null
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -0,0 +1,91 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, Logger, Metrics, Result } from '@anvilpaddle/common';
+import type {
+  Config,
+  EffectiveSettings,
+  NamedKey,
+  NamedRoute,
+  Router,
+} from '@anvilpaddle/decisions';
+import type { ApiError, Revocation, Revoked, RunState } from '@anvilpaddle/protocol';
+import type { ConfigController } from '../controllers/configController';
+import type { JobController } from '../controllers/jobController';
+import type { LimitController } from '../controllers/limitController';
+import type { MemberController } from '../controllers/memberController';
+import type { Action } from './action';
+import type { AttemptClient } from './attemptClient';
+
+/** Parts of the entry that filters and actions work with. */
+export interface EntryServices {
+  readonly vm: string;
+  readonly failureDomain: string;
+  readonly operatorKeyHash: string;
+  readonly config: ConfigController;
+  readonly members: MemberController;
+  readonly limits: LimitController;
+  readonly jobs: JobController;
+  readonly attempts: AttemptClient;
+  /** Asks a sidecar to give up an attempt; undefined when it does not answer. */
+  readonly revoke: (
+    address: string,
+    revocation: Revocation,
+  ) => Promise<Revoked['state'] | undefined>;
+  readonly router: Router;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly isStopping: () => boolean;
+}
+
+/** What happened to a request, for logs and metrics. */
+export interface Outcome {
+  upstream: string | undefined;
+  attempts: number;
+  run: RunState;
+  firstTokenMs: number | undefined;
+}
+
+/** One request on its way through the filters; each filter fills in its part. */
+export interface Exchange {
+  readonly id: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  /** Monotonic milliseconds. */
+  readonly startedMs: number;
+  /** Aborted when the caller is gone. */
+  readonly signal: AbortSignal;
+  readonly config: Config;
+  readonly outcome: Outcome;
+  deadlineMs: number;
+  settings: EffectiveSettings;
+  action: Action | undefined;
+  params: Readonly<Record<string, string>>;
+  route: NamedRoute | undefined;
+  key: NamedKey | undefined;
+  team: string | undefined;
+  body: Buffer;
+  json: Readonly<Record<string, unknown>> | undefined;
+}
+
+/** Passes the request on to the filters behind. */
+export type Next = () => Promise<Result<void, ApiError>>;
+
+/** One step of the filter chain. It answers by an error, by itself, or by passing on. */
+export interface Filter {
+  readonly name: string;
+  apply(exchange: Exchange, next: Next): Promise<Result<void, ApiError>>;
+}
+
+/** Runs the filters in order. */
+export const runFilters = (
+  filters: readonly Filter[],
+  exchange: Exchange,
+): Promise<Result<void, ApiError>> => {
+  const run = (index: number): Promise<Result<void, ApiError>> => {
+    const filter = filters[index];
+    if (filter === undefined) throw new Error('the last filter passed the request on');
+    return filter.apply(exchange, () => run(index + 1));
+  };
+  return run(0);
+};
--- /dev/null
+++ b/anvilpaddle-app/entry/filters/account.ts
@@ -0,0 +1,52 @@
+import { HISTOGRAM, SERVICE_CLASS, newFailure, sendJson } from '@anvilpaddle/common';
+import { getErrorBody, getErrorHeaders, ERROR_STATUS, newApiError } from '@anvilpaddle/protocol';
+import type { EntryServices, Filter } from '../exchange';
+
+const NO_TEAM = 'none';
+
+/** Answers errors, and logs and measures each request. */
+export const newAccountFilter = (services: EntryServices): Filter => ({
+  name: 'account',
+  apply: async (exchange, next) => {
+    const { log, metrics, clock } = services;
+    const result = await next().catch((fault: unknown) => {
+      log.error({ err: fault, request: exchange.id }, 'request failed');
+      const { run } = exchange.outcome;
+      return newFailure(newApiError('internal', 'an error inside the entry', { run }));
+    });
+    const team = exchange.team ?? NO_TEAM;
+    if (!result.ok) {
+      metrics.count('refusals', team, result.error.code);
+      if (exchange.response.headersSent) exchange.response.destroy();
+      else {
+        sendJson(
+          exchange.response,
+          ERROR_STATUS[result.error.code],
+          getErrorBody(result.error),
+          getErrorHeaders(result.error),
+        );
+      }
+    }
+    const totalMs = clock.monotonic() - exchange.startedMs;
+    metrics.record(HISTOGRAM.total, team, SERVICE_CLASS.online, totalMs);
+    if (exchange.outcome.firstTokenMs !== undefined) {
+      const firstTokenMs = exchange.outcome.firstTokenMs - exchange.startedMs;
+      metrics.record(HISTOGRAM.firstToken, team, SERVICE_CLASS.online, firstTokenMs);
+    }
+    log.info(
+      {
+        request: exchange.id,
+        team,
+        route: exchange.route?.name ?? exchange.action?.name,
+        upstream: exchange.outcome.upstream,
+        attempts: exchange.outcome.attempts,
+        run: exchange.outcome.run,
+        outcome: result.ok ? 'answered' : result.error.code,
+        status: exchange.response.statusCode,
+        totalMs: Math.round(totalMs),
+      },
+      'request ended',
+    );
+    return result;
+  },
+});
--- /dev/null
+++ b/anvilpaddle-app/entry/filters/identify.ts
@@ -0,0 +1,32 @@
+import { getEffectiveSettings, getRoute } from '@anvilpaddle/decisions';
+import { newFailure } from '@anvilpaddle/common';
+import { newApiError } from '@anvilpaddle/protocol';
+import { matchPath, type Action } from '../action';
+import type { EntryServices, Filter } from '../exchange';
+
+/** Finds the action or route that the path names. */
+export const newIdentifyFilter = (services: EntryServices, actions: readonly Action[]): Filter => ({
+  name: 'identify',
+  apply: async (exchange, next) => {
+    const path = exchange.url.pathname;
+    const matches = actions.flatMap((action) => {
+      const params = matchPath(action.path, path);
+      return params === undefined ? [] : [{ action, params }];
+    });
+    const match = matches.find(({ action }) => action.method === exchange.request.method);
+    exchange.action = match?.action;
+    exchange.params = match?.params ?? {};
+    if (match === undefined) exchange.route = getRoute(exchange.config, path);
+    if (exchange.action === undefined && exchange.route === undefined) {
+      return newFailure(
+        matches.length > 0
+          ? newApiError('method_not_allowed', `${exchange.request.method} is not allowed here`)
+          : newApiError('not_found', `no route for ${path}`),
+      );
+    }
+    const { failureDomain } = services;
+    const subject = { failureDomain, route: exchange.route?.name };
+    exchange.settings = getEffectiveSettings(exchange.config.levels, subject);
+    return next();
+  },
+});
--- /dev/null
+++ b/anvilpaddle-app/entry/filters/limit.ts
@@ -0,0 +1,18 @@
+import { newFailure } from '@anvilpaddle/common';
+import { newApiError } from '@anvilpaddle/protocol';
+import type { EntryServices, Filter } from '../exchange';
+
+/** Holds each team to its rate and burst. */
+export const newLimitFilter = (services: EntryServices): Filter => ({
+  name: 'limit',
+  apply: async (exchange, next) => {
+    if (exchange.team === undefined) return next();
+    const admission = await services.limits.admit(exchange.team);
+    if (admission.admitted) return next();
+    return newFailure(
+      newApiError('rate_limited', `team ${exchange.team} is beyond its rate`, {
+        retryAfterMs: admission.retryAfterMs,
+      }),
+    );
+  },
+});
--- /dev/null
+++ b/anvilpaddle-app/entry/filters/readRequest.ts
@@ -0,0 +1,31 @@
+import { newFailure, readBody } from '@anvilpaddle/common';
+import { newApiError } from '@anvilpaddle/protocol';
+import { parseObject } from '../json';
+import type { Filter } from '../exchange';
+
+/** Reads the body within its bound; a model route's body must be a JSON object. */
+export const newReadRequestFilter = (): Filter => ({
+  name: 'readRequest',
+  apply: async (exchange, next) => {
+    const limitBytes = exchange.settings['request.max_body'];
+    const body = await readBody(exchange.request, limitBytes);
+    if (!body.ok) {
+      return newFailure(
+        body.error.kind === 'body_too_large'
+          ? newApiError('too_large', `the body is larger than ${limitBytes} bytes`)
+          : newApiError('invalid_request', 'the body ended early'),
+      );
+    }
+    exchange.body = body.value;
+    if (exchange.route?.kind !== 'model') return next();
+    const json = parseObject(body.value);
+    if (!json.ok) return json;
+    if (typeof json.value.model !== 'string') {
+      return newFailure(
+        newApiError('invalid_request', 'model: expected a string', { param: 'model' }),
+      );
+    }
+    exchange.json = json.value;
+    return next();
+  },
+});
--- /dev/null
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -0,0 +1,39 @@
+import { getOrigins } from '@anvilpaddle/decisions';
+import { ACTION_ACCESS, type Action } from '../action';
+import { answerJson } from '../apiResult';
+
+/** GET /operator/v1/status: what this entry sees of the fleet and has measured. */
+export const readStatus: Action = {
+  name: 'operator.status',
+  method: 'GET',
+  path: '/operator/v1/status',
+  access: ACTION_ACCESS.operator,
+  run: async (exchange, services) =>
+    answerJson(exchange, {
+      vm: services.vm,
+      revision: services.config.current().revision,
+      stopping: services.isStopping(),
+      members: services.members.live(),
+      histograms: services.metrics.summaries(),
+      counts: services.metrics.counts(),
+    }),
+};
+
+/** GET /operator/v1/effective?team=…&route=…: each setting and the level it comes from. */
+export const readEffective: Action = {
+  name: 'operator.effective',
+  method: 'GET',
+  path: '/operator/v1/effective',
+  access: ACTION_ACCESS.operator,
+  run: async (exchange) => {
+    const query = exchange.url.searchParams;
+    const settings = getOrigins(exchange.config.levels, {
+      failureDomain: query.get('failure-domain') ?? undefined,
+      route: query.get('route') ?? undefined,
+      team: query.get('team') ?? undefined,
+      key: query.get('key') ?? undefined,
+      job: query.get('job') ?? undefined,
+    });
+    return answerJson(exchange, { revision: exchange.config.revision, settings });
+  },
+};
--- /dev/null
+++ b/anvilpaddle-app/processSettings/loadSettings.ts
@@ -0,0 +1,44 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'ini';
+import type { z } from 'zod';
+import { getFaultMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
+
+/** Everything that is wrong with a settings file, one line a fault. */
+export interface SettingsFault {
+  readonly kind: 'settings';
+  readonly faults: readonly string[];
+}
+
+const newFault = (faults: readonly string[]): SettingsFault => ({ kind: 'settings', faults });
+
+const getIssueLines = (file: string, issue: z.core.$ZodIssue): string[] => {
+  const [section, name] = issue.path.map(String);
+  const place = `${file}: [${section ?? ''}]${name === undefined ? '' : ` ${name}`}`;
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) =>
+      section === undefined
+        ? `${file}: [${key}]: unknown section`
+        : `${place} ${key}: unknown name`,
+    );
+  }
+  if (issue.code === 'invalid_type' && issue.message.includes('received undefined')) {
+    return [`${place}: missing`];
+  }
+  return [`${place}: ${issue.message}`];
+};
+
+/** Reads and checks an INI file; a failure lists every fault with file, section and name. */
+export const loadSettings = <S extends z.ZodType>(
+  file: string,
+  schema: S,
+): Result<z.output<S>, SettingsFault> => {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (fault) {
+    return newFailure(newFault([`${file}: cannot be read: ${getFaultMessage(fault)}`]));
+  }
+  const parsed = schema.safeParse(JSON.parse(JSON.stringify(parse(text))));
+  if (parsed.success) return newOk(parsed.data);
+  return newFailure(newFault(parsed.error.issues.flatMap((issue) => getIssueLines(file, issue))));
+};
--- /dev/null
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -0,0 +1,79 @@
+import { z } from 'zod';
+import {
+  countSchema,
+  durationSchema,
+  getAddress,
+  listSchema,
+  LOG_LEVELS,
+  type Address,
+} from '@anvilpaddle/common';
+
+const addressSchema = z.string().transform((text, context): Address => {
+  const address = getAddress(text);
+  if (address !== undefined) return address;
+  context.addIssue({ code: 'custom', message: `expected HOST:PORT, got "${text}"` });
+  return z.NEVER;
+});
+
+const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a short name');
+const secretsSchema = listSchema.refine(
+  (secrets) => secrets.length >= 1 && secrets.length <= 2 && secrets.every((s) => s.length >= 16),
+  'expected one secret, or two during a rotation, of at least 16 characters each',
+);
+
+const commonSections = {
+  process: z.strictObject({
+    /** Name of the VM that the process runs on. */
+    vm: nameSchema,
+    failure_domain: nameSchema,
+    log_level: z.enum(LOG_LEVELS).default('info'),
+  }),
+  platform: z.strictObject({
+    url: z.url(),
+    /** Longest wait for one answer of the platform. */
+    timeout: durationSchema.default(2000),
+    /** Time between two looks for newer configuration. */
+    refresh: durationSchema.default(500),
+  }),
+  peers: z.strictObject({
+    /** Address for messages between processes. */
+    listen: addressSchema,
+    /** Address told to other processes, when it differs from `listen`. */
+    advertise: addressSchema.optional(),
+    /** Fleet secrets; the first is sent, each is accepted. */
+    secrets: secretsSchema,
+    heartbeat: durationSchema.default(500),
+    /** Silence after which a member is given no more work. */
+    silence: durationSchema.default(2000),
+  }),
+  metrics: z.strictObject({ statsd: addressSchema.optional() }).default({}),
+};
+
+/** Settings of an entry process. */
+export const entryFileSchema = z.strictObject({
+  ...commonSections,
+  callers: z.strictObject({ listen: addressSchema }),
+  operators: z.strictObject({
+    /** SHA-256 of the operators' key in hex. */
+    key_hash: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
+  }),
+});
+export type EntryFile = z.output<typeof entryFileSchema>;
+
+export const UPSTREAM_KIND = { engine: 'engine', plain: 'plain' } as const;
+
+/** Settings of a sidecar process. */
+export const sidecarFileSchema = z.strictObject({
+  ...commonSections,
+  upstream: z.strictObject({
+    url: z.url(),
+    kind: z.enum(UPSTREAM_KIND),
+    /** Group that routes name. */
+    group: nameSchema,
+    /** Requests that the upstream works on together. */
+    slots: countSchema.pipe(z.number().positive()),
+    /** Slots that batch work leaves free. */
+    reserve: countSchema.default(0),
+  }),
+});
+export type SidecarFile = z.output<typeof sidecarFileSchema>;
--- /dev/null
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -0,0 +1,249 @@
+import { createServer } from 'node:net';
+import { getSecretHash, newId, newSecret, type Address } from '@anvilpaddle/common';
+import type { Vm } from '@anvilpaddle/platform';
+import type { EntryChange, Level, Route, Team } from '@anvilpaddle/protocol';
+import {
+  newEngineStandIn,
+  newPlainStandIn,
+  newPlatformStandIn,
+  type EngineShape,
+  type EngineStandIn,
+  type PlainStandIn,
+  type PlatformStandIn,
+} from '@anvilpaddle/standins';
+import { newOperatorClient, type OperatorClient } from '../../cli/operatorClient';
+import { startChild, type Child, type Ini } from './child';
+import { waitFor } from './waitFor';
+
+export const FLEET_SECRET = 'secret-of-the-test-fleet';
+const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
+
+/** One VM with its process; the process can be ended and started again. */
+export interface Node {
+  readonly vm: string;
+  readonly host: string;
+  /** Address for messages between processes. */
+  readonly peer: Address;
+  /** Base URL for callers; empty for a sidecar. */
+  readonly url: string;
+  child: Child;
+  /** Starts a new process in place of one that has ended. */
+  restart(): Promise<void>;
+}
+
+/** What a test's fleet is made of. */
+export interface FleetShape {
+  readonly entries: number;
+  readonly engines: number;
+  readonly plains: number;
+  readonly engine?: Partial<EngineShape>;
+  /** Settings added to every process's file. */
+  readonly ini?: Ini;
+  readonly levels?: Readonly<Record<string, Level>>;
+}
+
+/** A running fleet: real processes for entries and sidecars, stand-ins in the test's process. */
+export interface Fleet {
+  readonly platform: PlatformStandIn;
+  readonly engines: readonly EngineStandIn[];
+  readonly plains: readonly PlainStandIn[];
+  readonly entries: readonly Node[];
+  /** Sidecars of the engines first, then of the plain services. */
+  readonly sidecars: readonly Node[];
+  readonly operator: OperatorClient;
+  readonly vms: readonly Vm[];
+  /** Creates a team with a key and gives the key. */
+  newTeam(team: string, level?: Level, value?: Team): Promise<string>;
+  change(kind: EntryChange['kind'], id: string, value: unknown, basedOn?: number): Promise<number>;
+  /** Waits until every entry has the revision. */
+  waitForRevision(revision: number): Promise<void>;
+  close(): Promise<void>;
+}
+
+const ROUTES: Readonly<Record<string, Partial<Route>>> = {
+  chat: { kind: 'model', path: '/v1/chat/completions', access: 'keyed', group: 'llm' },
+  completions: { kind: 'model', path: '/v1/completions', access: 'keyed', group: 'llm' },
+  intake: { kind: 'plain', path: '/intake/', access: 'keyed', group: 'plain' },
+  checkin: { kind: 'plain', path: '/checkin/', access: 'open', group: 'plain' },
+};
+
+/** A port that is free on the address now. */
+export const getFreePort = (host: string): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, host, () => {
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+      server.close(() => resolve(port));
+    });
+  });
+
+const mergeIni = (base: Ini, extra: Ini): Ini =>
+  Object.fromEntries(
+    [...new Set([...Object.keys(base), ...Object.keys(extra)])].map((section) => [
+      section,
+      { ...base[section], ...extra[section] },
+    ]),
+  );
+
+const startNode = async (
+  vm: string,
+  index: number,
+  platformUrl: string,
+  extra: Ini,
+): Promise<Node> => {
+  const host = `127.0.0.${index + 10}`;
+  const peer = { host, port: await getFreePort(host) };
+  const callers = { host, port: await getFreePort(host) };
+  const role = vm.startsWith('entry') ? 'entry' : 'sidecar';
+  const own: Ini =
+    role === 'entry'
+      ? {
+          callers: { listen: `${host}:${callers.port}` },
+          operators: { key_hash: getSecretHash(OPERATOR_KEY) },
+        }
+      : {};
+  const ini = mergeIni(
+    {
+      process: { vm, failure_domain: `fd-${index % 3}` },
+      platform: { url: platformUrl, timeout: '1s', refresh: '100ms' },
+      peers: {
+        listen: `${host}:${peer.port}`,
+        secrets: FLEET_SECRET,
+        heartbeat: '100ms',
+        silence: '1s',
+      },
+      ...own,
+    },
+    extra,
+  );
+  const node: Node = {
+    vm,
+    host,
+    peer,
+    url: role === 'entry' ? `http://${host}:${callers.port}` : '',
+    child: await startChild(role, ini),
+    restart: async () => {
+      node.child = await startChild(role, ini);
+    },
+  };
+  return node;
+};
+
+const getVm = (node: Node, index: number): Vm => ({
+  vm: node.vm,
+  address: `${node.peer.host}:${node.peer.port}`,
+  role: node.vm.startsWith('entry') ? 'entry' : 'sidecar',
+  failureDomain: `fd-${index % 3}`,
+  state: 'live',
+});
+
+/** Starts a fleet with teams and routes; closing it ends every process. */
+export const newFleet = async (shape: FleetShape): Promise<Fleet> => {
+  const any: Address = { host: '127.0.0.1', port: 0 };
+  const platform = await newPlatformStandIn(any);
+  const engineShape = {
+    models: ['small-chat'],
+    slots: 4,
+    prefillMs: 5,
+    tokenMs: 2,
+    ...shape.engine,
+  };
+  const engines = await Promise.all(
+    Array.from({ length: shape.engines }, () => newEngineStandIn(any, engineShape)),
+  );
+  const plains = await Promise.all(
+    Array.from({ length: shape.plains }, () => newPlainStandIn(any)),
+  );
+  const upstreams = [
+    ...engines.map(({ url }, index) => ({ vm: `llm-${index + 1}`, kind: 'engine', url })),
+    ...plains.map(({ url }, index) => ({ vm: `plain-${index + 1}`, kind: 'plain', url })),
+  ];
+  const entries = await Promise.all(
+    Array.from({ length: shape.entries }, (_, index) =>
+      startNode(`entry-${index + 1}`, index, platform.url, shape.ini ?? {}),
+    ),
+  );
+  const sidecars = await Promise.all(
+    upstreams.map(({ vm, kind, url }, index) => {
+      const group = kind === 'engine' ? 'llm' : 'plain';
+      const slots = String(kind === 'engine' ? engineShape.slots : 16);
+      const upstream = { upstream: { url, kind, group, slots } };
+      const ini = mergeIni(upstream, shape.ini ?? {});
+      return startNode(vm, shape.entries + index, platform.url, ini);
+    }),
+  );
+  const nodes = [...entries, ...sidecars];
+  const vms = nodes.map(getVm);
+  platform.setVms(vms);
+  const operator = newOperatorClient(entries[0]?.url ?? '', OPERATOR_KEY);
+
+  const propose = async (changes: readonly EntryChange[]): Promise<number> => {
+    const answer = await operator.post('/changes', { author: 'test', changes });
+    if (!answer.ok) throw new Error(`${answer.error.code}: ${answer.error.message}`);
+    return (answer.value as { revision: number }).revision;
+  };
+
+  const waitForRevision = async (revision: number): Promise<void> => {
+    await Promise.all(
+      entries.map((entry) =>
+        waitFor(`revision ${revision} at ${entry.vm}`, async () => {
+          const answer = await fetch(`${entry.url}/ready`);
+          return ((await answer.json()) as { revision: number }).revision >= revision;
+        }),
+      ),
+    );
+  };
+
+  const create = (kind: EntryChange['kind'], id: string, value: unknown): EntryChange => ({
+    kind,
+    id,
+    value,
+    basedOn: 0,
+  });
+  const fleetLevel = { 'limits.rate': '10000', 'limits.burst': '10000' };
+  const levels = { fleet: fleetLevel, ...shape.levels };
+  await waitForRevision(
+    await propose([
+      ...Object.entries(ROUTES).map(([id, route]) => create('route', id, route)),
+      ...Object.entries(levels).map(([id, level]) => create('settings', id, level)),
+    ]),
+  );
+  await Promise.all(
+    entries.map((entry) =>
+      waitFor(`all members at ${entry.vm}`, async () => {
+        const status = await newOperatorClient(entry.url, OPERATOR_KEY).get('/status');
+        if (!status.ok) return false;
+        const { members } = status.value as { members: { vm: string }[] };
+        return sidecars.every(({ vm }) => members.some((member) => member.vm === vm));
+      }),
+    ),
+  );
+
+  return {
+    platform,
+    engines,
+    plains,
+    entries,
+    sidecars,
+    operator,
+    vms,
+    newTeam: async (team, level, value = {}) => {
+      const secret = newSecret('ap');
+      const revision = await propose([
+        create('team', team, value),
+        create('key', newId('key'), { team, hash: getSecretHash(secret) }),
+        ...(level === undefined ? [] : [create('settings', `team/${team}`, level)]),
+      ]);
+      await waitForRevision(revision);
+      return secret;
+    },
+    change: (kind, id, value, basedOn = 0) => propose([{ kind, id, value, basedOn }]),
+    waitForRevision,
+    close: async () => {
+      await Promise.all(nodes.map((node) => node.child.kill()));
+      await Promise.all([...engines, ...plains, platform].map((standIn) => standIn.close()));
+    },
+  };
+};
--- /dev/null
+++ b/packages/common/http.ts
@@ -0,0 +1,72 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+/** Host and port as in `127.0.0.1:8080`. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Address from `host:port`; undefined when the text is not one. */
+export const getAddress = (text: string): Address | undefined => {
+  const match = /^([^:]+):(\d{1,5})$/.exec(text.trim());
+  if (match?.[1] === undefined) return undefined;
+  return { host: match[1], port: Number(match[2]) };
+};
+
+/** Address as `host:port`. */
+export const getAddressText = ({ host, port }: Address): string => `${host}:${port}`;
+
+/** Listens and resolves with the address in use, which differs when port 0 was asked for. */
+export const listen = (server: Server, address: Address): Promise<Address> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => {
+      server.off('error', reject);
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
+      resolve({ host: address.host, port });
+    });
+  });
+
+/** Why a body could not be read. */
+export type BodyError =
+  { readonly kind: 'body_too_large'; readonly limitBytes: number } | { readonly kind: 'body_cut' };
+
+/** Reads a whole body; stops at the limit in bytes. */
+export const readBody = async (
+  stream: IncomingMessage,
+  limitBytes: number,
+): Promise<
+  { readonly ok: true; readonly value: Buffer } | { readonly ok: false; readonly error: BodyError }
+> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of stream.iterator({
+      destroyOnReturn: false,
+    }) as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > limitBytes) return { ok: false, error: { kind: 'body_too_large', limitBytes } };
+      chunks.push(chunk);
+    }
+  } catch {
+    return { ok: false, error: { kind: 'body_cut' } };
+  }
+  return { ok: true, value: Buffer.concat(chunks) };
+};
+
+/** Answers with JSON. */
+export const sendJson = (
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void => {
+  const body = Buffer.from(JSON.stringify(value));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': String(body.length),
+    ...headers,
+  });
+  response.end(body);
+};
--- /dev/null
+++ b/packages/decisions/settings/schema.ts
@@ -0,0 +1,45 @@
+import { z } from 'zod';
+import {
+  countSchema,
+  durationSchema,
+  flagSchema,
+  numberSchema,
+  sizeSchema,
+} from '@anvilpaddle/common';
+
+/** Each setting with its schema and its default as text; durations give ms, sizes give bytes. */
+export const SETTINGS = {
+  /** Requests a second that a team may make over all VMs together. */
+  'limits.rate': { schema: numberSchema, fallback: '10' },
+  /** Requests that a team may make at once over all VMs together. */
+  'limits.burst': { schema: numberSchema, fallback: '20' },
+  /** Share of service when teams compete. */
+  'scheduling.weight': { schema: numberSchema, fallback: '1' },
+  /** Longest time from arrival to answer. */
+  'request.timeout': { schema: durationSchema, fallback: '120s' },
+  'request.max_body': { schema: sizeSchema, fallback: '4MiB' },
+  'request.max_answer': { schema: sizeSchema, fallback: '16MiB' },
+  /** Tries of one idempotent request, the first included. */
+  'retries.max_attempts': { schema: countSchema, fallback: '3' },
+  /** Retries allowed for each first try, averaged over time. */
+  'retries.budget': { schema: numberSchema, fallback: '0.1' },
+  /** Largest file that may be uploaded. */
+  'files.max_size': { schema: sizeSchema, fallback: '512MiB' },
+  'batch.enabled': { schema: flagSchema, fallback: 'true' },
+  /** Runs of one item before it ends with an error. */
+  'batch.max_attempts': { schema: countSchema, fallback: '3' },
+  /** Time after which the chunk of a silent owner may be taken over. */
+  'batch.lease': { schema: durationSchema, fallback: '10s' },
+  /** Time in which a job is to finish when it names none. */
+  'batch.completion_window': { schema: durationSchema, fallback: '24h' },
+} as const satisfies Readonly<Record<string, { schema: z.ZodType; fallback: string }>>;
+
+export type SettingName = keyof typeof SETTINGS;
+
+/** Values of all settings, parsed. */
+export type EffectiveSettings = {
+  readonly [N in SettingName]: z.output<(typeof SETTINGS)[N]['schema']>;
+};
+
+/** Whether the text names a setting. */
+export const isSettingName = (name: string): name is SettingName => Object.hasOwn(SETTINGS, name);
--- /dev/null
+++ b/packages/decisions/settings/tree.ts
@@ -0,0 +1,68 @@
+import type { Level } from '@anvilpaddle/protocol';
+import { isSettingName, SETTINGS, type EffectiveSettings, type SettingName } from './schema';
+
+/** What a setting is asked for; missing parts skip their level. */
+export interface Subject {
+  readonly failureDomain?: string | undefined;
+  readonly route?: string | undefined;
+  readonly team?: string | undefined;
+  readonly key?: string | undefined;
+  readonly job?: string | undefined;
+}
+
+/** Value of a setting and the level that it comes from. */
+export interface Origin {
+  readonly name: SettingName;
+  readonly text: string;
+  readonly level: string;
+}
+
+const FLEET_LEVEL = 'fleet';
+const DEFAULT_LEVEL = 'default';
+const LEVEL_PATTERN = /^(fleet|(failure-domain|route|team|key|job)\/[^/]+)$/;
+
+/** Levels that apply to a subject, the most general first. */
+export const getLevels = (subject: Subject): string[] => {
+  const named: readonly (readonly [string, string | undefined])[] = [
+    ['failure-domain', subject.failureDomain],
+    ['route', subject.route],
+    ['team', subject.team],
+    ['key', subject.key],
+    ['job', subject.job],
+  ];
+  return [
+    FLEET_LEVEL,
+    ...named.flatMap(([kind, name]) => (name === undefined ? [] : [`${kind}/${name}`])),
+  ];
+};
+
+/** Value of each setting for a subject with the level that it comes from. */
+export const getOrigins = (levels: ReadonlyMap<string, Level>, subject: Subject): Origin[] => {
+  const path = getLevels(subject).reverse();
+  return (Object.keys(SETTINGS) as SettingName[]).map((name) => {
+    const level = path.find((candidate) => levels.get(candidate)?.[name] !== undefined);
+    return level === undefined
+      ? { name, text: SETTINGS[name].fallback, level: DEFAULT_LEVEL }
+      : { name, text: levels.get(level)?.[name] ?? '', level };
+  });
+};
+
+/** Parsed settings for a subject. The levels must have passed `getLevelFaults`. */
+export const getEffectiveSettings = (
+  levels: ReadonlyMap<string, Level>,
+  subject: Subject,
+): EffectiveSettings =>
+  Object.fromEntries(
+    getOrigins(levels, subject).map(({ name, text }) => [name, SETTINGS[name].schema.parse(text)]),
+  ) as EffectiveSettings;
+
+/** Everything that is wrong with one level; each fault names the level and the setting. */
+export const getLevelFaults = (level: string, values: Level): string[] => {
+  const pathFaults = LEVEL_PATTERN.test(level) ? [] : [`[${level}]: unknown level`];
+  const valueFaults = Object.entries(values).flatMap(([name, text]) => {
+    if (!isSettingName(name)) return [`[${level}] ${name}: unknown setting`];
+    const parsed = SETTINGS[name].schema.safeParse(text);
+    return parsed.success ? [] : [`[${level}] ${name}: ${parsed.error.issues[0]?.message}`];
+  });
+  return [...pathFaults, ...valueFaults];
+};
--- /dev/null
+++ b/packages/platform/errors.ts
@@ -0,0 +1,9 @@
+/**
+ * Errors of the platform's services. `unavailable`: nothing happened. `unknown`: the answer was
+ * lost and the call may have taken effect. `limited`: come back after `retryAfterMs`.
+ */
+export type PlatformError =
+  | { readonly kind: 'unavailable'; readonly detail: string }
+  | { readonly kind: 'unknown'; readonly detail: string }
+  | { readonly kind: 'limited'; readonly retryAfterMs: number }
+  | { readonly kind: 'invalid_answer'; readonly detail: string };
--- /dev/null
+++ b/packages/platform/httpObjectStore.ts
@@ -0,0 +1,39 @@
+import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import type { PlatformError } from './errors';
+import type { HttpClient } from './httpClient';
+import type { ObjectStore } from './types';
+
+const getPath = (key: string): string =>
+  `/objects/${key.split('/').map(encodeURIComponent).join('/')}`;
+
+const newStatusError = (status: number): PlatformError => ({
+  kind: 'invalid_answer',
+  detail: `object store answered ${status}`,
+});
+
+/** Client of the object store's HTTP protocol: `PUT|GET|DELETE /objects/KEY`. */
+export class HttpObjectStore implements ObjectStore {
+  constructor(private readonly client: HttpClient) {}
+
+  async put(key: string, body: Buffer): Promise<Result<void, PlatformError>> {
+    const answer = await this.client.call('PUT', getPath(key), body);
+    if (!answer.ok) return answer;
+    return answer.value.status < 300
+      ? newOk(undefined)
+      : newFailure(newStatusError(answer.value.status));
+  }
+
+  async get(key: string): Promise<Result<Buffer | undefined, PlatformError>> {
+    const answer = await this.client.call('GET', getPath(key));
+    if (!answer.ok) return answer;
+    if (answer.value.status === 404) return newOk(undefined);
+    return answer.value.status === 200
+      ? newOk(answer.value.body)
+      : newFailure(newStatusError(answer.value.status));
+  }
+
+  async remove(key: string): Promise<Result<void, PlatformError>> {
+    const answer = await this.client.call('DELETE', getPath(key));
+    return answer.ok ? newOk(undefined) : answer;
+  }
+}
--- /dev/null
+++ b/packages/platform/httpVmList.ts
@@ -0,0 +1,32 @@
+import { z } from 'zod';
+import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import type { PlatformError } from './errors';
+import type { HttpClient } from './httpClient';
+import { NODE_ROLE, VM_STATE, type Vm, type VmList } from './types';
+
+const listSchema = z.object({
+  vms: z.array(
+    z.object({
+      vm: z.string(),
+      address: z.string(),
+      role: z.enum(NODE_ROLE),
+      failureDomain: z.string(),
+      state: z.enum(VM_STATE),
+    }),
+  ),
+});
+
+/** Client of the VM list's HTTP protocol: `GET /vms`. */
+export class HttpVmList implements VmList {
+  constructor(private readonly client: HttpClient) {}
+
+  async list(): Promise<Result<readonly Vm[], PlatformError>> {
+    const answer = await this.client.call('GET', '/vms');
+    if (!answer.ok) return answer;
+    try {
+      return newOk(listSchema.parse(JSON.parse(answer.value.body.toString())).vms);
+    } catch {
+      return newFailure({ kind: 'invalid_answer', detail: 'VM list' });
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './errors';
+export * from './platform';
+export * from './types';
--- /dev/null
+++ b/packages/protocol/errors.ts
@@ -0,0 +1,58 @@
+import type { RunState } from './constants';
+
+/** Stable codes of the callers' and operators' APIs with their HTTP status. */
+export const ERROR_STATUS = {
+  invalid_request: 400,
+  invalid_key: 401,
+  forbidden: 403,
+  not_found: 404,
+  method_not_allowed: 405,
+  conflict: 409,
+  too_large: 413,
+  rate_limited: 429,
+  overloaded: 503,
+  stopping: 503,
+  no_upstream: 503,
+  platform_unavailable: 503,
+  upstream_failed: 502,
+  deadline_exceeded: 504,
+  internal: 500,
+} as const;
+export type ErrorCode = keyof typeof ERROR_STATUS;
+
+/** Error as callers and operators see it. */
+export interface ApiError {
+  readonly code: ErrorCode;
+  readonly message: string;
+  /** Whether the request ran at an upstream. */
+  readonly run: RunState;
+  /** Name of the field that is wrong, when there is one. */
+  readonly param?: string | undefined;
+  /** When coming back helps, in milliseconds. */
+  readonly retryAfterMs?: number | undefined;
+}
+
+/** Error of a request that did not run. */
+export const newApiError = (
+  code: ErrorCode,
+  message: string,
+  more: Partial<ApiError> = {},
+): ApiError => ({ code, message, run: 'not_run', ...more });
+
+/** Body of an error answer, in the shape of OpenAI's API with `run` added. */
+export const getErrorBody = (error: ApiError): { readonly error: object } => ({
+  error: {
+    message: error.message,
+    type: error.code,
+    code: error.code,
+    param: error.param ?? null,
+    run: error.run,
+    ...(error.retryAfterMs === undefined ? {} : { retry_after_ms: Math.ceil(error.retryAfterMs) }),
+  },
+});
+
+/** Headers of an error answer; `Retry-After` is in whole seconds, rounded up. */
+export const getErrorHeaders = (error: ApiError): Record<string, string> =>
+  error.retryAfterMs === undefined
+    ? {}
+    : { 'retry-after': String(Math.max(1, Math.ceil(error.retryAfterMs / 1000))) };
--- /dev/null
+++ b/packages/standins/engineStandIn.ts
@@ -0,0 +1,234 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { BYTES_PER_MIB, listen, readBody, sendJson, type Address } from '@anvilpaddle/common';
+import { applyDelay, newFaults, type Faults } from './faults';
+import { getAnswerTokens } from './tokens';
+
+const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
+const DEFAULT_MAX_TOKENS = 16;
+
+/** What a model engine's stand-in is made of. */
+export interface EngineShape {
+  readonly models: readonly string[];
+  /** Requests decoded together; more wait in the engine's own queue. */
+  readonly slots: number;
+  /** Time from admission to the first token, in milliseconds. */
+  readonly prefillMs: number;
+  /** Time between tokens, in milliseconds. */
+  readonly tokenMs: number;
+}
+
+/** What the engine knows of one request; checks of the tests rest on it. */
+export interface EngineRecord {
+  readonly attempt: string;
+  readonly model: string;
+  readonly receivedMs: number;
+  readonly headers: Readonly<Record<string, string>>;
+  startedMs: number | undefined;
+  tokens: number;
+  state: 'waiting' | 'running' | 'finished' | 'cancelled';
+}
+
+/** Stand-in of a model engine with continuous batching. */
+export interface EngineStandIn {
+  readonly url: string;
+  readonly faults: Faults;
+  readonly records: EngineRecord[];
+  /** Orders accepted, by fencing number. */
+  readonly orders: { fence: number; kind: string; model: string; version: string }[];
+  close(): Promise<void>;
+}
+
+interface Completion {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  readonly isChat: boolean;
+  /** Tokens that the caller has already; the stream goes on after them. */
+  readonly resumeAt: number;
+}
+
+const getCompletion = (path: string, body: Buffer): Completion => {
+  const json = JSON.parse(String(body)) as Record<string, unknown>;
+  const maxTokens = json.max_tokens ?? json.max_completion_tokens;
+  const resume = json.resume as { tokens?: number } | undefined;
+  return {
+    model: String(json.model),
+    prompt: JSON.stringify(json.messages ?? json.prompt),
+    maxTokens: typeof maxTokens === 'number' ? maxTokens : DEFAULT_MAX_TOKENS,
+    stream: json.stream === true,
+    isChat: path.endsWith('/chat/completions'),
+    resumeAt: resume?.tokens ?? 0,
+  };
+};
+
+const getChunk = (completion: Completion, id: string, token: string | undefined): object => {
+  const finish = token === undefined ? 'stop' : null;
+  const choice = completion.isChat
+    ? { index: 0, delta: token === undefined ? {} : { content: token }, finish_reason: finish }
+    : { index: 0, text: token ?? '', finish_reason: finish };
+  return {
+    id,
+    object: completion.isChat ? 'chat.completion.chunk' : 'text_completion',
+    created: 0,
+    model: completion.model,
+    choices: [choice],
+  };
+};
+
+const getWhole = (completion: Completion, id: string, tokens: readonly string[]): object => {
+  const text = tokens.join('');
+  return {
+    id,
+    object: completion.isChat ? 'chat.completion' : 'text_completion',
+    created: 0,
+    model: completion.model,
+    choices: [
+      completion.isChat
+        ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+        : { index: 0, text, finish_reason: 'stop' },
+    ],
+    usage: {
+      prompt_tokens: 1,
+      completion_tokens: tokens.length,
+      total_tokens: tokens.length + 1,
+    },
+  };
+};
+
+/** Starts the stand-in on an address; port 0 takes any. */
+export const newEngineStandIn = async (
+  address: Address,
+  shape: EngineShape,
+): Promise<EngineStandIn> => {
+  const faults = newFaults();
+  const records: EngineRecord[] = [];
+  const orders: EngineStandIn['orders'] = [];
+  const queue: (() => void)[] = [];
+  let running = 0;
+
+  const admit = (): void => {
+    while (running < shape.slots) {
+      const start = queue.shift();
+      if (start === undefined) return;
+      running += 1;
+      start();
+    }
+  };
+
+  const decode = (record: EngineRecord, completion: Completion, response: ServerResponse): void => {
+    const tokens = getAnswerTokens(completion.prompt, completion.maxTokens);
+    const id = `cmpl-${record.attempt}`;
+    let position = completion.resumeAt;
+    let timer: NodeJS.Timeout | undefined;
+    const leave = (state: EngineRecord['state']): void => {
+      if (record.state !== 'running') return;
+      clearTimeout(timer);
+      record.state = state;
+      running -= 1;
+      admit();
+    };
+    const finish = (): void => {
+      leave('finished');
+      if (!completion.stream) {
+        sendJson(response, 200, getWhole(completion, id, tokens));
+        return;
+      }
+      response.write(`data: ${JSON.stringify(getChunk(completion, id, undefined))}\n\n`);
+      response.end('data: [DONE]\n\n');
+    };
+    const step = (): void => {
+      if (position >= tokens.length) {
+        finish();
+        return;
+      }
+      const token = tokens[position];
+      position += 1;
+      record.tokens += 1;
+      if (completion.stream) {
+        response.write(`data: ${JSON.stringify(getChunk(completion, id, token))}\n\n`);
+      }
+      timer = setTimeout(step, shape.tokenMs);
+    };
+    record.state = 'running';
+    record.startedMs = performance.now();
+    response.on('close', () => leave('cancelled'));
+    if (completion.stream) response.writeHead(200, { 'content-type': 'text/event-stream' });
+    timer = setTimeout(step, shape.prefillMs);
+  };
+
+  const serveCompletion = (request: IncomingMessage, response: ServerResponse, body: Buffer) => {
+    const completion = getCompletion(request.url ?? '', body);
+    if (!shape.models.includes(completion.model)) {
+      sendJson(response, 404, { error: { message: `model ${completion.model} is not loaded` } });
+      return;
+    }
+    const record: EngineRecord = {
+      attempt: String(request.headers['x-request-id'] ?? ''),
+      model: completion.model,
+      receivedMs: performance.now(),
+      headers: request.headers as Record<string, string>,
+      startedMs: undefined,
+      tokens: 0,
+      state: 'waiting',
+    };
+    records.push(record);
+    const start = (): void => decode(record, completion, response);
+    response.on('close', () => {
+      const index = queue.indexOf(start);
+      if (index < 0) return;
+      queue.splice(index, 1);
+      record.state = 'cancelled';
+    });
+    queue.push(start);
+    admit();
+  };
+
+  const serveOrder = (response: ServerResponse, body: Buffer): void => {
+    const order = JSON.parse(String(body)) as EngineStandIn['orders'][number];
+    orders.push(order);
+    sendJson(response, 200, { accepted: true });
+  };
+
+  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const path = request.url ?? '/';
+    const body = await readBody(request, MAX_BODY_BYTES);
+    if (!body.ok) return;
+    const fault = faults.take(path);
+    await applyDelay(fault);
+    if (fault?.kind === 'refuse') {
+      sendJson(response, 503, { error: { message: 'refused by a fault' } });
+      return;
+    }
+    if (fault?.kind === 'drop_before') {
+      request.socket.destroy();
+      return;
+    }
+    if (path === '/load') {
+      sendJson(response, 200, { running, waiting: queue.length, slots: shape.slots });
+    } else if (path === '/v1/models') {
+      sendJson(response, 200, { data: shape.models.map((id) => ({ id, object: 'model' })) });
+    } else if (path === '/orders') {
+      serveOrder(response, body.value);
+    } else {
+      serveCompletion(request, response, body.value);
+      if (fault?.kind === 'drop_after') request.socket.destroy();
+    }
+  };
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  const bound = await listen(server, address);
+  return {
+    url: `http://${bound.host}:${bound.port}`,
+    faults,
+    records,
+    orders,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
--- /dev/null
+++ b/packages/standins/index.ts
@@ -0,0 +1,7 @@
+export * from './engineStandIn';
+export * from './faults';
+export * from './link';
+export * from './plainStandIn';
+export * from './platformStandIn';
+export * from './tables';
+export * from './tokens';
--- /dev/null
+++ b/packages/standins/plainStandIn.ts
@@ -0,0 +1,69 @@
+import { createServer } from 'node:http';
+import { BYTES_PER_MIB, listen, readBody, sendJson, type Address } from '@anvilpaddle/common';
+import { applyDelay, newFaults, type Faults } from './faults';
+
+const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
+
+/** One call that the service has run. */
+export interface PlainCall {
+  readonly method: string;
+  readonly path: string;
+  readonly attempt: string;
+  readonly body: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Stand-in of a plain service that keeps a record of every call it ran. */
+export interface PlainStandIn {
+  readonly url: string;
+  readonly faults: Faults;
+  readonly calls: PlainCall[];
+  close(): Promise<void>;
+}
+
+/** Starts the stand-in on an address; answers echo the call and number it. */
+export const newPlainStandIn = async (address: Address): Promise<PlainStandIn> => {
+  const faults = newFaults();
+  const calls: PlainCall[] = [];
+  const server = createServer((request, response) => {
+    const handle = async (): Promise<void> => {
+      const path = request.url ?? '/';
+      const body = await readBody(request, MAX_BODY_BYTES);
+      if (!body.ok) return;
+      const fault = faults.take(path);
+      await applyDelay(fault);
+      if (fault?.kind === 'refuse') {
+        sendJson(response, 503, { error: 'refused by a fault' });
+        return;
+      }
+      if (fault?.kind === 'drop_before') {
+        request.socket.destroy();
+        return;
+      }
+      calls.push({
+        method: request.method ?? '',
+        path,
+        attempt: String(request.headers['x-request-id'] ?? ''),
+        body: String(body.value),
+        headers: request.headers as Record<string, string>,
+      });
+      if (fault?.kind === 'drop_after') {
+        request.socket.destroy();
+        return;
+      }
+      sendJson(response, 200, { call: calls.length, method: request.method, path });
+    };
+    handle().catch(() => response.destroy());
+  });
+  const bound = await listen(server, address);
+  return {
+    url: `http://${bound.host}:${bound.port}`,
+    faults,
+    calls,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,65 @@
+// Bundles the program into one CommonJS file and, unless --bundle-only is given, into one binary.
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, existsSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { dirname, join, resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { build } from 'esbuild';
+
+const root = resolve(dirname(fileURLToPath(import.meta.url)), '..');
+const dist = join(root, 'dist');
+const bundleOnly = process.argv.includes('--bundle-only');
+
+/** Bundles one entry point; bunyan's optional native helpers are left out. */
+const bundle = (entryPoint, outfile) =>
+  build({
+    entryPoints: [join(root, entryPoint)],
+    outfile: join(dist, outfile),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    logLevel: 'error',
+    alias: {
+      'dtrace-provider': join(root, 'scripts/missing.cjs'),
+      mv: join(root, 'scripts/missing.cjs'),
+      'source-map-support': join(root, 'scripts/missing.cjs'),
+    },
+  });
+
+/** Injects the bundle into a copy of the running node executable. */
+const buildBinary = () => {
+  const blob = join(dist, 'anvilpaddle.blob');
+  const binary = join(dist, 'anvilpaddle');
+  const seaConfig = join(dist, 'sea-config.json');
+  writeFileSync(
+    seaConfig,
+    JSON.stringify({
+      main: join(dist, 'anvilpaddle.cjs'),
+      output: blob,
+      disableExperimentalSEAWarning: true,
+    }),
+  );
+  execFileSync(process.execPath, ['--experimental-sea-config', seaConfig], { stdio: 'pipe' });
+  rmSync(binary, { force: true });
+  copyFileSync(process.execPath, binary);
+  chmodSync(binary, 0o755);
+  execFileSync(
+    process.execPath,
+    [
+      join(root, 'node_modules/postject/dist/cli.js'),
+      binary,
+      'NODE_SEA_BLOB',
+      blob,
+      '--sentinel-fuse',
+      'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2',
+    ],
+    { stdio: 'pipe' },
+  );
+};
+
+mkdirSync(dist, { recursive: true });
+await bundle('anvilpaddle-app/index.ts', 'anvilpaddle.cjs');
+if (existsSync(join(root, 'measurements/index.ts'))) {
+  await bundle('measurements/index.ts', 'measure.cjs');
+}
+if (!bundleOnly) buildBinary();
