--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -1,4 +1,3 @@
-import { createServer } from 'node:net';
 import { getSecretHash, newId, newSecret, type Address } from '@anvilpaddle/common';
 import type { Vm } from '@anvilpaddle/platform';
 import type { EntryChange, Level, Route, Team } from '@anvilpaddle/protocol';
@@ -67,17 +66,22 @@
   checkin: { kind: 'plain', path: '/checkin/', access: 'open', group: 'plain' },
 };
 
-/** A port that is free on the address now. */
-export const getFreePort = (host: string): Promise<number> =>
-  new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, host, () => {
-      const bound = server.address();
-      const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
-      server.close(() => resolve(port));
-    });
-  });
+const PEER_PORT = 9000;
+const CALLER_PORT = 8000;
+const FIRST_HOST = 10;
+const HOSTS = 240;
+let startedNodes = 0;
+
+/**
+ * Loopback address of a new VM. Test processes run side by side, so that each has a network of its
+ * own, named by its process id; fixed ports then never collide.
+ */
+const getNextHost = (): string => {
+  const host = FIRST_HOST + (startedNodes % HOSTS);
+  startedNodes += 1;
+  const network = process.pid % 65_536;
+  return `127.${Math.floor(network / 256)}.${network % 256}.${host}`;
+};
 
 const mergeIni = (base: Ini, extra: Ini): Ini =>
   Object.fromEntries(
@@ -93,9 +97,9 @@
   platformUrl: string,
   extra: Ini,
 ): Promise<Node> => {
-  const host = `127.0.0.${index + 10}`;
-  const peer = { host, port: await getFreePort(host) };
-  const callers = { host, port: await getFreePort(host) };
+  const host = getNextHost();
+  const peer = { host, port: PEER_PORT };
+  const callers = { host, port: CALLER_PORT };
   const role = vm.startsWith('entry') ? 'entry' : 'sidecar';
   const own: Ini =
     role === 'entry'
--- /dev/null
+++ b/packages/protocol/messages/attempts.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+
+/** Asks a sidecar to give up an attempt that has not been sent to the upstream. */
+export const revokeSchema = z.object({ attempt: z.string(), incarnation: z.string() });
+export type Revocation = z.infer<typeof revokeSchema>;
+
+/** Answer to a revocation; `not_sent` is final, a late copy is refused. */
+export const revokedSchema = z.object({
+  state: z.enum(['not_sent', 'sent', 'done', 'other_incarnation']),
+});
+export type Revoked = z.infer<typeof revokedSchema>;
+
+/** Methods about attempts. */
+export const ATTEMPT_METHODS = {
+  'attempt.revoke': { params: revokeSchema, result: revokedSchema },
+} as const;
--- a/packages/protocol/messages.ts
+++ b/packages/protocol/messages/members.ts
@@ -29,22 +29,7 @@
 export const heartbeatSchema = z.object({ member: memberSchema });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
-/** Asks a sidecar to give up an attempt that has not been sent to the upstream. */
-export const revokeSchema = z.object({ attempt: z.string(), incarnation: z.string() });
-export type Revocation = z.infer<typeof revokeSchema>;
-
-/** Answer to a revocation; `not_sent` is final, a late copy is refused. */
-export const revokedSchema = z.object({
-  state: z.enum(['not_sent', 'sent', 'done', 'other_incarnation']),
-});
-export type Revoked = z.infer<typeof revokedSchema>;
-
-/** Methods between processes with the schemas of their parameters and results. */
-export const METHODS = {
+/** Methods of membership. */
+export const MEMBER_METHODS = {
   'member.heartbeat': { params: heartbeatSchema, result: heartbeatSchema },
-  'attempt.revoke': { params: revokeSchema, result: revokedSchema },
 } as const;
-export type Methods = typeof METHODS;
-export type Method = keyof Methods;
-export type Params<M extends Method> = z.infer<Methods[M]['params']>;
-export type Answer<M extends Method> = z.infer<Methods[M]['result']>;
