Conserved shares of each team's rate and burst over the entries

Cause: the static split by live entries admits too much when entries join or leave and when a process restarts, since each new bucket starts full.

Each team's tokens live at up to four entries, chosen by rendezvous hashing over the members of one row of the table service. Other entries borrow; a holder counts a loan against its share until it hears of it or the loan's lifetime is over. A share starts empty, and a process holds nothing until half a second after its first own read of the row.

--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -14,6 +14,7 @@
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
 import { newLimitController } from '../controllers/limitController';
+import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
@@ -101,13 +102,22 @@
     clock,
     log,
   );
-  const getEntryCount = (): number => {
-    const others = members
-      .live()
-      .filter(({ role, vm }) => role === 'entry' && vm !== file.process.vm);
-    return others.length + 1;
-  };
-  const limits = newLimitController(config, getEntryCount, clock);
+  const limits = newLimitController({
+    address,
+    lifeId: incarnation,
+    tables: platform.tables,
+    vms: platform.vms,
+    peers,
+    getRate: newTeamRates(config),
+    liveEntries: () =>
+      members
+        .live()
+        .filter((member) => member.role === 'entry' && member.address !== address)
+        .map((member) => member.address),
+    clock,
+    tickMs: file.peers.heartbeat,
+    log,
+  });
   const services: EntryServices = {
     vm: file.process.vm,
     failureDomain: file.process.failure_domain,
@@ -154,10 +164,14 @@
   const peerServer = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
-    { 'member.heartbeat': ({ member }) => ({ member: members.hear(member) }) },
+    {
+      'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+      ...limits.handlers,
+    },
     {},
     log,
   );
+  limits.start();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
       log.error({ err: fault }, 'request failed outside of the filters');
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -14,6 +14,7 @@
       revision: services.config.current().revision,
       stopping: services.isStopping(),
       members: services.members.live(),
+      limits: services.limits.status(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
     }),
--- /dev/null
+++ b/anvilpaddle-app/tests/limitFleet.test.ts
@@ -0,0 +1,178 @@
+import fc from 'fast-check';
+import { loadHashing, newSeededRandom } from '@anvilpaddle/common';
+import { newTokenBucket, type Rate } from '@anvilpaddle/decisions';
+import { newLimitController } from '../controllers/limitController';
+import {
+  getOverAdmission,
+  newLimitFleet,
+  type LimitFleet,
+  type LimitFleetShape,
+} from './kit/limitFleet';
+
+const TEAM = 'utility-a';
+const TOLERANCE = 1e-6;
+/** Time in which the first entries become holders and their shares fill. */
+const WARM_UP_MS = 6000;
+
+const newFleet = (shape: Partial<LimitFleetShape> & { rate: Rate; seed: number }): LimitFleet =>
+  newLimitFleet({ entries: 4, newController: newLimitController, ...shape });
+
+/** Sends requests at random instants; `pickEntry` skews them over the entries. */
+const drive = async (
+  fleet: LimitFleet,
+  seed: number,
+  durationMs: number,
+  perSecond: number,
+  pickEntry: (random: () => number) => number,
+): Promise<void> => {
+  const random = newSeededRandom(seed);
+  const stepMs = 10;
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+    for (let due = (perSecond * stepMs) / 1000; random() < due; due -= 1) {
+      const running = fleet.addresses().filter(fleet.isRunning);
+      const entry = running[Math.min(pickEntry(random), running.length - 1)];
+      if (entry !== undefined) fleet.request(entry, TEAM);
+    }
+    await fleet.advance(stepMs);
+  }
+};
+
+const FAULTS = [
+  'kill',
+  'killAndUnlist',
+  'restart',
+  'pause',
+  'longPause',
+  'cut',
+  'heal',
+  'storeDown',
+  'storeUp',
+  'add',
+  'stop',
+  'lossy',
+  'rate',
+  'restartAll',
+] as const;
+
+interface FaultAt {
+  readonly kind: (typeof FAULTS)[number];
+  readonly entry: number;
+  readonly other: number;
+  readonly afterMs: number;
+}
+
+const UNLIST_LAG_MS = 1500;
+const LARGEST: Rate = { rate: 40, burst: 30 };
+const SMALLER: Rate = { rate: 15, burst: 12 };
+
+const strike = (fleet: LimitFleet, { kind, entry, other }: FaultAt): void => {
+  const addresses = fleet.addresses().filter(fleet.isUp);
+  const target = addresses[entry % Math.max(1, addresses.length)];
+  const second = addresses[other % Math.max(1, addresses.length)];
+  if (target === undefined || second === undefined) {
+    fleet.add();
+    return;
+  }
+  const { world, weather } = fleet;
+  const actions: Readonly<Record<FaultAt['kind'], () => void>> = {
+    kill: () => fleet.kill(target),
+    killAndUnlist: () => {
+      fleet.kill(target);
+      world.after(UNLIST_LAG_MS, () => fleet.listed.delete(target));
+    },
+    restart: () => fleet.restart(target),
+    pause: () => {
+      fleet.pause(target);
+      world.after(700, () => fleet.resume(target));
+    },
+    longPause: () => {
+      fleet.pause(target);
+      world.after(6000, () => fleet.resume(target));
+    },
+    cut: () => fleet.cut(target, second),
+    heal: () => {
+      fleet.healCuts();
+      weather.loss = 0;
+      weather.duplicates = 0;
+    },
+    storeDown: () => {
+      weather.isStoreDown = true;
+    },
+    storeUp: () => {
+      weather.isStoreDown = false;
+    },
+    add: () => {
+      if (addresses.length < 7) fleet.add();
+    },
+    stop: () => void fleet.stop(target),
+    lossy: () => {
+      weather.loss = 0.2;
+      weather.duplicates = 0.3;
+      weather.lostAnswers = 0.3;
+      weather.delayMs = 120;
+    },
+    rate: () => fleet.rates.set(target, fleet.rates.has(target) ? LARGEST : SMALLER),
+    restartAll: () => addresses.forEach(fleet.restart),
+  };
+  actions[kind]();
+};
+
+const getAdmitted = (fleet: LimitFleet): number =>
+  fleet.decisions.filter(({ admission }) => admission.admitted).length;
+
+describe('limits of real controllers on a fake network', () => {
+  beforeAll(loadHashing);
+
+  it('never admits more than burst + rate x window under any faults', async () => {
+    const faultAt = fc.record({
+      kind: fc.constantFrom(...FAULTS),
+      entry: fc.nat(9),
+      other: fc.nat(9),
+      afterMs: fc.integer({ min: 0, max: 1500 }),
+    });
+    const plan = fc.record({
+      seed: fc.nat(1_000_000),
+      entries: fc.integer({ min: 1, max: 6 }),
+      load: fc.constantFrom(0.8, 2, 6),
+      skew: fc.constantFrom(1, 2, 8),
+      faults: fc.array(faultAt, { minLength: 3, maxLength: 12 }),
+    });
+    await fc.assert(
+      fc.asyncProperty(plan, async ({ seed, entries, load, skew, faults }) => {
+        const fleet = newFleet({ entries, seed, rate: LARGEST, slowestClock: 0.9, stepMs: 5 });
+        const pick = (random: () => number): number => Math.floor(random() ** skew * 7);
+        await drive(fleet, seed, 1500, LARGEST.rate * load, pick);
+        for (const fault of faults) {
+          strike(fleet, fault);
+          await drive(fleet, seed + fault.afterMs, fault.afterMs, LARGEST.rate * load, pick);
+        }
+        await drive(fleet, seed, 1500, LARGEST.rate * load, pick);
+        expect(getOverAdmission(fleet.decisions, LARGEST)).toBeLessThanOrEqual(TOLERANCE);
+      }),
+      { seed: 20_260_801, numRuns: 50 },
+    );
+  });
+
+  it.each([
+    ['even traffic', () => (random: () => number) => Math.floor(random() * 4)],
+    ['all of it at one entry', () => () => 2],
+    [
+      'skew that changes every second',
+      (fleet: LimitFleet) => () => Math.floor(fleet.world.monotonic() / 1000) % 4,
+    ],
+  ])('refuses nothing at 90%% of the rate without faults: %s', async (_name, newPick) => {
+    for (const seed of [11, 12, 13]) {
+      const rate = { rate: 40, burst: 40 };
+      const fleet = newFleet({ seed, rate });
+      await fleet.advance(WARM_UP_MS);
+      await drive(fleet, seed, 20_000, rate.rate * 0.9, newPick(fleet));
+      await fleet.advance(1000);
+      const oracle = newTokenBucket(rate, 0);
+      const wrongful = fleet.decisions.filter(
+        ({ admission, decidedMs }) => oracle.take(1, decidedMs).admitted && !admission.admitted,
+      );
+      expect({ seed, wrongful }).toEqual({ seed, wrongful: [] });
+      expect(getAdmitted(fleet)).toBeGreaterThan(500);
+    }
+  });
+});
--- /dev/null
+++ b/packages/decisions/limits/purse.ts
@@ -0,0 +1,89 @@
+import { GRANT_LIFETIME_MS, TOKEN_TOLERANCE } from './constants';
+
+interface Grant {
+  readonly holder: string;
+  readonly loan: string;
+  amount: number;
+  readonly expiresMs: number;
+}
+
+/** What is left of a loan that is to go back to its holder. */
+export interface Leftover {
+  readonly holder: string;
+  readonly loan: string;
+  readonly amount: number;
+}
+
+/** Tokens of one team that an entry has borrowed; times are monotonic milliseconds. */
+export interface Purse {
+  total(nowMs: number): number;
+  /** Credits a loan that was asked for at a time; a loan that came too late is not credited. */
+  credit(holder: string, loan: string, amount: number, askedMs: number, nowMs: number): void;
+  /** Spends at most the amount, oldest first; gives what was spent. */
+  spend(amount: number, nowMs: number): number;
+  /** Loans of a holder of which nothing is left; each is given once. */
+  takeClosed(holder: string): string[];
+  /** Takes out what is older than an age and has not been spent. */
+  takeLeftovers(ageMs: number, nowMs: number): Leftover[];
+  isEmpty(): boolean;
+}
+
+const MAX_CLOSED = 64;
+
+/** Empty purse. */
+export const newPurse = (): Purse => {
+  const closed = new Map<string, string[]>();
+  let grants: Grant[] = [];
+
+  const close = ({ holder, loan }: Grant): void => {
+    const known = closed.get(holder) ?? [];
+    if (known.length < MAX_CLOSED) known.push(loan);
+    closed.set(holder, known);
+  };
+
+  const dropWhere = (isOver: (grant: Grant) => boolean): void => {
+    if (!grants.some(isOver)) return;
+    grants.filter(isOver).forEach(close);
+    grants = grants.filter((grant) => !isOver(grant));
+  };
+
+  const expire = (nowMs: number): void => dropWhere(({ expiresMs }) => expiresMs <= nowMs);
+
+  return {
+    total: (nowMs) => {
+      expire(nowMs);
+      return grants.reduce((sum, { amount }) => sum + amount, 0);
+    },
+    credit: (holder, loan, amount, askedMs, nowMs) => {
+      if (amount <= 0) return;
+      grants.push({ holder, loan, amount, expiresMs: askedMs + GRANT_LIFETIME_MS });
+      expire(nowMs);
+    },
+    spend: (amount, nowMs) => {
+      expire(nowMs);
+      let missing = amount;
+      grants.forEach((grant) => {
+        const part = Math.min(grant.amount, missing);
+        // eslint-disable-next-line no-param-reassign -- the purse owns its grants
+        grant.amount -= part;
+        missing -= part;
+      });
+      dropWhere((grant) => grant.amount <= TOKEN_TOLERANCE);
+      return amount - missing;
+    },
+    takeClosed: (holder) => {
+      const loans = closed.get(holder) ?? [];
+      closed.delete(holder);
+      return loans;
+    },
+    takeLeftovers: (ageMs, nowMs) => {
+      expire(nowMs);
+      const isOld = ({ expiresMs }: Grant): boolean =>
+        expiresMs - GRANT_LIFETIME_MS + ageMs <= nowMs;
+      const old = grants.filter(isOld);
+      grants = grants.filter((grant) => !isOld(grant));
+      return old;
+    },
+    isEmpty: () => grants.length === 0,
+  };
+};
--- /dev/null
+++ b/packages/decisions/limits/view.ts
@@ -0,0 +1,62 @@
+import { getRendezvousOrder } from '@anvilpaddle/common';
+import type { LimitView } from '@anvilpaddle/protocol';
+import { DEFAULT_HOLDERS } from './constants';
+
+/** Entries that hold a team's tokens, best first. */
+export const getHolders = (
+  team: string,
+  members: readonly string[],
+  holders: number,
+): readonly string[] => getRendezvousOrder(team, members).slice(0, holders);
+
+const getShareAmong = (
+  address: string,
+  team: string,
+  members: readonly string[],
+  holders: number,
+): number => {
+  const chosen = getHolders(team, members, holders);
+  return chosen.includes(address) ? 1 / chosen.length : 0;
+};
+
+/** Part of a team's rate and burst that an entry holds; it has made room for those who join. */
+export const getShare = (address: string, team: string, view: LimitView): number => {
+  if (!view.members.includes(address)) return 0;
+  const share = getShareAmong(address, team, view.members, view.holders);
+  if (view.joining.length === 0 || share === 0) return share;
+  const all = [...view.members, ...view.joining];
+  return Math.min(share, getShareAmong(address, team, all, view.holders));
+};
+
+/** View in which the entry joins; undefined when it is in the view already. */
+export const getJoinView = (
+  view: LimitView | undefined,
+  address: string,
+): LimitView | undefined => {
+  if (view === undefined || view.members.length === 0) {
+    const epoch = (view?.epoch ?? 0) + 1;
+    const joining = view?.joining.filter((other) => other !== address) ?? [];
+    return { epoch, members: [address], joining, holders: view?.holders ?? DEFAULT_HOLDERS };
+  }
+  if (view.members.includes(address) || view.joining.includes(address)) return undefined;
+  return { ...view, epoch: view.epoch + 1, joining: [...view.joining, address] };
+};
+
+/** View in which those who join are members. Every member must have confirmed the view before. */
+export const getCommitView = (view: LimitView): LimitView => ({
+  ...view,
+  epoch: view.epoch + 1,
+  members: [...view.members, ...view.joining],
+  joining: [],
+});
+
+/** View without entries that run no more; undefined when none of them is in it. */
+export const getRemoveView = (
+  view: LimitView,
+  gone: ReadonlySet<string>,
+): LimitView | undefined => {
+  const members = view.members.filter((address) => !gone.has(address));
+  const joining = view.joining.filter((address) => !gone.has(address));
+  const isSame = members.length + joining.length === view.members.length + view.joining.length;
+  return isSame ? undefined : { ...view, epoch: view.epoch + 1, members, joining };
+};
