Heartbeats to a bounded set of contacts; a slow contact holds back nobody

Cause: one Promise.all over all members made every heartbeat wait for the slowest contact, and all-to-all heartbeats grow with the square of the fleet. Contacts are now a rendezvous subset, each asked on its own schedule; silence, failure and a planned stop are separate states, and an answer counts from when it was asked for.

--- a/anvilpaddle-app/controllers/memberController.ts
+++ b/anvilpaddle-app/controllers/memberController.ts
@@ -1,73 +1,150 @@
-import { newMembers, type Members } from '@anvilpaddle/decisions';
+import {
+  getContacts,
+  getHeartbeatIntervalMs,
+  getHeartbeatPhase,
+  newMembers,
+  type Fanout,
+} from '@anvilpaddle/decisions';
 import { newMailbox, type Clock, type Logger } from '@anvilpaddle/common';
-import type { VmList } from '@anvilpaddle/platform';
+import type { Vm, VmList } from '@anvilpaddle/platform';
 import type { Load, Member } from '@anvilpaddle/protocol';
 import type { PeerClient } from '../peers/peerClient';
 
+const FANOUT: Fanout = { sidecarsPerGroup: 32, entries: 4 };
+const MAX_HEARTBEATS_PER_SECOND = 20;
+const SILENT_HEARTBEATS = 4;
+const TICKS_PER_HEARTBEAT = 4;
+
 /** Knows the other processes of the fleet and tells them of this one. */
 export interface MemberController {
   /** Members that may be given work. */
   live(): Member[];
+  /** Members heard of lately, the leaving ones included. */
+  known(): Member[];
+  /** The platform's list as last read; it lags. */
+  listed(): readonly Vm[];
   /** Answers a heartbeat with this process's own state. */
   hear(member: Member): Member;
   hearLoad(vm: string, load: Load): void;
-  /** Tells every member at once, as before a planned stop. */
+  /** A member could not be reached; it gets no work until it is heard again. */
+  hearFailure(vm: string): void;
+  /** Tells everyone that counts on this process at once, as before a planned stop. */
   announce(): Promise<void>;
   close(): Promise<void>;
 }
 
-interface Timing {
+/** How often what is told and read, in milliseconds. */
+export interface MemberTiming {
   readonly heartbeatMs: number;
   readonly silenceMs: number;
+  readonly listMs: number;
 }
 
+type Message =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'read_list' }
+  | { readonly kind: 'heard'; readonly member: Member; readonly askedMs: number };
+
 /** Starts the controller; `getSelf` gives this process's state at the moment of the call. */
 export const newMemberController = (
   vms: VmList,
   peers: PeerClient,
   getSelf: () => Member,
-  timing: Timing,
+  timing: MemberTiming,
   clock: Clock,
   log: Logger,
 ): MemberController => {
-  const members: Members = newMembers(timing.silenceMs);
+  const dueMs = new Map<string, number>();
+  const asking = new Set<string>();
+  let contacts: readonly Vm[] = [];
+
+  const getIntervalMs = (): number =>
+    getHeartbeatIntervalMs(contacts.length, timing.heartbeatMs, MAX_HEARTBEATS_PER_SECOND);
+  const members = newMembers(() => Math.max(timing.silenceMs, SILENT_HEARTBEATS * getIntervalMs()));
+
+  const getSelfVm = (): Vm => {
+    const { vm, address, role, failureDomain, group } = getSelf();
+    return { vm, address, role, failureDomain, group, state: 'live' };
+  };
 
-  const tellAll = async (): Promise<void> => {
-    const self = getSelf();
-    await Promise.all(
-      members
-        .targets()
-        .filter((vm) => vm.address !== self.address)
-        .map(async (vm) => {
-          const answer = await peers.call(vm.address, 'member.heartbeat', { member: self });
-          if (answer.ok) members.hear(answer.value.member, clock.monotonic());
-        }),
-    );
+  /** Asks one contact; a slow one holds back nobody else. */
+  const ask = async (address: string): Promise<void> => {
+    if (asking.has(address)) return;
+    asking.add(address);
+    const askedMs = clock.monotonic();
+    const answer = await peers.call(address, 'member.heartbeat', { member: getSelf() });
+    asking.delete(address);
+    if (!answer.ok) return;
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    mailbox.post({ kind: 'heard', member: answer.value.member, askedMs });
   };
 
-  const mailbox = newMailbox<'tick'>(
-    async () => {
-      const list = await vms.list();
-      if (list.ok) members.hearList(list.value);
-      await tellAll();
+  const tellDue = (): void => {
+    const nowMs = clock.monotonic();
+    const intervalMs = getIntervalMs();
+    const self = getSelf().vm;
+    contacts.forEach(({ vm, address }) => {
+      const due = dueMs.get(vm);
+      if (due !== undefined && due > nowMs) return;
+      // A contact that is new is asked at once and from then on in its own phase.
+      const shiftMs = due === undefined ? getHeartbeatPhase(self, vm) * intervalMs : 0;
+      dueMs.set(vm, nowMs + intervalMs - shiftMs);
+      void ask(address);
+    });
+  };
+
+  const readList = async (): Promise<void> => {
+    const list = await vms.list();
+    if (!list.ok) {
+      log.debug({ error: list.error }, 'VM list not read');
+      return;
+    }
+    members.hearList(list.value);
+    contacts = getContacts(getSelfVm(), list.value, FANOUT);
+    const names = new Set(contacts.map(({ vm }) => vm));
+    dueMs.forEach((_, vm) => {
+      if (!names.has(vm)) dueMs.delete(vm);
+    });
+    tellDue();
+  };
+
+  const mailbox = newMailbox<Message>(
+    (message) => {
+      if (message.kind === 'heard') members.hear(message.member, message.askedMs);
+      if (message.kind === 'tick') tellDue();
+      // Reading takes as long as the platform does, so that nothing waits for it here.
+      if (message.kind === 'read_list') {
+        readList().catch((fault: unknown) => log.error({ err: fault }, 'VM list not read'));
+      }
     },
     (fault) => log.error({ err: fault }, 'member controller failed'),
   );
-  const timer = clock.every(timing.heartbeatMs, () => {
-    if (mailbox.size() === 0) mailbox.post('tick');
-  });
-  mailbox.post('tick');
+  const timers = [
+    clock.every(timing.heartbeatMs / TICKS_PER_HEARTBEAT, () => mailbox.post({ kind: 'tick' })),
+    clock.every(timing.listMs, () => mailbox.post({ kind: 'read_list' })),
+  ];
+  mailbox.post({ kind: 'read_list' });
 
   return {
     live: () => members.live(clock.monotonic()),
+    known: () => members.known(clock.monotonic()),
+    listed: () => members.listed(),
     hear: (member) => {
-      members.hear(member, clock.monotonic());
+      mailbox.post({ kind: 'heard', member, askedMs: clock.monotonic() });
       return getSelf();
     },
     hearLoad: (vm, load) => members.hearLoad(vm, load),
-    announce: tellAll,
+    hearFailure: (vm) => members.hearFailure(vm, clock.monotonic()),
+    announce: async () => {
+      const heard = members.known(clock.monotonic()).map(({ address }) => address);
+      const addresses = new Set([...heard, ...contacts.map(({ address }) => address)]);
+      const self = getSelf();
+      await Promise.all(
+        [...addresses].map((address) => peers.call(address, 'member.heartbeat', { member: self })),
+      );
+    },
     close: async () => {
-      timer.cancel();
+      timers.forEach((timer) => timer.cancel());
       await mailbox.close();
     },
   };
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -17,6 +17,7 @@
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
+import { getMemberTiming } from '../process/memberTiming';
 import { waitUntil, type Program } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
@@ -97,7 +98,7 @@
     platform.vms,
     peers,
     getSelf,
-    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    getMemberTiming(file),
     clock,
     log,
   );
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -34,6 +34,8 @@
     timeout: durationSchema.default(2000),
     /** Time between two looks for newer configuration. */
     refresh: durationSchema.default(500),
+    /** Time between two reads of the VM list. */
+    list_refresh: durationSchema.default(1000),
   }),
   peers: z.strictObject({
     /** Address for messages between processes. */
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -6,6 +6,7 @@
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
+import { getMemberTiming } from '../process/memberTiming';
 import { waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptLog } from './attemptLog';
@@ -66,7 +67,7 @@
     platform.vms,
     peers,
     getSelf,
-    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    getMemberTiming(file),
     clock,
     log,
   );
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -111,7 +111,7 @@
   const ini = mergeIni(
     {
       process: { vm, failure_domain: `fd-${index % 3}` },
-      platform: { url: platformUrl, timeout: '1s', refresh: '100ms' },
+      platform: { url: platformUrl, timeout: '1s', refresh: '100ms', list_refresh: '100ms' },
       peers: {
         listen: `${host}:${peer.port}`,
         secrets: FLEET_SECRET,
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -1,5 +1,6 @@
 export * from './batch/chunk';
 export * from './limits/tokenBucket';
+export * from './membership/contacts';
 export * from './membership/members';
 export * from './retries/retryPolicy';
 export * from './routing/pickUpstream';
--- a/packages/decisions/membership/members.ts
+++ b/packages/decisions/membership/members.ts
@@ -1,43 +1,85 @@
-import type { Vm } from '@anvilpaddle/platform';
+import { VM_STATE, type Vm } from '@anvilpaddle/platform';
 import type { Load, Member } from '@anvilpaddle/protocol';
 
 /** What is known of the other processes; times are monotonic milliseconds. */
 export interface Members {
-  /** A member has spoken for itself. */
-  hear(member: Member, nowMs: number): void;
+  /**
+   * A member has spoken for itself. `askedMs` is when the question was sent: a process that was
+   * paused may read an old answer long after it was given.
+   */
+  hear(member: Member, askedMs: number): void;
   /** Load that came with an answer, fresher than a heartbeat. */
   hearLoad(vm: string, load: Load): void;
+  /** A member could not be reached; it gets no work until it is heard again. */
+  hearFailure(vm: string, nowMs: number): void;
   /** The platform's list has been read. */
   hearList(vms: readonly Vm[]): void;
   /** Members that may be given work. */
   live(nowMs: number): Member[];
-  /** VMs that a heartbeat is due to. */
-  targets(): readonly Vm[];
+  /** Members heard of lately, the leaving ones included. */
+  known(nowMs: number): Member[];
+  /** The platform's list as last read. */
+  listed(): readonly Vm[];
 }
 
-/** Members that are silent for longer than the timeout in milliseconds are left out. */
-export const newMembers = (timeoutMs: number): Members => {
-  const heard = new Map<string, { member: Member; heardMs: number }>();
+interface Record {
+  member: Member;
+  heardMs: number;
+  failedMs: number | undefined;
+}
+
+const FORGET_AFTER_SILENCES = 10;
+
+/** Members that are silent for longer than `getSilenceMs()` are given no work. */
+export const newMembers = (getSilenceMs: () => number): Members => {
+  const records = new Map<string, Record>();
   let listed: readonly Vm[] = [];
+  let leaving: ReadonlySet<string> = new Set();
+
+  const forget = (nowMs: number): void => {
+    records.forEach(({ heardMs }, vm) => {
+      if (nowMs - heardMs > FORGET_AFTER_SILENCES * getSilenceMs()) records.delete(vm);
+    });
+  };
+
+  const isHeard = (record: Record, nowMs: number): boolean =>
+    nowMs - record.heardMs <= getSilenceMs();
+
+  const isUsable = ({ member, failedMs, heardMs }: Record): boolean =>
+    !member.leaving && !leaving.has(member.vm) && (failedMs === undefined || failedMs < heardMs);
 
   return {
-    hear: (member, nowMs) => {
-      heard.set(member.vm, { member, heardMs: nowMs });
+    hear: (member, askedMs) => {
+      const known = records.get(member.vm);
+      if (known !== undefined && askedMs < known.heardMs) return;
+      // An answer given before the announcement of a planned stop may arrive after it.
+      const isStillLeaving =
+        known?.member.incarnation === member.incarnation && known.member.leaving;
+      records.set(member.vm, {
+        member: { ...member, leaving: member.leaving || isStillLeaving },
+        heardMs: askedMs,
+        failedMs: known?.failedMs,
+      });
+      forget(askedMs);
     },
     hearLoad: (vm, load) => {
-      const known = heard.get(vm);
+      const known = records.get(vm);
       if (known !== undefined) known.member = { ...known.member, load };
     },
+    hearFailure: (vm, nowMs) => {
+      const known = records.get(vm);
+      if (known !== undefined) known.failedMs = nowMs;
+    },
     hearList: (vms) => {
       listed = vms;
+      leaving = new Set(vms.filter(({ state }) => state === VM_STATE.leaving).map(({ vm }) => vm));
     },
-    live: (nowMs) => {
-      const states = new Map(listed.map((vm) => [vm.vm, vm.state]));
-      return [...heard.values()]
-        .filter(({ heardMs }) => nowMs - heardMs <= timeoutMs)
-        .map(({ member }) => member)
-        .filter((member) => !member.leaving && states.get(member.vm) !== 'leaving');
-    },
-    targets: () => listed,
+    live: (nowMs) =>
+      [...records.values()]
+        .filter((record) => isHeard(record, nowMs) && isUsable(record))
+        .map(({ member }) => member),
+    known: (nowMs) =>
+      [...records.values()].filter((record) => isHeard(record, nowMs)).map(({ member }) => member),
+    listed: () => listed,
   };
 };
--- a/packages/platform/httpVmList.ts
+++ b/packages/platform/httpVmList.ts
@@ -12,6 +12,7 @@
       role: z.enum(NODE_ROLE),
       failureDomain: z.string(),
       state: z.enum(VM_STATE),
+      group: z.string().optional(),
     }),
   ),
 });
--- a/packages/platform/types.ts
+++ b/packages/platform/types.ts
@@ -75,6 +75,8 @@
   readonly role: NodeRole;
   readonly failureDomain: string;
   readonly state: VmState;
+  /** Group of upstreams of a sidecar's VM, when the list tells it. */
+  readonly group?: string | undefined;
 }
 
 /** The platform's list of VMs. */
