Routing: prefix affinity with a load bound, health with gentle return, pressure between reports

Cause: the thin path picked the less loaded of two by stale reports alone: a burst between two reports herds on the idlest, and an upstream that fails fast looks idle.

--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { getEffectiveSettings, LeastOfTwoRouter } from '@anvilpaddle/decisions';
+import { getEffectiveSettings, AffinityRouter } from '@anvilpaddle/decisions';
 import {
   getAddressText,
   listen,
@@ -122,7 +122,7 @@
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
       return revoked.ok ? revoked.value.state : undefined;
     },
-    router: new LeastOfTwoRouter(Math.random),
+    router: new AffinityRouter(Math.random, () => clock.monotonic()),
     metrics,
     clock,
     log,
--- /dev/null
+++ b/packages/decisions/routing/randomRouter.ts
@@ -0,0 +1,16 @@
+import { getRandomElement, type Random } from '@anvilpaddle/common';
+import type { Member } from '@anvilpaddle/protocol';
+import { getCandidates, type Need, type Router } from './router';
+
+/** Any candidate; a baseline for measurements. */
+export class RandomRouter implements Router {
+  constructor(private readonly random: Random) {}
+
+  pick(members: readonly Member[], need: Need): Member | undefined {
+    return getRandomElement(getCandidates(members, need), this.random);
+  }
+
+  started(): void {}
+
+  ended(): void {}
+}
