--- a/anvilpaddle-app/tests/limitFleet.test.ts
+++ b/anvilpaddle-app/tests/limitFleet.test.ts
@@ -104,7 +104,9 @@
     add: () => {
       if (addresses.length < 7) fleet.add();
     },
-    stop: () => void fleet.stop(target),
+    stop: () => {
+      void fleet.stop(target);
+    },
     lossy: () => {
       weather.loss = 0.2;
       weather.duplicates = 0.3;
