--- a/anvilpaddle-app/controllers/limitController.ts
+++ b/anvilpaddle-app/controllers/limitController.ts
@@ -31,6 +31,8 @@
   start(): void;
   admit(team: string): Promise<Admission>;
   status(): LimitStatus;
+  /** Tokens of a team that this entry has at hand, its own and borrowed. */
+  tokens(team: string): number;
   readonly handlers: LimitHandlers;
   /** Hands the tokens to other holders and leaves the view. */
   close(): Promise<void>;
@@ -54,8 +56,8 @@
 /** Pause after which this entry may have been taken for gone. */
 const PAUSE_LIMIT_MS = 5000;
 /** Time from the first view in which a request waits rather than being refused. */
-const START_GRACE_MS = 2000;
-const START_POLL_MS = 20;
+const START_GRACE_MS = 1000;
+const START_POLL_MS = 50;
 const STOPPING_RETRY_MS = 1000;
 
 /** Controller that holds a share of each team's tokens and borrows from the other holders. */
@@ -218,6 +220,7 @@
     },
     admit,
     status: () => ({ view: node.view(), holding: node.isHolding(), teams: node.teamCount() }),
+    tokens: (team) => node.available(team, now()),
     handlers: {
       'limit.borrow': (params) => {
         noticePause();
--- a/packages/decisions/limits/limitNode.ts
+++ b/packages/decisions/limits/limitNode.ts
@@ -53,6 +53,8 @@
   room(team: string, nowMs: number): number;
   /** Puts tokens borrowed from a leaving holder into this entry's own share. */
   absorb(team: string, lent: Lent, askedMs: number, nowMs: number): void;
+  /** Tokens of a team at hand, the entry's own and borrowed. */
+  available(team: string, nowMs: number): number;
   teamCount(): number;
 }
 
@@ -201,6 +203,7 @@
       if (nowMs - askedMs >= GRANT_LIFETIME_MS) return;
       getTeam(team, nowMs).lender.add(lent.granted, nowMs);
     },
+    available: (team, nowMs) => getTeam(team, nowMs).available(nowMs),
     teamCount: () => teams.size,
   };
 };
