--- a/anvilpaddle-app/controllers/limitController.ts
+++ b/anvilpaddle-app/controllers/limitController.ts
@@ -71,6 +71,7 @@
   let lastBeatMs: number | undefined;
   let ticks = 0;
   let isClosing = false;
+  let isLending = true;
 
   const now = (): number => clock.monotonic();
 
@@ -188,16 +189,21 @@
 
   const timers: ReturnType<Clock['every']>[] = [];
 
-  /** Offers each team's tokens to its other holders, who borrow them into their shares. */
-  const offerTokens = async (): Promise<void> => {
+  /** Offers what is held to the holders of one rank; each takes what its own share has room for. */
+  const offerToRank = async (rank: number): Promise<boolean> => {
     const offers = new Map<string, string[]>();
     node.heldTeams(now()).forEach((team) => {
-      const [holder] = node.otherHolders(team);
+      const holder = node.otherHolders(team)[rank];
       if (holder !== undefined) offers.set(holder, [...(offers.get(holder) ?? []), team]);
     });
     await Promise.all(
       [...offers].map(([holder, teams]) => peers.call(holder, 'limit.offer', { address, teams })),
     );
+    return offers.size > 0;
+  };
+
+  const offerTokens = async (): Promise<void> => {
+    for (let rank = 0; await offerToRank(rank); rank += 1);
   };
 
   const takeOffer = async (leaving: string, team: string): Promise<void> => {
@@ -224,7 +230,7 @@
     handlers: {
       'limit.borrow': (params) => {
         noticePause();
-        return node.lend(params, now());
+        return node.lend(isLending ? params : { ...params, need: 0, extra: 0 }, now());
       },
       'limit.giveBack': (params) => {
         node.takeBack(params, now());
@@ -247,6 +253,10 @@
       timers.forEach((timer) => timer.cancel());
       await mailbox.close();
       await giveBack(0);
+      // What others have borrowed and do not use comes back first.
+      isLending = false;
+      await sleep(RETURN_AGE_MS + RETURN_INTERVAL_MS);
+      isLending = true;
       await offerTokens();
       const wasHolding = node.isHolding();
       node.suspend(now());
--- a/anvilpaddle-app/tests/kit/limitFleet.ts
+++ b/anvilpaddle-app/tests/kit/limitFleet.ts
@@ -67,6 +67,7 @@
   pause(address: string): void;
   resume(address: string): void;
   stop(address: string): Promise<void>;
+  setStoreDown(isDown: boolean): void;
   cut(a: string, b: string): void;
   healCuts(): void;
   request(address: string, team: string): void;
@@ -261,6 +262,9 @@
       await entry?.controller.close();
       entry?.process.end();
     },
+    setStoreDown: (isDown) => {
+      weather.isStoreDown = isDown;
+    },
     cut: (a, b) => cuts.add(`${a} ${b}`),
     healCuts: () => cuts.clear(),
     request: (address, team) => {
