--- a/anvilpaddle-app/entry/actions/health.ts
+++ b/anvilpaddle-app/entry/actions/health.ts
@@ -1,5 +1,6 @@
 import { newFailure } from '@anvilpaddle/common';
 import { newApiError } from '@anvilpaddle/protocol';
+import { STOP_STAGE } from '../../process/program';
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
@@ -10,7 +11,7 @@
   path: '/ready',
   access: ACTION_ACCESS.open,
   run: async (exchange, services) =>
-    services.isStopping()
+    services.getStopStage() !== STOP_STAGE.serving
       ? newFailure(newApiError('stopping', 'this entry is stopping'))
       : answerJson(exchange, { ready: true, revision: services.config.current().revision }),
 };
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -18,7 +18,7 @@
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
 import { getMemberTiming } from '../process/memberTiming';
-import { waitUntil, type Program } from '../process/program';
+import { STOP_STAGE, waitMs, waitUntil, type Program, type StopStage } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
 import { newAttemptClient } from './attemptClient';
@@ -81,7 +81,7 @@
   const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
   const metrics = newMetrics(file.metrics.statsd);
-  let isStopping = false;
+  let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
 
   const getSelf = (): Member => ({
@@ -90,7 +90,7 @@
     role: 'entry',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: stage !== STOP_STAGE.serving,
     models: [],
     revision: config.current().revision,
   });
@@ -126,7 +126,7 @@
     metrics,
     clock,
     log,
-    isStopping: () => isStopping,
+    getStopStage: () => stage,
   };
   const filters = [
     newAccountFilter(services),
@@ -171,8 +171,10 @@
   return {
     callers,
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      // Readiness fails from here on; what comes nonetheless is served until the balancer knows.
+      stage = STOP_STAGE.leaving;
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      stage = STOP_STAGE.refusing;
       await waitUntil(clock, () => open === 0);
       server.close();
       server.closeIdleConnections();
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -12,6 +12,7 @@
 import type { JobController } from '../controllers/jobController';
 import type { LimitController } from '../controllers/limitController';
 import type { MemberController } from '../controllers/memberController';
+import type { StopStage } from '../process/program';
 import type { Action } from './action';
 import type { AttemptClient } from './attemptClient';
 
@@ -34,7 +35,7 @@
   readonly metrics: Metrics;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly isStopping: () => boolean;
+  readonly getStopStage: () => StopStage;
 }
 
 /** What happened to a request, for logs and metrics. */
--- a/anvilpaddle-app/entry/filters/stopping.ts
+++ b/anvilpaddle-app/entry/filters/stopping.ts
@@ -1,5 +1,6 @@
 import { newFailure } from '@anvilpaddle/common';
 import { newApiError } from '@anvilpaddle/protocol';
+import { STOP_STAGE } from '../../process/program';
 import type { EntryServices, Filter } from '../exchange';
 
 const STOPPING_RETRY_MS = 1000;
@@ -8,8 +9,11 @@
 export const newStoppingFilter = (services: EntryServices): Filter => ({
   name: 'stopping',
   apply: async (exchange, next) => {
-    if (!services.isStopping()) return next();
+    const stage = services.getStopStage();
+    if (stage === STOP_STAGE.serving) return next();
+    // The next request on this connection has to go to another entry.
     exchange.response.setHeader('connection', 'close');
+    if (stage === STOP_STAGE.leaving) return next();
     return newFailure(
       newApiError('stopping', 'this entry is stopping', { retryAfterMs: STOPPING_RETRY_MS }),
     );
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -12,7 +12,7 @@
     answerJson(exchange, {
       vm: services.vm,
       revision: services.config.current().revision,
-      stopping: services.isStopping(),
+      stage: services.getStopStage(),
       members: services.members.live(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -27,6 +27,11 @@
     vm: nameSchema,
     failure_domain: nameSchema,
     log_level: z.enum(LOG_LEVELS).default('info'),
+    /**
+     * Time from the start of a planned stop in which new work is still served, so that the balancer
+     * (of an entry) or the entries (of a sidecar) can turn away first.
+     */
+    stop_grace: durationSchema.default(6000),
   }),
   platform: z.strictObject({
     url: z.url(),
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -7,7 +7,7 @@
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
 import { getMemberTiming } from '../process/memberTiming';
-import { waitUntil, type Program } from '../process/program';
+import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
@@ -40,7 +40,8 @@
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
-  let isStopping = false;
+  let isLeaving = false;
+  let isRefusing = false;
 
   const getWeight = (team: string): number =>
     getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
@@ -50,14 +51,14 @@
     role: 'sidecar',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: isLeaving,
     group: file.upstream.group,
     models: [...models],
     load: task.load(),
     revision: config.current().revision,
   });
 
-  const shared = { task, client, clock, log, getWeight, isStopping: () => isStopping };
+  const shared = { task, client, clock, log, getWeight, isStopping: () => isRefusing };
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
@@ -83,6 +84,7 @@
   );
   const worker = newBatchWorker({
     ...shared,
+    isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
     tables: platform.tables,
@@ -98,8 +100,10 @@
 
   return {
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      isLeaving = true;
+      // An entry that has not heard yet is served, since its request may be on the way.
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
       await worker.close();
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,7 +36,7 @@
         'error',
         {
           props: true,
-          ignorePropertyModificationsFor: ['exchange', 'outcome', 'record', 'response'],
+          ignorePropertyModificationsFor: ['exchange', 'outcome', 'record', 'response', 'upstream'],
         },
       ],
       'no-void': ['error', { allowAsStatement: true }],
--- a/packages/decisions/routing/affinityRouter.ts
+++ b/packages/decisions/routing/affinityRouter.ts
@@ -1,19 +1,33 @@
-import { getRendezvousOrder, getRandomElement, type Random } from '@anvilpaddle/common';
+import { getRendezvousOrder, type Random } from '@anvilpaddle/common';
 import type { Member } from '@anvilpaddle/protocol';
 import { newHealth, type Health } from './health';
 import { newPressure, type Pressure } from './pressure';
 import { getCandidates, type AttemptResult, type Need, type Router } from './router';
 
 const FULL = 1;
-/** How far above the average the upstream of a prefix may be before the next one is taken. */
-const AFFINITY_BOUND = 1.25;
+/** Pressure up to which a prefix stays with its upstream: a multiple of the average and a slack. */
+const AFFINITY_FACTOR = 1.1;
+const AFFINITY_SLACK = 0.1;
+
+const CHOICES = 2;
+
+/** Distinct random elements, at most so many. */
+const getSample = <T>(items: readonly T[], count: number, random: Random): T[] => {
+  const rest = [...items];
+  const sample: T[] = [];
+  while (sample.length < count && rest.length > 0) {
+    sample.push(...rest.splice(Math.floor(random() * rest.length), 1));
+  }
+  return sample;
+};
 
 /** Time in monotonic milliseconds. */
 export type Now = () => number;
 
 /**
  * Upstream of the prompt's prefix while it is not much fuller than the others, else the less loaded
- * of two random ones; the entry's failure domain goes first while it has room. Upstreams that fail
+ * of two random ones, from the entry's failure domain while that has room. A prefix has one upstream
+ * over all failure domains, since copies in each would share the little cache there is. Upstreams that fail
  * or are far slower are left out, but never more than half of the candidates.
  */
 export class AffinityRouter implements Router {
@@ -28,8 +42,8 @@
 
   pick(members: readonly Member[], need: Need): Member | undefined {
     const healthy = this.getHealthy(getCandidates(members, need));
-    const pool = this.getPool(healthy, need.failureDomain);
-    return this.getPrefixOwner(pool, need.prefix) ?? this.getLessLoaded(pool);
+    const owner = this.getPrefixOwner(healthy, need.prefix);
+    return owner ?? this.getLessLoaded(this.getPool(healthy, need.failureDomain));
   }
 
   started(vm: string): void {
@@ -58,7 +72,7 @@
     if (prefix === undefined) return undefined;
     const pressures = new Map(pool.map((member) => [member.vm, this.pressure.get(member)]));
     const total = [...pressures.values()].reduce((sum, pressure) => sum + pressure, 0);
-    const bound = Math.max(FULL, (AFFINITY_BOUND * total) / pool.length);
+    const bound = (AFFINITY_FACTOR * total) / pool.length + AFFINITY_SLACK;
     const owner = getRendezvousOrder(
       prefix,
       pool.map(({ vm }) => vm),
@@ -67,9 +81,11 @@
   }
 
   private getLessLoaded(pool: readonly Member[]): Member | undefined {
-    const first = getRandomElement(pool, this.random);
-    const second = getRandomElement(pool, this.random);
-    if (first === undefined || second === undefined) return undefined;
-    return this.pressure.get(first) <= this.pressure.get(second) ? first : second;
+    const samples = getSample(pool, CHOICES, this.random);
+    return samples.reduce<Member | undefined>(
+      (best, member) =>
+        best === undefined || this.pressure.get(member) < this.pressure.get(best) ? member : best,
+      undefined,
+    );
   }
 }
