--- a/anvilpaddle-app/controllers/memberController.ts
+++ b/anvilpaddle-app/controllers/memberController.ts
@@ -11,8 +11,8 @@
 import type { PeerClient } from '../peers/peerClient';
 
 const FANOUT: Fanout = { sidecarsPerGroup: 32, entries: 4 };
-const MAX_HEARTBEATS_PER_SECOND = 20;
-const SILENT_HEARTBEATS = 4;
+const MAX_HEARTBEATS_PER_SECOND = 8;
+const SILENT_HEARTBEATS = 3;
 const TICKS_PER_HEARTBEAT = 4;
 
 /** Knows the other processes of the fleet and tells them of this one. */
@@ -43,6 +43,7 @@
 type Message =
   | { readonly kind: 'tick' }
   | { readonly kind: 'read_list' }
+  | { readonly kind: 'missed'; readonly vm: string; readonly askedMs: number }
   | { readonly kind: 'heard'; readonly member: Member; readonly askedMs: number };
 
 /** Starts the controller; `getSelf` gives this process's state at the moment of the call. */
@@ -67,29 +68,37 @@
     return { vm, address, role, failureDomain, group, state: 'live' };
   };
 
+  const tellSelf = (message: Message): void => {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    mailbox.post(message);
+  };
+
   /** Asks one contact; a slow one holds back nobody else. */
-  const ask = async (address: string): Promise<void> => {
+  const ask = async ({ vm, address }: Vm): Promise<void> => {
     if (asking.has(address)) return;
     asking.add(address);
     const askedMs = clock.monotonic();
     const answer = await peers.call(address, 'member.heartbeat', { member: getSelf() });
     asking.delete(address);
-    if (!answer.ok) return;
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
-    mailbox.post({ kind: 'heard', member: answer.value.member, askedMs });
+    if (!answer.ok) {
+      tellSelf({ kind: 'missed', vm, askedMs });
+      return;
+    }
+    tellSelf({ kind: 'heard', member: answer.value.member, askedMs });
   };
 
   const tellDue = (): void => {
     const nowMs = clock.monotonic();
     const intervalMs = getIntervalMs();
     const self = getSelf().vm;
-    contacts.forEach(({ vm, address }) => {
+    contacts.forEach((contact) => {
+      const { vm } = contact;
       const due = dueMs.get(vm);
       if (due !== undefined && due > nowMs) return;
       // A contact that is new is asked at once and from then on in its own phase.
       const shiftMs = due === undefined ? getHeartbeatPhase(self, vm) * intervalMs : 0;
       dueMs.set(vm, nowMs + intervalMs - shiftMs);
-      void ask(address);
+      void ask(contact);
     });
   };
 
@@ -111,6 +120,10 @@
   const mailbox = newMailbox<Message>(
     (message) => {
       if (message.kind === 'heard') members.hear(message.member, message.askedMs);
+      if (message.kind === 'missed') {
+        members.hearFailure(message.vm, message.askedMs);
+        dueMs.set(message.vm, clock.monotonic() + timing.heartbeatMs);
+      }
       if (message.kind === 'tick') tellDue();
       // Reading takes as long as the platform does, so that nothing waits for it here.
       if (message.kind === 'read_list') {
--- a/anvilpaddle-app/tests/kit/child.ts
+++ b/anvilpaddle-app/tests/kit/child.ts
@@ -6,7 +6,7 @@
 import { createInterface } from 'node:readline';
 import { stringify } from 'ini';
 
-const BUNDLE = resolve(__dirname, '../../../dist/anvilpaddle.cjs');
+const BUNDLE = resolve('dist/anvilpaddle.cjs');
 
 /** Sections of an INI file. */
 export type Ini = Readonly<Record<string, Readonly<Record<string, string>>>>;
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -1,8 +1,10 @@
 import { loadHashing } from '@anvilpaddle/common';
+import { measureCapacity } from './capacity';
 import { measureRouting } from './routing';
 
 /** Measurements by name; `npm run measure -- NAME` runs one, no name runs all. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
+  capacity: measureCapacity,
   routing: measureRouting,
 };
 
