--- a/anvilpaddle-app/entry/answer.ts
+++ b/anvilpaddle-app/entry/answer.ts
@@ -1,35 +1,76 @@
 import type { Readable } from 'node:stream';
-import { once } from 'node:events';
-import { createParser } from 'eventsource-parser';
-import { newFailure, newOk, type Result } from '@anvilpaddle/common';
-import { HEADER, newApiError, type ApiError } from '@anvilpaddle/protocol';
+import { HISTOGRAM, newFailure, newOk, SERVICE_CLASS, type Result } from '@anvilpaddle/common';
+import {
+  HEADER,
+  INTERNAL_HEADER_PREFIX,
+  newApiError,
+  type ApiError,
+  type RunState,
+} from '@anvilpaddle/protocol';
 import type { AttemptReply } from './attemptClient';
 import type { EntryServices, Exchange } from './exchange';
 
-type Answer = Extract<AttemptReply, { kind: 'answer' }>;
+/** Answer of an upstream through its sidecar. */
+export type Answer = Extract<AttemptReply, { kind: 'answer' }>;
+
+/** Answer that has come whole and is ready for the caller. */
+export interface WholeAnswer {
+  readonly answer: Answer;
+  readonly body: Buffer;
+}
 
 const STREAM_TYPE = 'text/event-stream';
-const STREAM_END = '[DONE]';
+const STATUS_OK = 200;
+const ATTEMPT_ID = /att_[0-9a-f]{24}/;
 const DROPPED_HEADERS = new Set<string>([
   'connection',
+  'content-length',
   'keep-alive',
-  'transfer-encoding',
+  'proxy-authenticate',
   'set-cookie',
-  HEADER.attemptId,
-  HEADER.load,
-  HEADER.refusal,
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
 ]);
 
-const getCallerHeaders = (exchange: Exchange, answer: Answer): Record<string, string> => ({
+/** Whether the answer is a stream of server-sent events. */
+export const isStream = (answer: Answer): boolean =>
+  answer.status === STATUS_OK &&
+  String(answer.headers['content-type'] ?? '').startsWith(STREAM_TYPE);
+
+/** Headers of an answer that a caller may see; the length is set anew. */
+export const getCallerHeaders = (exchange: Exchange, answer: Answer): Record<string, string> => ({
   ...Object.fromEntries(
     Object.entries(answer.headers).flatMap(([name, value]) =>
-      typeof value === 'string' && !DROPPED_HEADERS.has(name) ? [[name, value] as const] : [],
+      typeof value === 'string' &&
+      !DROPPED_HEADERS.has(name) &&
+      !name.startsWith(INTERNAL_HEADER_PREFIX)
+        ? [[name, value] as const]
+        : [],
     ),
   ),
   [HEADER.requestId]: exchange.id,
 });
 
-const readWhole = async (body: Readable, limitBytes: number): Promise<Buffer | undefined> => {
+/** Whether an engine's answer names another attempt than ours; one that names none passes. */
+export const isCrossed = (json: unknown, attempt: string): boolean => {
+  if (typeof json !== 'object' || json === null || !('id' in json)) return false;
+  const named = ATTEMPT_ID.exec(String(json.id))?.[0];
+  return named !== undefined && named !== attempt;
+};
+
+/** Records how long the attempt waited for a slot. */
+export const recordQueueWait = (
+  exchange: Exchange,
+  answer: Answer,
+  { metrics }: EntryServices,
+): void => {
+  const waitedMs = Number(answer.headers[HEADER.queueWait]);
+  if (!Number.isFinite(waitedMs) || exchange.team === undefined) return;
+  metrics.record(HISTOGRAM.queueWait, exchange.team, SERVICE_CLASS.online, waitedMs);
+};
+
+const readAll = async (body: Readable, limitBytes: number): Promise<Buffer | undefined> => {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of body as AsyncIterable<Buffer>) {
@@ -40,66 +81,49 @@
   return Buffer.concat(chunks);
 };
 
-/** An answer of known length is passed on only when all of it has come. */
-const relayWhole = async (exchange: Exchange, answer: Answer): Promise<Result<void, ApiError>> => {
-  let body: Buffer | undefined;
+const parseJson = (body: Buffer): unknown => {
   try {
-    body = await readWhole(answer.body, exchange.settings['request.max_answer']);
+    return JSON.parse(String(body));
   } catch {
-    const message = "the upstream's answer was cut";
-    return newFailure(newApiError('upstream_failed', message, { run: 'unknown' }));
+    return undefined;
   }
-  if (body === undefined) {
-    const message = "the upstream's answer is too large";
-    return newFailure(newApiError('upstream_failed', message, { run: 'ran' }));
+};
+
+const getModelFault = ({ answer, body }: WholeAnswer): string | undefined => {
+  if (answer.status !== STATUS_OK || answer.headers['content-encoding'] !== undefined) {
+    return undefined;
   }
-  exchange.response.writeHead(answer.status, {
-    ...getCallerHeaders(exchange, answer),
-    'content-length': String(body.length),
-  });
-  exchange.response.end(body);
-  return newOk(undefined);
+  const json = parseJson(body);
+  if (json === undefined) return "the engine's answer is not JSON";
+  return isCrossed(json, answer.attempt) ? 'the answer belongs to another attempt' : undefined;
 };
 
-/** A stream is passed on as it comes; without its end mark it ends with an explicit error. */
-const relayStream = async (
+const newBadAnswer = (message: string, run: RunState): Result<never, ApiError> =>
+  newFailure(newApiError('upstream_failed', message, { run }));
+
+/** Reads an answer of known length; only a whole one that belongs to the attempt comes back. */
+export const readWhole = async (
   exchange: Exchange,
   answer: Answer,
-  services: EntryServices,
-): Promise<Result<void, ApiError>> => {
-  const { response, outcome } = exchange;
-  let isEnded = false;
-  const parser = createParser({
-    onEvent: ({ data }) => {
-      outcome.firstTokenMs ??= services.clock.monotonic();
-      if (data === STREAM_END) isEnded = true;
-    },
-  });
-  response.writeHead(answer.status, getCallerHeaders(exchange, answer));
+): Promise<Result<WholeAnswer, ApiError>> => {
+  let body: Buffer | undefined;
   try {
-    for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-      parser.feed(chunk.toString());
-      if (!response.write(chunk)) await once(response, 'drain', { signal: exchange.signal });
-    }
+    body = await readAll(answer.body, exchange.settings['request.max_answer']);
   } catch {
-    // The missing end mark below tells of it.
-  }
-  if (isEnded) {
-    response.end();
-    return newOk(undefined);
+    return newBadAnswer("the upstream's answer was cut", 'unknown');
   }
-  const error = newApiError('upstream_failed', 'the stream was cut', { run: 'unknown' });
-  response.end(`data: ${JSON.stringify({ error: { code: error.code, run: error.run } })}\n\n`);
-  return newFailure(error);
+  if (body === undefined) return newBadAnswer("the upstream's answer is too large", 'unknown');
+  const whole = { answer, body };
+  const fault = exchange.route?.kind === 'model' ? getModelFault(whole) : undefined;
+  return fault === undefined ? newOk(whole) : newBadAnswer(fault, 'unknown');
 };
 
-/** Passes an upstream's answer to the caller, whole or with an explicit error. */
-export const relayAnswer = (
-  exchange: Exchange,
-  answer: Answer,
-  services: EntryServices,
-): Promise<Result<void, ApiError>> => {
-  exchange.outcome.run = 'ran';
-  const isStream = String(answer.headers['content-type'] ?? '').startsWith(STREAM_TYPE);
-  return isStream ? relayStream(exchange, answer, services) : relayWhole(exchange, answer);
+/** Passes a whole answer to the caller. */
+export const sendWhole = (exchange: Exchange, { answer, body }: WholeAnswer): void => {
+  const isHead = exchange.request.method === 'HEAD';
+  exchange.response.writeHead(answer.status, {
+    ...getCallerHeaders(exchange, answer),
+    ...(isHead ? {} : { 'content-length': String(body.length) }),
+  });
+  exchange.response.end(body);
 };
--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
-import { Agent, request } from 'undici';
+import { Agent, request, type Dispatcher } from 'undici';
 import { getFaultMessage } from '@anvilpaddle/common';
 import {
   getAttemptHeader,
@@ -13,20 +13,22 @@
   type Member,
   type Refusal,
 } from '@anvilpaddle/protocol';
+import { isNeverSent } from '../peers/connectFault';
 
 /** How the exchange with a sidecar began. */
 export type AttemptReply =
   | {
       readonly kind: 'answer';
+      readonly attempt: string;
       readonly status: number;
       readonly headers: IncomingHttpHeaders;
       readonly body: Readable;
       readonly load: Load | undefined;
     }
   | { readonly kind: 'refusal'; readonly refusal: Refusal }
-  /** The sidecar could not be reached: nothing was sent. */
+  /** The sidecar could not be reached or did not accept our secret: nothing was sent. */
   | { readonly kind: 'unreachable'; readonly detail: string }
-  /** The connection was lost before an answer: only the sidecar knows what became of it. */
+  /** No answer of this attempt came: only the sidecar knows what became of it. */
   | { readonly kind: 'lost'; readonly detail: string };
 
 /** Sends attempts to sidecars. */
@@ -36,13 +38,7 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1000;
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-const isNotSent = (fault: unknown): boolean =>
-  typeof fault === 'object' &&
-  fault !== null &&
-  'code' in fault &&
-  NOT_SENT_CODES.has(String(fault.code));
+const STATUS_UNTRUSTED = 401;
 
 const parseLoad = (header: unknown): Load | undefined => {
   if (typeof header !== 'string') return undefined;
@@ -53,9 +49,37 @@
   }
 };
 
+/** Reads the head of a sidecar's answer; one that names another attempt is no answer to this. */
+const getReply = async (
+  answer: Dispatcher.ResponseData,
+  attempt: Attempt,
+): Promise<AttemptReply> => {
+  const named = answer.headers[HEADER.attemptId];
+  if (named !== attempt.attempt) {
+    answer.body.on('error', () => undefined).destroy();
+    return named === undefined && answer.statusCode === STATUS_UNTRUSTED
+      ? { kind: 'unreachable', detail: 'the sidecar does not accept the fleet secret' }
+      : { kind: 'lost', detail: 'the answer belongs to another attempt' };
+  }
+  if (answer.headers[HEADER.refusal] !== undefined) {
+    return { kind: 'refusal', refusal: refusalSchema.parse(await answer.body.json()) };
+  }
+  return {
+    kind: 'answer',
+    attempt: attempt.attempt,
+    status: answer.statusCode,
+    headers: answer.headers,
+    body: answer.body,
+    load: parseLoad(answer.headers[HEADER.load]),
+  };
+};
+
 /** Client that sends the fleet secret with each attempt. */
 export const newAttemptClient = (secret: string, localAddress?: string): AttemptClient => {
+  // One attempt on a connection at a time, and as many connections as there are attempts: none
+  // waits behind another, and a lost connection is never repaired by sending again.
   const agent = new Agent({
+    pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -74,24 +98,10 @@
           dispatcher: agent,
           signal,
         });
-        if (answer.headers[HEADER.refusal] !== undefined) {
-          const refusal = refusalSchema.parse(await answer.body.json());
-          return { kind: 'refusal', refusal };
-        }
-        if (answer.headers[HEADER.attemptId] !== attempt.attempt) {
-          answer.body.destroy();
-          return { kind: 'lost', detail: 'the answer belongs to another attempt' };
-        }
-        return {
-          kind: 'answer',
-          status: answer.statusCode,
-          headers: answer.headers,
-          body: answer.body,
-          load: parseLoad(answer.headers[HEADER.load]),
-        };
+        return await getReply(answer, attempt);
       } catch (fault) {
         const detail = getFaultMessage(fault);
-        return { kind: isNotSent(fault) ? 'unreachable' : 'lost', detail };
+        return { kind: isNeverSent(fault) ? 'unreachable' : 'lost', detail };
       }
     },
     close: () => agent.destroy(),
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -110,6 +110,7 @@
   const limits = newLimitController(config, getEntryCount, clock);
   const services: EntryServices = {
     vm: file.process.vm,
+    incarnation,
     failureDomain: file.process.failure_domain,
     operatorKeyHash: file.operators.key_hash,
     config,
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -18,6 +18,7 @@
 /** Parts of the entry that filters and actions work with. */
 export interface EntryServices {
   readonly vm: string;
+  readonly incarnation: string;
   readonly failureDomain: string;
   readonly operatorKeyHash: string;
   readonly config: ConfigController;
--- a/anvilpaddle-app/entry/filters/account.ts
+++ b/anvilpaddle-app/entry/filters/account.ts
@@ -40,7 +40,7 @@
         route: exchange.route?.name ?? exchange.action?.name,
         upstream: exchange.outcome.upstream,
         attempts: exchange.outcome.attempts,
-        run: exchange.outcome.run,
+        run: result.ok ? exchange.outcome.run : result.error.run,
         outcome: result.ok ? 'answered' : result.error.code,
         status: exchange.response.statusCode,
         totalMs: Math.round(totalMs),
--- a/anvilpaddle-app/entry/filters/forward.ts
+++ b/anvilpaddle-app/entry/filters/forward.ts
@@ -1,127 +1,155 @@
-import { isRetryable, newRetryBudget, type Need } from '@anvilpaddle/decisions';
-import { newFailure, newId, newOk, SERVICE_CLASS, type Result } from '@anvilpaddle/common';
 import {
-  newApiError,
-  type ApiError,
-  type Attempt,
-  type Member,
-  type Refusal,
-} from '@anvilpaddle/protocol';
-import { relayAnswer } from '../answer';
+  getCombinedRun,
+  isRetryable,
+  newRetryBudget,
+  type Need,
+  type RetryBudget,
+} from '@anvilpaddle/decisions';
+import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import { newApiError, type ApiError, type Member, type RunState } from '@anvilpaddle/protocol';
+import { sendWhole, type WholeAnswer } from '../answer';
+import { isIdempotent, newDispatcher, type Delivery, type Miss } from '../dispatch';
 import type { EntryServices, Exchange, Filter } from '../exchange';
-import { getUpstreamHeaders, getUpstreamPath } from '../upstreamHeaders';
+import { newStreamRelay } from '../streamRelay';
 
 const NO_UPSTREAM_RETRY_MS = 1000;
+const SETTLE_SHARE = 0.1;
+const MAX_SETTLE_MS = 500;
 
-/** An attempt that gave the caller nothing. */
-interface Miss {
-  readonly error: ApiError;
-  readonly answered: boolean;
-}
+/** How a request's attempts ended. */
+type Ending = Result<WholeAnswer | undefined, Miss>;
 
-const isIdempotent = (exchange: Exchange): boolean =>
-  exchange.route?.kind === 'model' ||
-  (exchange.route?.idempotentMethods.includes(exchange.request.method ?? '') ?? false);
+const NO_UPSTREAM: Miss = {
+  error: newApiError('no_upstream', 'no upstream serves this request now', {
+    retryAfterMs: NO_UPSTREAM_RETRY_MS,
+  }),
+  isFree: true,
+};
 
-const getNeed = (exchange: Exchange, services: EntryServices, tried: Set<string>): Need => ({
+const getNeed = (
+  exchange: Exchange,
+  services: EntryServices,
+  tried: ReadonlySet<string>,
+): Need => ({
   group: exchange.route?.group ?? '',
   model: exchange.json?.model as string | undefined,
   failureDomain: services.failureDomain,
   tried,
 });
 
-const getRefusalError = (refusal: Refusal): ApiError => {
-  const code = refusal.reason === 'deadline' ? 'deadline_exceeded' : 'overloaded';
-  return {
-    code: refusal.reason === 'upstream_failed' ? 'upstream_failed' : code,
-    message: `the upstream's queue refused the request: ${refusal.reason}`,
-    run: refusal.run,
-    retryAfterMs: refusal.retryAfterMs,
-  };
-};
-
 /** Sends the request to an upstream, and again elsewhere when that is safe. */
 export const newForwardFilter = (services: EntryServices): Filter => {
-  const { clock, attempts, members } = services;
-  const budget = newRetryBudget(0.1);
+  const { clock } = services;
+  const dispatcher = newDispatcher(services);
+  const budgets = new Map<string, RetryBudget>();
 
-  const newAttempt = (exchange: Exchange, member: Member): Attempt => {
-    const maxTokens = exchange.json?.max_tokens ?? exchange.json?.max_completion_tokens;
-    return {
-      attempt: newId('att'),
-      incarnation: member.incarnation,
-      request: exchange.id,
-      team: exchange.team ?? '',
-      route: exchange.route?.name ?? '',
-      serviceClass: SERVICE_CLASS.online,
-      idempotent: isIdempotent(exchange),
-      timeLeftMs: Math.max(1, exchange.deadlineMs - clock.monotonic()),
-      method: exchange.request.method ?? 'GET',
-      path: getUpstreamPath(exchange.url),
-      model: exchange.json?.model as string | undefined,
-      maxTokens: typeof maxTokens === 'number' ? maxTokens : undefined,
-      headers: getUpstreamHeaders(exchange.request.headers),
-    };
+  /** A group that fails must not spend the retries of another. */
+  const getBudget = (group: string): RetryBudget => {
+    const known = budgets.get(group);
+    if (known !== undefined) return known;
+    const budget = newRetryBudget();
+    budgets.set(group, budget);
+    return budget;
   };
 
-  /** Asks the sidecar what became of an attempt whose connection was lost. */
-  const settleLost = async (member: Member, attempt: Attempt): Promise<ApiError> => {
-    const revoked = await services.revoke(member.address, {
-      attempt: attempt.attempt,
-      incarnation: attempt.incarnation,
-    });
-    const run = revoked === 'not_sent' ? 'not_run' : 'unknown';
-    return newApiError('upstream_failed', 'the connection to the upstream was lost', { run });
+  const isAgain = (delivery: Delivery): boolean => {
+    const { exchange, stream, signal } = delivery;
+    const answered = stream.isStarted() && stream.getResumedBody() === undefined;
+    if (signal.aborted) return false;
+    return isRetryable(
+      { run: exchange.outcome.run, answered },
+      {
+        idempotent: isIdempotent(exchange),
+        attempts: exchange.outcome.attempts,
+        maxAttempts: exchange.settings['retries.max_attempts'],
+        timeLeftMs: delivery.attemptsEndMs - clock.monotonic(),
+      },
+    );
   };
 
-  const tryOnce = async (exchange: Exchange, member: Member): Promise<Result<void, Miss>> => {
-    const attempt = newAttempt(exchange, member);
-    const reply = await attempts.send(member, attempt, exchange.body, exchange.signal);
-    switch (reply.kind) {
-      case 'answer': {
-        if (reply.load !== undefined) members.hearLoad(member.vm, reply.load);
-        const relayed = await relayAnswer(exchange, reply, services);
-        if (relayed.ok) return newOk(undefined);
-        return newFailure({ error: relayed.error, answered: exchange.response.headersSent });
-      }
-      case 'refusal':
-        return newFailure({ error: getRefusalError(reply.refusal), answered: false });
-      case 'unreachable':
-        return newFailure({
-          error: newApiError('upstream_failed', 'the upstream could not be reached'),
-          answered: false,
-        });
-      default:
-        return newFailure({ error: await settleLost(member, attempt), answered: false });
-    }
+  const attempt = async (delivery: Delivery, member: Member, before: RunState): Promise<Ending> => {
+    const { outcome } = delivery.exchange;
+    outcome.attempts += 1;
+    outcome.upstream = member.vm;
+    // Should the attempt throw, nobody knows what became of it.
+    outcome.run = getCombinedRun(before, 'unknown');
+    const ending = await dispatcher.send(delivery, member);
+    outcome.run = ending.ok ? 'ran' : getCombinedRun(before, ending.error.error.run);
+    return ending;
   };
 
-  const run = async (exchange: Exchange): Promise<Result<void, ApiError>> => {
+  const runAttempts = async (delivery: Delivery): Promise<Ending> => {
+    const { exchange } = delivery;
+    const budget = getBudget(exchange.route?.group ?? '');
     const tried = new Set<string>();
-    let error = newApiError('no_upstream', 'no upstream serves this request now', {
-      retryAfterMs: NO_UPSTREAM_RETRY_MS,
-    });
-    budget.earn();
+    let miss = NO_UPSTREAM;
+    let isPaid = false;
+    budget.earn(exchange.settings['retries.budget']);
     for (;;) {
-      const member = services.router.pick(members.live(), getNeed(exchange, services, tried));
-      if (member === undefined) return newFailure(error);
+      const need = getNeed(exchange, services, tried);
+      const member = services.router.pick(services.members.live(), need);
+      if (member === undefined) return newFailure(miss);
+      if (isPaid && !budget.spend(clock.monotonic())) return newFailure(miss);
       tried.add(member.vm);
-      exchange.outcome.attempts += 1;
-      exchange.outcome.upstream = member.vm;
-      const result = await tryOnce(exchange, member);
-      if (result.ok) return result;
-      error = result.error.error;
-      exchange.outcome.run = error.run;
-      const again = isRetryable(
-        { run: error.run, answered: result.error.answered },
-        {
-          idempotent: isIdempotent(exchange),
-          attempts: exchange.outcome.attempts,
-          maxAttempts: exchange.settings['retries.max_attempts'],
-          timeLeftMs: exchange.deadlineMs - clock.monotonic(),
-        },
-      );
-      if (!again || exchange.signal.aborted || !budget.spend()) return newFailure(error);
+      const ending = await attempt(delivery, member, exchange.outcome.run);
+      if (isPaid) budget.settle(ending.ok, clock.monotonic());
+      if (ending.ok) return ending;
+      miss = ending.error;
+      isPaid = !miss.isFree;
+      if (!isAgain(delivery)) return newFailure(miss);
+    }
+  };
+
+  /** Error of a request that is given up, true of all its attempts together. */
+  const getFinalError = ({ exchange, signal }: Delivery, miss: Miss): ApiError => {
+    const { run } = exchange.outcome;
+    if (exchange.signal.aborted) return newApiError('caller_gone', 'the caller is gone', { run });
+    const isLate = signal.aborted;
+    const error = isLate
+      ? newApiError('deadline_exceeded', 'the time for the request is over', {
+          retryAfterMs: miss.error.retryAfterMs,
+        })
+      : miss.error;
+    // A time to come back would invite a repetition of what may have run.
+    const isRepeatable = run === 'not_run' || isIdempotent(exchange);
+    return { ...error, run, retryAfterMs: isRepeatable ? error.retryAfterMs : undefined };
+  };
+
+  const conclude = async (delivery: Delivery, ending: Ending): Promise<Result<void, ApiError>> => {
+    const { exchange, stream, signal } = delivery;
+    if (ending.ok) {
+      if (ending.value !== undefined) sendWhole(exchange, ending.value);
+      return newOk(undefined);
+    }
+    const { whole } = ending.error;
+    if (whole !== undefined && exchange.route?.kind === 'plain' && !signal.aborted) {
+      sendWhole(exchange, whole);
+      return newOk(undefined);
+    }
+    const error = getFinalError(delivery, ending.error);
+    if (stream.isStarted()) await stream.fail(error);
+    return newFailure(error);
+  };
+
+  const run = async (exchange: Exchange): Promise<Result<void, ApiError>> => {
+    const timeoutMs = exchange.settings['request.timeout'];
+    const settleMs = Math.min(MAX_SETTLE_MS, timeoutMs * SETTLE_SHARE);
+    const lateness = new AbortController();
+    exchange.deadlineMs = exchange.startedMs + timeoutMs;
+    const attemptsEndMs = exchange.deadlineMs - settleMs;
+    const timer = clock.after(Math.max(0, attemptsEndMs - clock.monotonic()), () =>
+      lateness.abort(),
+    );
+    const delivery: Delivery = {
+      exchange,
+      stream: newStreamRelay(exchange, services),
+      signal: AbortSignal.any([exchange.signal, lateness.signal]),
+      attemptsEndMs,
+    };
+    try {
+      return await conclude(delivery, await runAttempts(delivery));
+    } finally {
+      timer.cancel();
     }
   };
 
--- a/anvilpaddle-app/entry/upstreamHeaders.ts
+++ b/anvilpaddle-app/entry/upstreamHeaders.ts
@@ -11,22 +11,50 @@
   'user-agent',
 ] as const;
 
-// Query parameters in which callers put credentials.
-const CREDENTIAL_PARAMS = new Set(['key', 'api_key', 'apikey', 'api-key', 'access_token', 'token']);
+// Query parameters in which callers put credentials, in lower case and without separators.
+const CREDENTIAL_PARAMS = new Set([
+  'accesstoken',
+  'apikey',
+  'auth',
+  'authorization',
+  'bearer',
+  'key',
+  'password',
+  'secret',
+  'subscriptionkey',
+  'token',
+  'xapikey',
+]);
+
+/** Secret that a caller presents; undefined when there is none. */
+export const getCallerSecret = (headers: IncomingHttpHeaders): string | undefined =>
+  /^\S+\s+(\S+)$/.exec(headers.authorization?.trim() ?? '')?.[1];
+
+const holds = (text: string, secret: string | undefined): boolean =>
+  secret !== undefined && text.includes(secret);
 
 /** Headers of the caller's request that an upstream may see. */
-export const getUpstreamHeaders = (headers: IncomingHttpHeaders): Record<string, string> =>
+export const getUpstreamHeaders = (
+  headers: IncomingHttpHeaders,
+  secret: string | undefined,
+): Record<string, string> =>
   Object.fromEntries(
     PASSED_HEADERS.flatMap((name) => {
       const value = headers[name];
-      return typeof value === 'string' ? [[name, value] as const] : [];
+      return typeof value === 'string' && !holds(value, secret) ? [[name, value] as const] : [];
     }),
   );
 
+const isCredential = (name: string, value: string, secret: string | undefined): boolean =>
+  CREDENTIAL_PARAMS.has(name.toLowerCase().replace(/[-_.]/g, '')) ||
+  holds(name, secret) ||
+  holds(value, secret);
+
 /** Path and query for the upstream, without credentials. */
-export const getUpstreamPath = (url: URL): string => {
-  const query = new URLSearchParams(
-    [...url.searchParams].filter(([name]) => !CREDENTIAL_PARAMS.has(name.toLowerCase())),
-  ).toString();
+export const getUpstreamPath = (url: URL, secret: string | undefined): string => {
+  const params = [...url.searchParams];
+  const kept = params.filter(([name, value]) => !isCredential(name, value, secret));
+  if (kept.length === params.length) return `${url.pathname}${url.search}`;
+  const query = new URLSearchParams(kept).toString();
   return query === '' ? url.pathname : `${url.pathname}?${query}`;
 };
--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -1,29 +1,32 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 import { BYTES_PER_MIB, readBody, sendJson, type Clock, type Logger } from '@anvilpaddle/common';
+import type { Arrival, AttemptLedger } from '@anvilpaddle/decisions';
 import {
-  ATTEMPT_STATE,
   HEADER,
+  INTERNAL_HEADER_PREFIX,
   parseAttemptHeader,
   type Attempt,
   type Refusal,
   type Revocation,
   type Revoked,
 } from '@anvilpaddle/protocol';
-import type { AttemptLog } from './attemptLog';
+import { newTokenCounter } from './tokenCounter';
 import type { UpstreamAnswer, UpstreamClient } from './upstreamClient';
 import type { UpstreamTask } from './upstreamTask';
 
 const MAX_BODY_BYTES = 64 * BYTES_PER_MIB;
 const STATUS_REFUSED = 503;
+const FULL_RETRY_MS = 1000;
 const HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade']);
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
 /** Parts of the sidecar that the attempt server works with. */
 export interface AttemptServices {
   readonly incarnation: string;
   readonly task: UpstreamTask;
   readonly client: UpstreamClient;
-  readonly attempts: AttemptLog;
+  readonly ledger: AttemptLedger;
   readonly clock: Clock;
   readonly log: Logger;
   readonly isStopping: () => boolean;
@@ -33,91 +36,131 @@
 /** Serves entries' attempts. */
 export interface AttemptServer {
   serve(request: IncomingMessage, response: ServerResponse): void;
-  revoke(revocation: Revocation): Promise<Revoked>;
+  revoke(revocation: Revocation): Revoked;
   /** Attempts that wait or run. */
   open(): number;
 }
 
-const sendRefusal = (response: ServerResponse, refusal: Refusal): void => {
+/** An attempt that was accepted, with what its answer needs. */
+interface Job {
+  readonly attempt: Attempt;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+  readonly arrivedMs: number;
+  readonly abort: AbortController;
+}
+
+const ARRIVAL_REFUSALS: Readonly<Record<Exclude<Arrival, 'accepted'>, Refusal>> = {
+  duplicate: { reason: 'duplicate', run: 'unknown' },
+  revoked: { reason: 'revoked', run: 'not_run' },
+  expired: { reason: 'expired', run: 'unknown' },
+  full: { reason: 'overloaded', run: 'not_run', retryAfterMs: FULL_RETRY_MS },
+};
+
+/** A refusal names its attempt, so that no other can take it for its own. */
+const sendRefusal = (response: ServerResponse, refusal: Refusal, attempt?: Attempt): void => {
   if (response.headersSent || response.destroyed) return;
+  if (attempt !== undefined) response.setHeader(HEADER.attemptId, attempt.attempt);
   sendJson(response, STATUS_REFUSED, refusal, { [HEADER.refusal]: refusal.reason });
 };
 
-const getAnswerHeaders = (answer: UpstreamAnswer): Record<string, string | string[]> =>
+const hasBody = (method: string, status: number): boolean =>
+  method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
+
+/** Without a length or chunks, an answer that was cut looks like a whole one. */
+const isFramed = ({ method }: Attempt, { status, headers }: UpstreamAnswer): boolean =>
+  !hasBody(method, status) ||
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined;
+
+const getAnswerHeaders = (
+  { method }: Attempt,
+  { status, headers }: UpstreamAnswer,
+): Record<string, string | string[]> =>
   Object.fromEntries(
-    Object.entries(answer.headers).filter(
+    Object.entries(headers).filter(
       (header): header is [string, string | string[]] =>
-        header[1] !== undefined && !HOP_HEADERS.has(header[0]),
+        header[1] !== undefined &&
+        !HOP_HEADERS.has(header[0]) &&
+        !header[0].startsWith(INTERNAL_HEADER_PREFIX) &&
+        // The length that HEAD tells of is not that of a body on this connection.
+        (header[0] !== 'content-length' || hasBody(method, status)),
     ),
   );
 
 /** Server of attempts; it alone passes online requests to the upstream. */
 export const newAttemptServer = (services: AttemptServices): AttemptServer => {
-  const { task, client, attempts, clock, incarnation } = services;
-  let open = 0;
+  const { task, client, ledger, clock, incarnation } = services;
 
-  const getEntryRefusal = (attempt: Attempt): Refusal | undefined => {
-    if (attempt.incarnation !== incarnation) return { reason: 'incarnation', run: 'not_run' };
-    const known = attempts.get(attempt.attempt);
-    if (known === ATTEMPT_STATE.revoked) return { reason: 'revoked', run: 'not_run' };
-    if (known !== undefined) return { reason: 'duplicate', run: 'unknown' };
-    if (services.isStopping()) return { reason: 'stopping', run: 'not_run' };
-    return undefined;
-  };
-
-  const relay = async (attempt: Attempt, answer: UpstreamAnswer, response: ServerResponse) => {
-    const load = JSON.stringify(task.load());
-    response.writeHead(answer.status, {
-      ...getAnswerHeaders(answer),
-      [HEADER.attemptId]: attempt.attempt,
-      [HEADER.load]: load,
+  const relay = async (job: Job, answer: UpstreamAnswer, waitedMs: number): Promise<number> => {
+    const counter = newTokenCounter(String(answer.headers['content-type'] ?? ''));
+    job.response.writeHead(answer.status, {
+      ...getAnswerHeaders(job.attempt, answer),
+      [HEADER.attemptId]: job.attempt.attempt,
+      [HEADER.load]: JSON.stringify(task.load()),
+      [HEADER.queueWait]: String(Math.round(waitedMs)),
     });
-    await pipeline(answer.body, response);
+    // A cut answer destroys the connection, so that the entry sees the cut as well.
+    await pipeline(answer.body, counter.through, job.response).catch(() => job.response.destroy());
+    return counter.tokens();
   };
 
-  const runAtUpstream = async (
-    attempt: Attempt,
-    body: Buffer,
-    response: ServerResponse,
-    signal: AbortSignal,
-  ): Promise<void> => {
-    attempts.set(attempt.attempt, ATTEMPT_STATE.sent, clock.monotonic());
+  /** Sends an attempt and relays the answer; gives the tokens that it was served. */
+  const runAtUpstream = async (job: Job): Promise<number> => {
+    const { attempt, response } = job;
+    const waitedMs = clock.monotonic() - job.arrivedMs;
     const answer = await client.call({
       id: attempt.attempt,
       method: attempt.method,
       path: attempt.path,
       headers: attempt.headers,
-      body,
-      signal,
+      body: job.body,
+      signal: job.abort.signal,
     });
-    if (answer.ok) {
-      await relay(attempt, answer.value, response);
-      return;
+    const reached = answer.ok || answer.error.kind !== 'not_sent';
+    if (!reached) ledger.finish(attempt.attempt, false, clock.monotonic());
+    if (!answer.ok) {
+      const run = reached ? 'unknown' : 'not_run';
+      const { detail } = answer.error;
+      sendRefusal(response, { reason: 'upstream_failed', run, detail }, attempt);
+      return 0;
     }
-    const { kind, detail } = answer.error;
-    const run = kind === 'not_sent' ? 'not_run' : 'unknown';
-    sendRefusal(response, { reason: 'upstream_failed', run, detail });
+    if (isFramed(attempt, answer.value)) return relay(job, answer.value, waitedMs);
+    answer.value.body.on('error', () => undefined).destroy();
+    const detail = 'the answer has neither a length nor chunks';
+    sendRefusal(response, { reason: 'upstream_failed', run: 'unknown', detail }, attempt);
+    return 0;
   };
 
-  const submit = (attempt: Attempt, body: Buffer, response: ServerResponse): void => {
-    const id = attempt.attempt;
-    const abort = new AbortController();
+  const start = (job: Job): void => {
+    const id = job.attempt.attempt;
+    let tokens = 0;
     const leave = (): void => {
-      open -= 1;
-      attempts.set(id, ATTEMPT_STATE.done, clock.monotonic());
-      task.finish(id, 0);
+      ledger.finish(id, true, clock.monotonic());
+      task.finish(id, tokens);
     };
-    open += 1;
-    attempts.set(id, ATTEMPT_STATE.queued, clock.monotonic());
+    // The one gate to the upstream: what was given up in the meantime goes no further.
+    if (!ledger.start(id, clock.monotonic())) {
+      leave();
+      return;
+    }
+    runAtUpstream(job)
+      .then((served) => {
+        tokens = served;
+      })
+      .catch((fault: unknown) => {
+        services.log.warn({ err: fault, attempt: id }, 'attempt failed');
+        job.response.destroy();
+      })
+      .finally(leave);
+  };
+
+  const submit = (job: Job): void => {
+    const { attempt, response } = job;
+    const id = attempt.attempt;
     response.on('close', () => {
-      abort.abort();
-      if (attempts.get(id) === ATTEMPT_STATE.queued) {
-        void task.withdraw(id).then((taken) => {
-          if (!taken) return;
-          open -= 1;
-          attempts.set(id, ATTEMPT_STATE.revoked, clock.monotonic());
-        });
-      }
+      job.abort.abort();
+      if (ledger.giveUp(id, clock.monotonic())) void task.withdraw(id);
     });
     task.submit(
       {
@@ -127,24 +170,28 @@
         serviceClass: attempt.serviceClass,
         weight: services.getWeight(attempt.team),
         maxTokens: attempt.maxTokens,
-        deadlineMs: clock.monotonic() + attempt.timeLeftMs,
+        deadlineMs: job.arrivedMs + attempt.timeLeftMs,
       },
       {
-        start: () => {
-          runAtUpstream(attempt, body, response, abort.signal)
-            .catch(() => response.destroy())
-            .finally(leave);
-        },
-        preempt: () => abort.abort(),
+        start: () => start(job),
+        preempt: () => job.abort.abort(),
         refuse: (reason, retryAfterMs) => {
-          open -= 1;
-          attempts.set(id, ATTEMPT_STATE.revoked, clock.monotonic());
-          sendRefusal(response, { reason, run: 'not_run', retryAfterMs });
+          if (!ledger.giveUp(id, clock.monotonic())) return;
+          sendRefusal(response, { reason, run: 'not_run', retryAfterMs }, attempt);
         },
       },
     );
   };
 
+  const getRefusal = (attempt: Attempt): Refusal | undefined => {
+    if (attempt.incarnation !== incarnation) return { reason: 'incarnation', run: 'not_run' };
+    const arrival = ledger.arrive(attempt, clock.monotonic());
+    if (arrival !== 'accepted') return ARRIVAL_REFUSALS[arrival];
+    if (!services.isStopping()) return undefined;
+    ledger.giveUp(attempt.attempt, clock.monotonic());
+    return { reason: 'stopping', run: 'not_run' };
+  };
+
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const attempt = parseAttemptHeader(request.headers[HEADER.attempt]);
     if (attempt === undefined) {
@@ -153,26 +200,25 @@
     }
     const body = await readBody(request, MAX_BODY_BYTES);
     if (!body.ok) {
-      sendRefusal(response, { reason: 'malformed', run: 'not_run', detail: body.error.kind });
+      const detail = body.error.kind;
+      sendRefusal(response, { reason: 'malformed', run: 'not_run', detail }, attempt);
       return;
     }
-    const refusal = getEntryRefusal(attempt);
-    if (refusal !== undefined) sendRefusal(response, refusal);
-    else submit(attempt, body.value, response);
+    const refusal = getRefusal(attempt);
+    if (refusal !== undefined) {
+      sendRefusal(response, refusal, attempt);
+      return;
+    }
+    const arrivedMs = clock.monotonic();
+    submit({ attempt, body: body.value, response, arrivedMs, abort: new AbortController() });
   };
 
-  const revoke = async (revocation: Revocation): Promise<Revoked> => {
+  const revoke = (revocation: Revocation): Revoked => {
     if (revocation.incarnation !== incarnation) return { state: 'other_incarnation' };
-    const known = attempts.get(revocation.attempt);
-    if (known === ATTEMPT_STATE.sent) return { state: 'sent' };
-    if (known === ATTEMPT_STATE.done) return { state: 'done' };
-    if (known === ATTEMPT_STATE.queued && !(await task.withdraw(revocation.attempt))) {
-      return { state: 'sent' };
-    }
-    if (known === ATTEMPT_STATE.queued) open -= 1;
-    // The tombstone refuses a copy that arrives after its revocation.
-    attempts.set(revocation.attempt, ATTEMPT_STATE.revoked, clock.monotonic());
-    return { state: 'not_sent' };
+    const waited = ledger.state(revocation.attempt) === 'queued';
+    const state = ledger.revoke(revocation, clock.monotonic());
+    if (waited) void task.withdraw(revocation.attempt);
+    return { state };
   };
 
   return {
@@ -183,6 +229,6 @@
       });
     },
     revoke,
-    open: () => open,
+    open: () => ledger.open(),
   };
 };
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,4 @@
-import { FirstComeScheduler, getEffectiveSettings } from '@anvilpaddle/decisions';
+import { FirstComeScheduler, getEffectiveSettings, newAttemptLedger } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
@@ -8,14 +8,13 @@
 import { newPeerServer } from '../peers/peerServer';
 import { waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
-import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
 import { newBatchWorker } from './batchWorker';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
 const MODELS_INTERVAL_MS = 1000;
-const ATTEMPT_RETENTION_MS = 10 * MS_PER_MINUTE;
+const LEDGER_BOUNDS = { retentionMs: MS_PER_MINUTE, maxNotes: 50_000, maxSenders: 10_000 } as const;
 
 /** Starts a sidecar; rejects when its port is taken, so that two never share an upstream. */
 export const newSidecar = async (
@@ -60,7 +59,7 @@
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
-    attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
+    ledger: newAttemptLedger(LEDGER_BOUNDS),
   });
   const members = newMemberController(
     platform.vms,
--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -1,6 +1,7 @@
 import type { Readable } from 'node:stream';
 import { Agent, request, type Dispatcher } from 'undici';
 import { getFaultMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
+import { isNeverSent } from '../peers/connectFault';
 
 /** Call to the upstream. */
 export interface Call {
@@ -35,22 +36,21 @@
 
 const CONNECT_TIMEOUT_MS = 2000;
 const MODELS_TIMEOUT_MS = 2000;
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-const isNotSent = (fault: unknown): boolean =>
-  typeof fault === 'object' &&
-  fault !== null &&
-  'code' in fault &&
-  NOT_SENT_CODES.has(String(fault.code));
 
 /** Client of the upstream at a base URL, with at most so many connections. */
 export const newUpstreamClient = (baseUrl: string, connections: number): UpstreamClient => {
-  const agent = new Agent({
+  const connect = { timeout: CONNECT_TIMEOUT_MS };
+  // One request on a connection at a time: the loss of one connection then concerns one attempt,
+  // and nothing that was sent is sent again.
+  const calls = new Agent({
     connections,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    pipelining: 1,
+    connect,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  // Questions to the upstream must not wait behind its long answers.
+  const questions = new Agent({ connections: 1, pipelining: 1, connect });
   return {
     call: async ({ id, method, path, headers, body, signal }) => {
       try {
@@ -58,19 +58,19 @@
           method: method as Dispatcher.HttpMethod,
           headers: { ...headers, 'x-request-id': id },
           body: body.length === 0 ? null : body,
-          dispatcher: agent,
+          dispatcher: calls,
           signal,
         });
         return newOk({ status: answer.statusCode, headers: answer.headers, body: answer.body });
       } catch (fault) {
-        const kind = isNotSent(fault) ? 'not_sent' : 'no_answer';
+        const kind = isNeverSent(fault) ? 'not_sent' : 'no_answer';
         return newFailure({ kind, detail: getFaultMessage(fault) });
       }
     },
     listModels: async () => {
       try {
         const answer = await request(`${baseUrl}/v1/models`, {
-          dispatcher: agent,
+          dispatcher: questions,
           signal: AbortSignal.timeout(MODELS_TIMEOUT_MS),
         });
         const { data } = (await answer.body.json()) as { data: { id: string }[] };
@@ -79,6 +79,8 @@
         return [];
       }
     },
-    close: () => agent.destroy(),
+    close: async () => {
+      await Promise.all([calls.destroy(), questions.destroy()]);
+    },
   };
 };
--- a/packages/common/metrics.ts
+++ b/packages/common/metrics.ts
@@ -32,6 +32,13 @@
 export interface Metrics {
   /** Records a duration in milliseconds. */
   record(name: HistogramName, team: string, serviceClass: ServiceClass, valueMs: number): void;
+  /** Records many durations; the receiver is sent their mean, in one message. */
+  recordAll(
+    name: HistogramName,
+    team: string,
+    serviceClass: ServiceClass,
+    valuesMs: readonly number[],
+  ): void;
   /** Counts an event such as a refusal; `reason` comes from a fixed set. */
   count(name: string, team: string, reason: string): void;
   summaries(): Summary[];
@@ -79,13 +86,24 @@
     return histogram;
   };
 
+  const getBounded = (valueMs: number): number =>
+    Math.min(MAX_VALUE_MS, Math.max(0, Math.round(valueMs)));
+
   return {
     record: (name, team, serviceClass, valueMs) => {
       const label = getTeamLabel(team);
-      const bounded = Math.min(MAX_VALUE_MS, Math.max(0, Math.round(valueMs)));
+      const bounded = getBounded(valueMs);
       getHistogram(`${label}|${serviceClass}|${name}`).recordValue(bounded);
       statsd?.histogram(name, bounded, { team: label, class: serviceClass });
     },
+    recordAll: (name, team, serviceClass, valuesMs) => {
+      if (valuesMs.length === 0) return;
+      const label = getTeamLabel(team);
+      const histogram = getHistogram(`${label}|${serviceClass}|${name}`);
+      valuesMs.forEach((valueMs) => histogram.recordValue(getBounded(valueMs)));
+      const meanMs = valuesMs.reduce((sum, valueMs) => sum + valueMs, 0) / valuesMs.length;
+      statsd?.histogram(name, getBounded(meanMs), { team: label, class: serviceClass });
+    },
     count: (name, team, reason) => {
       const label = getTeamLabel(team);
       const key = `${name}|${label}|${reason}`;
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -1,6 +1,7 @@
 export * from './batch/chunk';
 export * from './limits/tokenBucket';
 export * from './membership/members';
+export * from './retries/attemptLedger';
 export * from './retries/retryPolicy';
 export * from './routing/pickUpstream';
 export * from './scheduling/scheduler';
--- a/packages/decisions/retries/retryPolicy.ts
+++ b/packages/decisions/retries/retryPolicy.ts
@@ -3,9 +3,8 @@
 /** How an attempt ended, as far as the entry knows. */
 export interface AttemptOutcome {
   readonly run: RunState;
-  /** Whether any byte of the answer has gone to the caller. */
+  /** Whether any byte of the answer has gone to the caller and the rest can't be had elsewhere. */
   readonly answered: boolean;
-  readonly retryAfterMs?: number | undefined;
 }
 
 /** Facts of the request that bear on another attempt. */
@@ -24,28 +23,62 @@
   return outcome.run === 'not_run' || state.idempotent;
 };
 
-/** Budget of retries for one entry, a share of its first attempts. */
+const RUN_ORDER: Readonly<Record<RunState, number>> = { not_run: 0, unknown: 1, ran: 2 };
+
+/** What is true of a request after two attempts: it ran if either ran. */
+export const getCombinedRun = (first: RunState, second: RunState): RunState =>
+  RUN_ORDER[first] >= RUN_ORDER[second] ? first : second;
+
+/** Budget of retries of one group of upstreams at one entry; times are monotonic milliseconds. */
 export interface RetryBudget {
-  /** Counts a first attempt. */
-  earn(): void;
+  /** Counts a first attempt, which earns a share of a retry. */
+  earn(share: number): void;
   /** Takes a retry; false when the budget is spent. */
-  spend(): boolean;
+  spend(nowMs: number): boolean;
+  /** Tells how a retry ended. */
+  settle(succeeded: boolean, nowMs: number): void;
 }
 
-const INITIAL_RETRIES = 10;
-const MAX_RETRIES = 100;
+const RESERVE_RETRIES = 10;
+const FAILING_AFTER_MS = 500;
+const FAILING_SHARE = 0.5;
+
+/**
+ * Budget with a small reserve for isolated failures. Retries that keep failing show that another
+ * upstream is no better: the reserve is then given up, and half of the share is left, so that
+ * the whole share holds over every stretch of 20 requests and more.
+ */
+export const newRetryBudget = (): RetryBudget => {
+  let retries = RESERVE_RETRIES;
+  let failingSinceMs: number | undefined;
+  let isReserveLost = false;
+
+  const loseReserve = (nowMs: number): void => {
+    if (failingSinceMs === undefined || isReserveLost) return;
+    if (nowMs - failingSinceMs < FAILING_AFTER_MS) return;
+    isReserveLost = true;
+    retries = 0;
+  };
 
-/** Budget that earns a share of a retry with each first attempt. */
-export const newRetryBudget = (share: number): RetryBudget => {
-  let retries = INITIAL_RETRIES;
   return {
-    earn: () => {
-      retries = Math.min(MAX_RETRIES, retries + share);
+    earn: (share) => {
+      const earned = isReserveLost ? share * FAILING_SHARE : share;
+      retries = Math.min(RESERVE_RETRIES, retries + earned);
     },
-    spend: () => {
+    spend: (nowMs) => {
+      loseReserve(nowMs);
       if (retries < 1) return false;
       retries -= 1;
       return true;
     },
+    settle: (succeeded, nowMs) => {
+      if (succeeded) {
+        failingSinceMs = undefined;
+        isReserveLost = false;
+        return;
+      }
+      failingSinceMs ??= nowMs;
+      loseReserve(nowMs);
+    },
   };
 };
--- /dev/null
+++ b/packages/decisions/tests/retryPolicy.test.ts
@@ -0,0 +1,76 @@
+import fc from 'fast-check';
+import { newSeededRandom } from '@anvilpaddle/common';
+import {
+  getCombinedRun,
+  isRetryable,
+  newRetryBudget,
+  type AttemptOutcome,
+  type RetryState,
+} from '@anvilpaddle/decisions';
+
+const OUTCOME: AttemptOutcome = { run: 'unknown', answered: false };
+const STATE: RetryState = { idempotent: true, attempts: 1, maxAttempts: 3, timeLeftMs: 1000 };
+const RUNS = ['not_run', 'unknown', 'ran'] as const;
+
+describe('retries', () => {
+  it.each([
+    ['idempotent, lost', {}, {}, true],
+    ['idempotent, ran', { run: 'ran' }, {}, true],
+    ['not idempotent, not run', { run: 'not_run' }, { idempotent: false }, true],
+    ['not idempotent, unknown', {}, { idempotent: false }, false],
+    ['not idempotent, ran', { run: 'ran' }, { idempotent: false }, false],
+    ['after the first byte', { answered: true }, {}, false],
+    ['after the last attempt', {}, { attempts: 3 }, false],
+    ['after the deadline', {}, { timeLeftMs: 0 }, false],
+  ] as const)('%s', (_case, outcome, state, expected) => {
+    expect(isRetryable({ ...OUTCOME, ...outcome }, { ...STATE, ...state })).toBe(expected);
+  });
+
+  it('tells of all attempts together what is true of them', () => {
+    fc.assert(
+      fc.property(fc.array(fc.constantFrom(...RUNS), { minLength: 1 }), (runs) => {
+        const together = runs.reduce(getCombinedRun);
+        expect(together === 'not_run').toBe(runs.every((run) => run === 'not_run'));
+        expect(together === 'ran').toBe(runs.includes('ran'));
+      }),
+      { seed: 20_263 },
+    );
+  });
+
+  it.each([1, 2, 3, 4, 5])(
+    'makes at most 1.1 attempts a request after the first second when all fail, seed %i',
+    (seed) => {
+      const random = newSeededRandom(seed);
+      const budget = newRetryBudget();
+      const ratePerMs = random() * 0.2 + 0.002;
+      let nowMs = 0;
+      let requests = 0;
+      let retries = 0;
+      // A healthy minute lets the reserve grow to its bound.
+      for (let i = 0; i < 10_000; i += 1) budget.earn(0.1);
+      while (nowMs < 20_000) {
+        nowMs += -Math.log(1 - random()) / ratePerMs;
+        const counted = nowMs > 1000 ? 1 : 0;
+        requests += counted;
+        budget.earn(0.1);
+        for (let attempt = 1; attempt < 3 && budget.spend(nowMs); attempt += 1) {
+          retries += counted;
+          budget.settle(false, nowMs);
+        }
+      }
+
+      expect(requests).toBeGreaterThanOrEqual(20);
+      expect((requests + retries) / requests).toBeLessThanOrEqual(1.1);
+    },
+  );
+
+  it('gives its reserve back after a retry that succeeded', () => {
+    const budget = newRetryBudget();
+    budget.settle(false, 0);
+    budget.settle(false, 1000);
+    for (let i = 0; i < 200; i += 1) budget.earn(0.1);
+    budget.settle(true, 1100);
+
+    expect(Array.from({ length: 5 }, () => budget.spend(2000))).toEqual(Array(5).fill(true));
+  });
+});
--- a/packages/protocol/attempt.ts
+++ b/packages/protocol/attempt.ts
@@ -7,6 +7,10 @@
   attempt: z.string().min(1).max(80),
   /** Incarnation of the sidecar that the attempt is meant for. */
   incarnation: z.string().min(1).max(80),
+  /** Incarnation of the entry that sends it. */
+  sender: z.string().min(1).max(80),
+  /** Grows with each attempt of the sender. */
+  sequence: z.number().int().positive(),
   request: z.string().min(1).max(80),
   team: z.string(),
   route: z.string(),
@@ -44,6 +48,8 @@
   overloaded: 'overloaded',
   deadline: 'deadline',
   duplicate: 'duplicate',
+  /** So old that the sidecar has forgotten whether a copy of it ran. */
+  expired: 'expired',
   revoked: 'revoked',
   incarnation: 'incarnation',
   malformed: 'malformed',
--- a/packages/protocol/errors.ts
+++ b/packages/protocol/errors.ts
@@ -8,6 +8,7 @@
   not_found: 404,
   method_not_allowed: 405,
   conflict: 409,
+  caller_gone: 499,
   too_large: 413,
   rate_limited: 429,
   overloaded: 503,
--- a/packages/protocol/messages/attempts.ts
+++ b/packages/protocol/messages/attempts.ts
@@ -1,12 +1,20 @@
 import { z } from 'zod';
 
 /** Asks a sidecar to give up an attempt that has not been sent to the upstream. */
-export const revokeSchema = z.object({ attempt: z.string(), incarnation: z.string() });
+export const revokeSchema = z.object({
+  attempt: z.string().min(1).max(80),
+  incarnation: z.string().min(1).max(80),
+  sender: z.string().min(1).max(80),
+  sequence: z.number().int().positive(),
+});
 export type Revocation = z.infer<typeof revokeSchema>;
 
-/** Answer to a revocation; `not_sent` is final, a late copy is refused. */
+/**
+ * Answer to a revocation; `not_sent` is final, a late copy is refused. `expired`: the sidecar has
+ * forgotten whether it ran the attempt.
+ */
 export const revokedSchema = z.object({
-  state: z.enum(['not_sent', 'sent', 'done', 'other_incarnation']),
+  state: z.enum(['not_sent', 'sent', 'done', 'expired', 'other_incarnation']),
 });
 export type Revoked = z.infer<typeof revokedSchema>;
 
--- a/packages/standins/engineStandIn.ts
+++ b/packages/standins/engineStandIn.ts
@@ -1,10 +1,11 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { BYTES_PER_MIB, listen, readBody, sendJson, type Address } from '@anvilpaddle/common';
-import { applyDelay, newFaults, type Faults } from './faults';
+import { answerOrFail, applyDelay, failBefore, newFaults, type Fault, type Faults } from './faults';
 import { getAnswerTokens } from './tokens';
 
 const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
 const DEFAULT_MAX_TOKENS = 16;
+const OTHER_ATTEMPT = `att_${'0'.repeat(24)}`;
 
 /** What a model engine's stand-in is made of. */
 export interface EngineShape {
@@ -116,9 +117,19 @@
     }
   };
 
-  const decode = (record: EngineRecord, completion: Completion, response: ServerResponse): void => {
+  const decode = (
+    record: EngineRecord,
+    completion: Completion,
+    response: ServerResponse,
+    fault: Fault | undefined,
+  ): void => {
     const tokens = getAnswerTokens(completion.prompt, completion.maxTokens);
-    const id = `cmpl-${record.attempt}`;
+    const id = `cmpl-${fault?.kind === 'other_id' ? OTHER_ATTEMPT : record.attempt}`;
+    const isCut = fault?.kind === 'cut_chunked' || fault?.kind === 'cut_answer';
+    const lastPosition =
+      completion.stream && (isCut || fault?.kind === 'end_early')
+        ? completion.resumeAt + (fault.afterTokens ?? 0)
+        : Infinity;
     let position = completion.resumeAt;
     let timer: NodeJS.Timeout | undefined;
     const leave = (state: EngineRecord['state']): void => {
@@ -131,13 +142,26 @@
     const finish = (): void => {
       leave('finished');
       if (!completion.stream) {
-        sendJson(response, 200, getWhole(completion, id, tokens));
+        void answerOrFail(fault, response, getWhole(completion, id, tokens));
         return;
       }
       response.write(`data: ${JSON.stringify(getChunk(completion, id, undefined))}\n\n`);
       response.end('data: [DONE]\n\n');
     };
+    const cut = (token: string | undefined): void => {
+      leave('cancelled');
+      if (fault?.kind === 'end_early') {
+        response.end();
+        return;
+      }
+      const event = `data: ${JSON.stringify(getChunk(completion, id, token))}\n\n`;
+      response.write(event.slice(0, event.length / 2), () => response.destroy());
+    };
     const step = (): void => {
+      if (position >= lastPosition) {
+        cut(tokens[position]);
+        return;
+      }
       if (position >= tokens.length) {
         finish();
         return;
@@ -157,7 +181,12 @@
     timer = setTimeout(step, shape.prefillMs);
   };
 
-  const serveCompletion = (request: IncomingMessage, response: ServerResponse, body: Buffer) => {
+  const serveCompletion = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    fault: Fault | undefined,
+  ) => {
     const completion = getCompletion(request.url ?? '', body);
     if (!shape.models.includes(completion.model)) {
       sendJson(response, 404, { error: { message: `model ${completion.model} is not loaded` } });
@@ -173,7 +202,7 @@
       state: 'waiting',
     };
     records.push(record);
-    const start = (): void => decode(record, completion, response);
+    const start = (): void => decode(record, completion, response, fault);
     response.on('close', () => {
       const index = queue.indexOf(start);
       if (index < 0) return;
@@ -192,18 +221,15 @@
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const path = request.url ?? '/';
-    const body = await readBody(request, MAX_BODY_BYTES);
-    if (!body.ok) return;
     const fault = faults.take(path);
-    await applyDelay(fault);
-    if (fault?.kind === 'refuse') {
-      sendJson(response, 503, { error: { message: 'refused by a fault' } });
-      return;
-    }
-    if (fault?.kind === 'drop_before') {
-      request.socket.destroy();
+    if (fault?.kind === 'reset_unread') {
+      request.socket.resetAndDestroy();
       return;
     }
+    const body = await readBody(request, MAX_BODY_BYTES);
+    if (!body.ok) return;
+    await applyDelay(fault);
+    if (failBefore(fault, request, response)) return;
     if (path === '/load') {
       sendJson(response, 200, { running, waiting: queue.length, slots: shape.slots });
     } else if (path === '/v1/models') {
@@ -211,7 +237,7 @@
     } else if (path === '/orders') {
       serveOrder(response, body.value);
     } else {
-      serveCompletion(request, response, body.value);
+      serveCompletion(request, response, body.value, fault);
       if (fault?.kind === 'drop_after') request.socket.destroy();
     }
   };
--- a/packages/standins/plainStandIn.ts
+++ b/packages/standins/plainStandIn.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
-import { BYTES_PER_MIB, listen, readBody, sendJson, type Address } from '@anvilpaddle/common';
-import { applyDelay, newFaults, type Faults } from './faults';
+import { BYTES_PER_MIB, listen, readBody, type Address } from '@anvilpaddle/common';
+import { answerOrFail, applyDelay, failBefore, newFaults, type Faults } from './faults';
 
 const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
 
@@ -28,18 +28,15 @@
   const server = createServer((request, response) => {
     const handle = async (): Promise<void> => {
       const path = request.url ?? '/';
-      const body = await readBody(request, MAX_BODY_BYTES);
-      if (!body.ok) return;
       const fault = faults.take(path);
-      await applyDelay(fault);
-      if (fault?.kind === 'refuse') {
-        sendJson(response, 503, { error: 'refused by a fault' });
-        return;
-      }
-      if (fault?.kind === 'drop_before') {
-        request.socket.destroy();
+      if (fault?.kind === 'reset_unread') {
+        request.socket.resetAndDestroy();
         return;
       }
+      const body = await readBody(request, MAX_BODY_BYTES);
+      if (!body.ok) return;
+      await applyDelay(fault);
+      if (failBefore(fault, request, response)) return;
       calls.push({
         method: request.method ?? '',
         path,
@@ -47,11 +44,8 @@
         body: String(body.value),
         headers: request.headers as Record<string, string>,
       });
-      if (fault?.kind === 'drop_after') {
-        request.socket.destroy();
-        return;
-      }
-      sendJson(response, 200, { call: calls.length, method: request.method, path });
+      const answer = { call: calls.length, method: request.method, path };
+      await answerOrFail(fault, response, answer);
     };
     handle().catch(() => response.destroy());
   });
