Forward tells the router how attempts ended and names the prompt's prefix

A deadline or a caller that is gone says nothing of the upstream: a team with a short timeout must not eject upstreams for the others.

--- a/anvilpaddle-app/entry/dispatch.ts
+++ b/anvilpaddle-app/entry/dispatch.ts
@@ -1,3 +1,4 @@
+import { ATTEMPT_RESULT, type AttemptResult } from '@anvilpaddle/decisions';
 import { newFailure, newId, newOk, SERVICE_CLASS, type Result } from '@anvilpaddle/common';
 import {
   newApiError,
@@ -9,6 +10,7 @@
   type RunState,
 } from '@anvilpaddle/protocol';
 import { isStream, readWhole, recordQueueWait, type Answer, type WholeAnswer } from './answer';
+import type { AttemptReply } from './attemptClient';
 import type { EntryServices, Exchange } from './exchange';
 import type { StreamRelay } from './streamRelay';
 import { getCallerSecret, getUpstreamHeaders, getUpstreamPath } from './upstreamHeaders';
@@ -23,6 +25,8 @@
   readonly error: ApiError;
   /** Refused before it cost the upstream anything, by a sidecar that is stopping or was replaced. */
   readonly isFree: boolean;
+  /** Whether it speaks against the upstream's health. */
+  readonly isFailure: boolean;
   /** The upstream's own error answer, for the caller when there is no other attempt. */
   readonly whole?: WholeAnswer;
 }
@@ -37,10 +41,12 @@
   readonly attemptsEndMs: number;
 }
 
+/** How an attempt ended: by a whole answer, or undefined when a stream was passed to its end. */
+export type Ending = Result<WholeAnswer | undefined, Miss>;
+
 /** Makes one attempt at a sidecar. */
 export interface Dispatcher {
-  /** A success is a whole answer, or undefined when a stream was passed on to its end. */
-  send(delivery: Delivery, member: Member): Promise<Result<WholeAnswer | undefined, Miss>>;
+  send(delivery: Delivery, member: Member): Promise<Ending>;
 }
 
 /** Whether a request may be run again. */
@@ -51,6 +57,7 @@
   newFailure({
     error: newApiError('upstream_failed', message, { run, retryAfterMs: FAILED_RETRY_MS }),
     isFree: false,
+    isFailure: true,
     ...more,
   });
 
@@ -70,11 +77,12 @@
     retryAfterMs: refusal.retryAfterMs ?? FAILED_RETRY_MS,
   },
   isFree: FREE_REASONS.has(refusal.reason),
+  isFailure: refusal.reason === 'upstream_failed',
 });
 
 /** New dispatcher; its attempts bear growing sequence numbers. */
 export const newDispatcher = (services: EntryServices): Dispatcher => {
-  const { clock, attempts, members } = services;
+  const { clock, attempts, members, router } = services;
   // Starts at the time of day, so that a later incarnation's numbers are beyond an earlier one's.
   let sequence = Math.floor(clock.wall()) * SEQUENCES_PER_MS;
 
@@ -133,7 +141,7 @@
     delivery: Delivery,
     member: Member,
     answer: Answer,
-  ): Promise<Result<WholeAnswer | undefined, Miss>> => {
+  ): Promise<Ending> => {
     const { exchange, stream } = delivery;
     if (answer.load !== undefined) members.hearLoad(member.vm, answer.load);
     recordQueueWait(exchange, answer, services);
@@ -146,11 +154,12 @@
     return newMiss(`the upstream answered ${answer.status}`, 'unknown', { whole: whole.value });
   };
 
-  const send: Dispatcher['send'] = async (delivery, member) => {
-    const { exchange, stream, signal } = delivery;
-    const attempt = newAttempt(delivery, member);
-    const body = stream.isStarted() ? stream.getResumedBody() : exchange.body;
-    const reply = await attempts.send(member, attempt, body ?? exchange.body, signal);
+  const getEnding = async (
+    delivery: Delivery,
+    member: Member,
+    attempt: Attempt,
+    reply: AttemptReply,
+  ): Promise<Ending> => {
     if (reply.kind === 'answer') return takeAnswer(delivery, member, reply);
     if (reply.kind === 'refusal') return newFailure(getRefusalMiss(reply.refusal));
     if (reply.kind === 'unreachable') return newMiss('the upstream was not reached', 'not_run');
@@ -158,5 +167,25 @@
     return newMiss('the connection to the upstream was lost', run);
   };
 
+  /** What an attempt says of the upstream; one that the caller or its deadline ended, nothing. */
+  const getResult = ({ signal }: Delivery, ending: Ending): AttemptResult => {
+    if (ending.ok) return ATTEMPT_RESULT.ok;
+    const isFailure = ending.error.isFailure && !signal.aborted;
+    return isFailure ? ATTEMPT_RESULT.failed : ATTEMPT_RESULT.refused;
+  };
+
+  const send: Dispatcher['send'] = async (delivery, member) => {
+    const { exchange, stream, signal } = delivery;
+    const attempt = newAttempt(delivery, member);
+    const body = stream.isStarted() ? stream.getResumedBody() : exchange.body;
+    const startedMs = clock.monotonic();
+    router.started(member.vm);
+    const reply = await attempts.send(member, attempt, body ?? exchange.body, signal);
+    const delayMs = clock.monotonic() - startedMs;
+    const ending = await getEnding(delivery, member, attempt, reply);
+    router.ended(member.vm, getResult(delivery, ending), delayMs);
+    return ending;
+  };
+
   return { send };
 };
--- a/anvilpaddle-app/entry/filters/forward.ts
+++ b/anvilpaddle-app/entry/filters/forward.ts
@@ -1,5 +1,6 @@
 import {
   getCombinedRun,
+  getPrefix,
   isRetryable,
   newRetryBudget,
   type Need,
@@ -7,8 +8,8 @@
 } from '@anvilpaddle/decisions';
 import { newFailure, newOk, type Result } from '@anvilpaddle/common';
 import { newApiError, type ApiError, type Member, type RunState } from '@anvilpaddle/protocol';
-import { sendWhole, type WholeAnswer } from '../answer';
-import { isIdempotent, newDispatcher, type Delivery, type Miss } from '../dispatch';
+import { sendWhole } from '../answer';
+import { isIdempotent, newDispatcher, type Delivery, type Ending, type Miss } from '../dispatch';
 import type { EntryServices, Exchange, Filter } from '../exchange';
 import { newStreamRelay } from '../streamRelay';
 
@@ -16,14 +17,12 @@
 const SETTLE_SHARE = 0.1;
 const MAX_SETTLE_MS = 500;
 
-/** How a request's attempts ended. */
-type Ending = Result<WholeAnswer | undefined, Miss>;
-
 const NO_UPSTREAM: Miss = {
   error: newApiError('no_upstream', 'no upstream serves this request now', {
     retryAfterMs: NO_UPSTREAM_RETRY_MS,
   }),
   isFree: true,
+  isFailure: false,
 };
 
 const getNeed = (
@@ -34,6 +33,7 @@
   group: exchange.route?.group ?? '',
   model: exchange.json?.model as string | undefined,
   failureDomain: services.failureDomain,
+  prefix: exchange.json === undefined ? undefined : getPrefix(exchange.json),
   tried,
 });
 
@@ -82,11 +82,11 @@
     const { exchange } = delivery;
     const budget = getBudget(exchange.route?.group ?? '');
     const tried = new Set<string>();
+    const need = getNeed(exchange, services, tried);
     let miss = NO_UPSTREAM;
     let isPaid = false;
     budget.earn(exchange.settings['retries.budget']);
     for (;;) {
-      const need = getNeed(exchange, services, tried);
       const member = services.router.pick(services.members.live(), need);
       if (member === undefined) return newFailure(miss);
       if (isPaid && !budget.spend(clock.monotonic())) return newFailure(miss);
