--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -121,6 +121,7 @@
   });
   const services: EntryServices = {
     vm: file.process.vm,
+    incarnation,
     failureDomain: file.process.failure_domain,
     operatorKeyHash: file.operators.key_hash,
     config,
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -5,6 +5,7 @@
 export * from './limits/view';
 export * from './membership/contacts';
 export * from './membership/members';
+export * from './retries/attemptLedger';
 export * from './retries/retryPolicy';
 export * from './routing/affinityRouter';
 export * from './routing/health';
