Relay the configuration and vouch for its freshness

Every process read the store each interval, a node that was far behind replayed the whole log, and nothing told a store that is down for all from a node that alone is cut off. Now a few entries a failure domain (voters, from the platform's list) read the head; the others ask one of them and take over its age. A change is acknowledged once half of the voters hold it, and a majority's word that it holds nothing newer makes a node current, so that no vouching group misses an acknowledged change. A voter that restarted has no vote until it was current again. Open requests end when their key does.

Ruled out: leases between entries before a commit (a grant that is followed by a cut proves nothing); 'all listed entries say that the store is down' (one lost VM in an outage would stop the fleet).

--- a/anvilpaddle-app/controllers/configController.ts
+++ b/anvilpaddle-app/controllers/configController.ts
@@ -1,27 +1,29 @@
+import type { Change, EntryChange } from '@anvilpaddle/protocol';
 import {
-  changeSchema,
-  type Change,
-  type ConfigEntry,
-  type EntryChange,
-} from '@anvilpaddle/protocol';
-import { applyChange, getEntryKey, newConfig, type Config } from '@anvilpaddle/decisions';
+  applyChanges,
+  getConfigFaults,
+  getEntryKey,
+  newLocalConfig,
+  type Config,
+} from '@anvilpaddle/decisions';
 import {
+  MS_PER_SECOND,
   newFailure,
   newId,
   newMailbox,
   newOk,
-  type Clock,
   type Logger,
   type Result,
 } from '@anvilpaddle/common';
-import type { Check, PlatformError, TableService, Write } from '@anvilpaddle/platform';
+import type { PlatformError, TableService } from '@anvilpaddle/platform';
+import type { Handlers } from '../peers/peerServer';
+import { newConfigRelay, type RelayServices } from './configRelay';
+import { newConfigStore } from './configStore';
 
-const CONFIG_TABLE = 'config';
-const CHANGES_TABLE = 'config_changes';
-const ENTRIES_TABLE = 'config_entries';
-const HEAD_KEY = 'head';
-const SCAN_LIMIT = 500;
 const HEAD_RACES = 20;
+/** Reads of the store a second by all processes together that have no other way to be current. */
+const FALLBACK_READS = 100;
+const LATE_INTERVALS = 2;
 
 /** Why a change was not accepted. */
 export type ChangeError =
@@ -31,142 +33,221 @@
       readonly basedOn: number;
       readonly actual: number;
     }
+  | { readonly kind: 'invalid'; readonly faults: readonly string[] }
+  /** The operation id stands for another change. */
+  | { readonly kind: 'operation_reused' }
+  /** The store has the change, but too few entries hold it for it to be in force everywhere. */
+  | { readonly kind: 'unconfirmed'; readonly revision: number }
   | { readonly kind: 'platform'; readonly error: PlatformError };
 
+/** A change that an operator asks for. */
+export interface Proposal {
+  readonly author: string;
+  readonly changes: readonly EntryChange[];
+  /** Name of the operation; the same one sent again gives the same answer. */
+  readonly operation?: string | undefined;
+}
+
 /** Keeps the configuration and moves it forward. */
 export interface ConfigController {
   /** Configuration in force in this process. */
   current(): Config;
-  /** Has the platform decide on a change; resolves when it is in force here too. */
-  propose(author: string, changes: readonly EntryChange[]): Promise<Result<number, ChangeError>>;
+  /** Time since this process surely had every accepted change, in ms; Infinity before the first. */
+  ageMs(): number;
+  /** Runs the listener each time that the configuration has moved forward. */
+  onChange(listener: (config: Config) => void): void;
+  /** Has the platform decide on a change; resolves when it is accepted and in force here too. */
+  propose(proposal: Proposal): Promise<Result<number, ChangeError>>;
+  /** Revision that an operation was accepted under; undefined when it was not so far. */
+  findOperation(operation: string): Promise<Result<number | undefined, ChangeError>>;
   /** Accepted changes, newest last, after a revision. */
   history(after: number): Promise<Result<readonly Change[], PlatformError>>;
-  /** Reads what is newer from the platform. */
-  refresh(): Promise<Result<void, PlatformError>>;
+  /** Brings this process up to date by the store, the other processes, or both. */
+  refresh(): Promise<void>;
+  /** Answers to other processes. */
+  readonly handlers: Pick<Required<Handlers>, 'config.read' | 'config.push'>;
   close(): Promise<void>;
 }
 
-interface Head {
-  readonly revision: number;
+/** What the controller works with. */
+export interface ConfigServices extends RelayServices {
+  readonly tables: TableService;
+  /** Time between two looks for news, in ms. */
+  readonly intervalMs: number;
+  readonly log: Logger;
 }
 
-const getChangeKey = (revision: number): string => String(revision).padStart(12, '0');
-
-/** Starts the controller; it reads the platform each interval in milliseconds. */
-export const newConfigController = (
-  tables: TableService,
-  clock: Clock,
-  intervalMs: number,
-  log: Logger,
-): ConfigController => {
-  let config = newConfig(0, []);
-
-  const readChanges = async (after: number): Promise<Result<readonly Change[], PlatformError>> => {
-    const rows = await tables.scan(CHANGES_TABLE, {
-      prefix: '',
-      after: getChangeKey(after),
-      limit: SCAN_LIMIT,
-    });
-    return rows.ok ? newOk(rows.value.map((row) => changeSchema.parse(row.value))) : rows;
-  };
+const newPlatformFailure = (error: PlatformError) =>
+  newFailure({ kind: 'platform', error } as const);
+
+const isSameChange = (change: Change, changes: readonly EntryChange[]): boolean =>
+  JSON.stringify(change.changes) === JSON.stringify(changes);
+
+const getConflict = (config: Config, changes: readonly EntryChange[]): ChangeError | undefined => {
+  for (const { kind, id, basedOn } of changes) {
+    const key = getEntryKey(kind, id);
+    const actual = config.entries.get(key)?.revision ?? 0;
+    if (actual !== basedOn) return { kind: 'conflict', id: key, basedOn, actual };
+  }
+  return undefined;
+};
+
+/** Starts the controller. */
+export const newConfigController = (services: ConfigServices): ConfigController => {
+  const { clock, log, intervalMs } = services;
+  const listeners: ((config: Config) => void)[] = [];
+  const store = newConfigStore(services.tables, clock);
+  const local = newLocalConfig(clock.monotonic(), (config) =>
+    listeners.forEach((listener) => listener(config)),
+  );
+  const relay = newConfigRelay(local, services);
 
-  const refresh = async (): Promise<Result<void, PlatformError>> => {
-    const changes = await readChanges(config.revision);
-    if (!changes.ok) return changes;
-    config = changes.value.reduce(applyChange, config);
-    return changes.value.length < SCAN_LIMIT ? newOk(undefined) : refresh();
+  const getAgeMs = (): number => local.getAgeMs(clock.monotonic());
+  const isLate = (): boolean => getAgeMs() > LATE_INTERVALS * intervalMs;
+
+  /** Whether this process reads the store in this round. */
+  const isReader = (): boolean => {
+    if (services.getVms().length === 0 || relay.isVoter()) return true;
+    const share = (FALLBACK_READS * intervalMs) / MS_PER_SECOND / relay.getFleetSize();
+    return isLate() && services.random() < share;
   };
 
-  /** Checks that hold each changed entry at the revision that the change builds on. */
-  const readChecks = async (
-    changes: readonly EntryChange[],
-  ): Promise<Result<readonly Check[], ChangeError>> => {
-    const checks: Check[] = [];
-    for (const change of changes) {
-      const key = getEntryKey(change.kind, change.id);
-      const row = await tables.get(ENTRIES_TABLE, key);
-      if (!row.ok) return newFailure({ kind: 'platform', error: row.error });
-      const actual = (row.value?.value as ConfigEntry | undefined)?.revision ?? 0;
-      if (actual !== change.basedOn) {
-        return newFailure({ kind: 'conflict', id: key, basedOn: change.basedOn, actual });
+  const readStore = async (): Promise<Result<void, PlatformError>> => {
+    const startMs = clock.monotonic();
+    const head = await store.readHead();
+    if (!head.ok) return head;
+    if (head.value.revision > local.current().revision) {
+      const caughtUp = await store.catchUp(local.current());
+      if (!caughtUp.ok) return caughtUp;
+      local.adopt(caughtUp.value.config, caughtUp.value.changes);
+    }
+    if (head.value.revision < local.current().revision) {
+      const again = await store.readHead();
+      if (!again.ok) return again;
+      // An old state of the store says nothing about what was accepted since.
+      if (again.value.revision < local.current().revision) {
+        return newFailure({ kind: 'unavailable', detail: 'the store is behind this process' });
       }
-      checks.push({ table: ENTRIES_TABLE, key, revision: row.value?.revision ?? 0 });
     }
-    return newOk(checks);
+    local.vouch(startMs);
+    return newOk(undefined);
   };
 
-  const getWrites = (change: Change): Write[] => [
-    { table: CONFIG_TABLE, key: HEAD_KEY, value: { revision: change.revision } },
-    { table: CHANGES_TABLE, key: getChangeKey(change.revision), value: change },
-    ...change.changes.map(({ kind, id, value }) => ({
-      table: ENTRIES_TABLE,
-      key: getEntryKey(kind, id),
-      value: { kind, id, value, revision: change.revision },
-    })),
-  ];
-
-  /** One try; undefined when another change took the next revision first. */
-  const tryPropose = async (
-    operation: string,
-    author: string,
-    changes: readonly EntryChange[],
-  ): Promise<Result<number | undefined, ChangeError>> => {
-    const head = await tables.get(CONFIG_TABLE, HEAD_KEY);
-    if (!head.ok) return newFailure({ kind: 'platform', error: head.error });
-    const checks = await readChecks(changes);
-    if (!checks.ok) return checks;
-    const revision = ((head.value?.value as Head | undefined)?.revision ?? 0) + 1;
-    const change: Change = {
-      revision,
-      operation,
-      author,
+  const refreshFromStore = async (): Promise<void> => {
+    if (!isReader()) return;
+    const read = await readStore();
+    if (!read.ok) log.warn({ error: read.error }, 'configuration not read from the store');
+  };
+
+  const refreshFromPeers = async (): Promise<void> => {
+    if (relay.isVoter()) {
+      if (isLate()) await relay.askVoters();
+    } else {
+      await relay.askSource(isLate());
+    }
+  };
+
+  const propose = async (
+    change: Omit<Change, 'revision' | 'acceptedAt'>,
+  ): Promise<Result<Change | undefined, ChangeError>> => {
+    const head = await store.readHead();
+    if (!head.ok) return newPlatformFailure(head.error);
+    const caughtUp = await store.catchUp(local.current());
+    if (!caughtUp.ok) return newPlatformFailure(caughtUp.error);
+    local.adopt(caughtUp.value.config, caughtUp.value.changes);
+    const config = local.current();
+    if (config.revision < head.value.revision) return newOk(undefined);
+    if (config.revision > head.value.revision) {
+      const again = await store.readHead();
+      if (!again.ok) return newPlatformFailure(again.error);
+      if (again.value.revision >= config.revision) return newOk(undefined);
+      const detail = `the store is at revision ${head.value.revision}, before ${config.revision}`;
+      return newPlatformFailure({ kind: 'unavailable', detail });
+    }
+    const conflict = getConflict(config, change.changes);
+    if (conflict !== undefined) return newFailure(conflict);
+    const next: Change = {
+      ...change,
+      revision: config.revision + 1,
       acceptedAt: new Date(clock.wall()).toISOString(),
-      changes: [...changes],
     };
-    const commit = await tables.transact({
-      checks: [
-        { table: CONFIG_TABLE, key: HEAD_KEY, revision: head.value?.revision ?? 0 },
-        ...checks.value,
-      ],
-      writes: getWrites(change),
-    });
-    if (!commit.ok) return newFailure({ kind: 'platform', error: commit.error });
-    return newOk(commit.value.committed ? revision : undefined);
+    const faults = getConfigFaults(applyChanges(config, [next]));
+    if (faults.length > 0) return newFailure({ kind: 'invalid', faults });
+    const committed = await store.commit(head.value, next);
+    if (!committed.ok) return newPlatformFailure(committed.error);
+    return newOk(committed.value === 'committed' ? next : undefined);
   };
 
-  const propose: ConfigController['propose'] = async (author, changes) => {
-    const operation = newId('op');
-    for (let race = 0; race < HEAD_RACES; race += 1) {
-      const proposed = await tryPropose(operation, author, changes);
-      if (!proposed.ok) return proposed;
-      if (proposed.value !== undefined) {
-        await refresh();
-        return newOk(proposed.value);
-      }
-    }
-    const detail = 'too many changes at once';
-    return newFailure({ kind: 'platform', error: { kind: 'unavailable', detail } });
+  /** An accepted change is acknowledged once enough voters hold it. */
+  const confirm = async (change: Change): Promise<Result<number, ChangeError>> => {
+    local.applyAll([change]);
+    if (local.current().revision < change.revision) await readStore();
+    const isHeld = await relay.push(change);
+    if (isHeld) return newOk(change.revision);
+    return newFailure({ kind: 'unconfirmed', revision: change.revision });
   };
 
-  const mailbox = newMailbox<'refresh'>(
-    async () => {
-      const refreshed = await refresh();
-      if (!refreshed.ok) log.warn({ error: refreshed.error }, 'configuration not refreshed');
-    },
-    (fault) => log.error({ err: fault }, 'configuration controller failed'),
+  const findOperation = async (
+    operation: string,
+  ): Promise<Result<Change | undefined, ChangeError>> => {
+    const found = await store.findOperation(operation);
+    return found.ok ? found : newPlatformFailure(found.error);
+  };
+
+  const storeBox = newMailbox<'tick'>(refreshFromStore, (fault) =>
+    log.error({ err: fault }, 'reading the configuration failed'),
+  );
+  const peerBox = newMailbox<'tick'>(refreshFromPeers, (fault) =>
+    log.error({ err: fault }, 'asking for the configuration failed'),
   );
   const timer = clock.every(intervalMs, () => {
-    if (mailbox.size() === 0) mailbox.post('refresh');
+    if (storeBox.size() === 0) storeBox.post('tick');
+    if (peerBox.size() === 0) peerBox.post('tick');
   });
 
   return {
-    current: () => config,
-    propose,
-    history: readChanges,
-    refresh,
+    current: local.current,
+    ageMs: getAgeMs,
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
+    propose: async ({ author, changes, operation = newId('op') }) => {
+      const known = await findOperation(operation);
+      if (!known.ok) return known;
+      if (known.value !== undefined) {
+        if (!isSameChange(known.value, changes)) return newFailure({ kind: 'operation_reused' });
+        return confirm(known.value);
+      }
+      for (let race = 0; race < HEAD_RACES; race += 1) {
+        const proposed = await propose({ operation, author, changes: [...changes] });
+        if (!proposed.ok) return proposed;
+        if (proposed.value !== undefined) return confirm(proposed.value);
+      }
+      const detail = 'too many changes at once';
+      return newPlatformFailure({ kind: 'unavailable', detail });
+    },
+    findOperation: async (operation) => {
+      const found = await findOperation(operation);
+      if (!found.ok) return found;
+      return found.value === undefined ? newOk(undefined) : confirm(found.value);
+    },
+    history: store.readChanges,
+    refresh: async () => {
+      await Promise.all([refreshFromStore(), refreshFromPeers()]);
+    },
+    handlers: {
+      'config.read': ({ after }) => local.getState(after, clock.monotonic()),
+      'config.push': async ({ change }) => {
+        local.applyAll([change]);
+        if (local.current().revision < change.revision) {
+          await (relay.isVoter() ? relay.askVoters() : relay.askSource(true));
+        }
+        return { revision: local.current().revision };
+      },
+    },
     close: async () => {
       timer.cancel();
-      await mailbox.close();
+      await Promise.all([storeBox.close(), peerBox.close()]);
     },
   };
 };
--- a/anvilpaddle-app/entry/actions/health.ts
+++ b/anvilpaddle-app/entry/actions/health.ts
@@ -1,5 +1,6 @@
 import { newFailure } from '@anvilpaddle/common';
 import { newApiError } from '@anvilpaddle/protocol';
+import { newUnconfirmedError } from '../../controllers/keyWatch';
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
@@ -9,8 +10,13 @@
   method: 'GET',
   path: '/ready',
   access: ACTION_ACCESS.open,
-  run: async (exchange, services) =>
-    services.isStopping()
-      ? newFailure(newApiError('stopping', 'this entry is stopping'))
-      : answerJson(exchange, { ready: true, revision: services.config.current().revision }),
+  run: async (exchange, services) => {
+    if (services.isStopping()) {
+      return newFailure(newApiError('stopping', 'this entry is stopping'));
+    }
+    if (services.config.ageMs() > exchange.settings['keys.max_age']) {
+      return newFailure(newUnconfirmedError());
+    }
+    return answerJson(exchange, { ready: true, revision: services.config.current().revision });
+  },
 };
--- a/anvilpaddle-app/entry/actions/index.ts
+++ b/anvilpaddle-app/entry/actions/index.ts
@@ -1,6 +1,5 @@
 import type { Action } from '../action';
-import { changeEntries, listEntries, readHistory } from '../operatorActions/entries';
-import { readEffective, readStatus } from '../operatorActions/status';
+import { OPERATOR_ACTIONS } from '../operatorActions';
 import { cancelBatch, createBatch, listBatches, readBatch } from './batches';
 import { readFile, readFileContent, removeFile } from './files';
 import { uploadFile } from './fileUpload';
@@ -19,9 +18,5 @@
   readBatch,
   listBatches,
   cancelBatch,
-  changeEntries,
-  listEntries,
-  readHistory,
-  readStatus,
-  readEffective,
+  ...OPERATOR_ACTIONS,
 ];
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -13,8 +13,10 @@
 import { HEADER, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
+import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
 import { newMemberController } from '../controllers/memberController';
+import { newObservedVmList } from '../controllers/observedVmList';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
 import { waitUntil, type Program } from '../process/program';
@@ -77,8 +79,27 @@
   const secret = file.peers.secrets[0] ?? '';
   const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
   const attempts = newAttemptClient(secret, localAddress);
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const vms = newObservedVmList(platform.vms);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'entry',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    getVms: vms.latest,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    getLive: () => members.live(),
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
+  const keyWatch = newKeyWatch(config, clock);
   const metrics = newMetrics(file.metrics.statsd);
   let isStopping = false;
   let open = 0;
@@ -94,7 +115,7 @@
     revision: config.current().revision,
   });
   const members = newMemberController(
-    platform.vms,
+    vms,
     peers,
     getSelf,
     { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
@@ -111,8 +132,9 @@
   const services: EntryServices = {
     vm: file.process.vm,
     failureDomain: file.process.failure_domain,
-    operatorKeyHash: file.operators.key_hash,
+    operatorKeyHashes: file.operators.key_hash,
     config,
+    keyWatch,
     members,
     limits,
     jobs: newJobController(platform.tables, platform.objects),
@@ -150,14 +172,18 @@
     }
   };
 
-  await config.refresh();
   const peerServer = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
-    { 'member.heartbeat': ({ member }) => ({ member: members.hear(member) }) },
+    {
+      ...config.handlers,
+      'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+    },
     {},
     log,
   );
+  await vms.list();
+  await config.refresh();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
       log.error({ err: fault }, 'request failed outside of the filters');
@@ -177,6 +203,7 @@
       server.closeIdleConnections();
       await members.close();
       await limits.close();
+      keyWatch.close();
       await config.close();
       await peerServer.close();
       metrics.close();
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -10,6 +10,7 @@
 import type { ApiError, Revocation, Revoked, RunState } from '@anvilpaddle/protocol';
 import type { ConfigController } from '../controllers/configController';
 import type { JobController } from '../controllers/jobController';
+import type { KeyWatch } from '../controllers/keyWatch';
 import type { LimitController } from '../controllers/limitController';
 import type { MemberController } from '../controllers/memberController';
 import type { Action } from './action';
@@ -19,7 +20,9 @@
 export interface EntryServices {
   readonly vm: string;
   readonly failureDomain: string;
-  readonly operatorKeyHash: string;
+  /** Accepted operators' keys as SHA-256 in hex. */
+  readonly operatorKeyHashes: readonly string[];
+  readonly keyWatch: KeyWatch;
   readonly config: ConfigController;
   readonly members: MemberController;
   readonly limits: LimitController;
--- a/anvilpaddle-app/entry/filters/authenticate.ts
+++ b/anvilpaddle-app/entry/filters/authenticate.ts
@@ -1,19 +1,58 @@
 import { timingSafeEqual } from 'node:crypto';
-import { getEffectiveSettings } from '@anvilpaddle/decisions';
+import { getEffectiveSettings, type NamedKey } from '@anvilpaddle/decisions';
 import { getSecretHash, newFailure, type Result } from '@anvilpaddle/common';
-import { newApiError, type ApiError } from '@anvilpaddle/protocol';
-import type { EntryServices, Exchange, Filter } from '../exchange';
+import { getErrorBody, newApiError, type ApiError } from '@anvilpaddle/protocol';
+import { isKeyValid, newUnconfirmedError } from '../../controllers/keyWatch';
+import type { EntryServices, Exchange, Filter, Next } from '../exchange';
+
+const STREAM_TYPE = 'text/event-stream';
 
 const getBearer = (exchange: Exchange): string | undefined =>
   /^Bearer\s+(\S+)$/i.exec(exchange.request.headers.authorization ?? '')?.[1];
 
-const isHash = (secret: string, hash: string): boolean =>
-  timingSafeEqual(Buffer.from(getSecretHash(secret)), Buffer.from(hash));
+const getDigest = (hash: string): Buffer => Buffer.from(hash, 'hex');
+
+const refuse = (message: string): Result<void, ApiError> =>
+  newFailure(newApiError('invalid_key', message));
+
+const isStream = (exchange: Exchange): boolean =>
+  String(exchange.response.getHeader('content-type') ?? '').startsWith(STREAM_TYPE);
 
 /** Finds the team of the caller's key, or checks the operators' key. */
 export const newAuthenticateFilter = (services: EntryServices): Filter => {
-  const refuse = (message: string): Result<void, ApiError> =>
-    newFailure(newApiError('invalid_key', message));
+  const operatorDigests = services.operatorKeyHashes.map(getDigest);
+
+  const isOperator = (bearer: string): boolean => {
+    const digest = getDigest(getSecretHash(bearer));
+    return operatorDigests.some((known) => timingSafeEqual(known, digest));
+  };
+
+  const isStale = (exchange: Exchange): boolean =>
+    services.config.ageMs() > exchange.settings['keys.max_age'];
+
+  /** Runs the request until it ends or its key does; an open stream ends with an explicit error. */
+  const runWhileValid = (exchange: Exchange, key: NamedKey, next: Next) =>
+    new Promise<Result<void, ApiError>>((resolve, reject) => {
+      const stopWatching = services.keyWatch.add(
+        key,
+        exchange.settings['keys.max_age'],
+        (ended) => {
+          const error: ApiError = { ...ended, run: exchange.outcome.run };
+          const { response } = exchange;
+          if (response.headersSent && !response.writableEnded && isStream(exchange)) {
+            response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`);
+          }
+          resolve(newFailure(error));
+        },
+      );
+      // The body may have taken long to come.
+      if (!isKeyValid(services.config.current(), key)) {
+        stopWatching();
+        resolve(refuse('unknown key'));
+        return;
+      }
+      next().then(resolve, reject).finally(stopWatching);
+    });
 
   return {
     name: 'authenticate',
@@ -23,11 +62,11 @@
       const bearer = getBearer(exchange);
       if (bearer === undefined) return refuse('expected a key as a bearer token');
       if (access === 'operator') {
-        if (!isHash(bearer, services.operatorKeyHash)) return refuse('unknown operator key');
-        return next();
+        return isOperator(bearer) ? next() : refuse('unknown operator key');
       }
+      if (isStale(exchange)) return newFailure(newUnconfirmedError());
       const key = exchange.config.keysByHash.get(getSecretHash(bearer));
-      if (key === undefined || !exchange.config.teams.has(key.team)) return refuse('unknown key');
+      if (key === undefined || !isKeyValid(exchange.config, key)) return refuse('unknown key');
       exchange.key = key;
       exchange.team = key.team;
       exchange.settings = getEffectiveSettings(exchange.config.levels, {
@@ -36,7 +75,7 @@
         team: key.team,
         key: key.id,
       });
-      return next();
+      return runWhileValid(exchange, key, next);
     },
   };
 };
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -12,6 +12,7 @@
     answerJson(exchange, {
       vm: services.vm,
       revision: services.config.current().revision,
+      configAgeMs: Math.round(services.config.ageMs()),
       stopping: services.isStopping(),
       members: services.members.live(),
       histograms: services.metrics.summaries(),
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -15,7 +15,10 @@
   return z.NEVER;
 });
 
+const isAddressText = (text: string): boolean => getAddress(text) !== undefined;
+
 const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected a short name');
+const KEY_HASH = /^[0-9a-f]{64}$/;
 const secretsSchema = listSchema.refine(
   (secrets) => secrets.length >= 1 && secrets.length <= 2 && secrets.every((s) => s.length >= 16),
   'expected one secret, or two during a rotation, of at least 16 characters each',
@@ -42,6 +45,10 @@
     advertise: addressSchema.optional(),
     /** Fleet secrets; the first is sent, each is accepted. */
     secrets: secretsSchema,
+    /** Addresses of other processes to ask when the platform's list cannot be read. */
+    seeds: listSchema
+      .refine((list) => list.every(isAddressText), 'expected HOST:PORT, separated by commas')
+      .default([]),
     heartbeat: durationSchema.default(500),
     /** Silence after which a member is given no more work. */
     silence: durationSchema.default(2000),
@@ -54,8 +61,12 @@
   ...commonSections,
   callers: z.strictObject({ listen: addressSchema }),
   operators: z.strictObject({
-    /** SHA-256 of the operators' key in hex. */
-    key_hash: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
+    /** SHA-256 of the operators' key in hex; two during a rotation. */
+    key_hash: listSchema.refine(
+      (hashes) =>
+        hashes.length >= 1 && hashes.length <= 2 && hashes.every((hash) => KEY_HASH.test(hash)),
+      'expected one hash, or two during a rotation, of 64 hexadecimal digits each',
+    ),
   }),
 });
 export type EntryFile = z.output<typeof entryFileSchema>;
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -4,6 +4,7 @@
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
+import { newObservedVmList } from '../controllers/observedVmList';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
 import { waitUntil, type Program } from '../process/program';
@@ -32,10 +33,28 @@
     clock,
     localAddress,
   );
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
   const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const vms = newObservedVmList(platform.vms);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'sidecar',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    getVms: vms.latest,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    getLive: () => members.live(),
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
@@ -63,7 +82,7 @@
     attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
   });
   const members = newMemberController(
-    platform.vms,
+    vms,
     peers,
     getSelf,
     { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
@@ -74,6 +93,7 @@
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
     },
@@ -92,6 +112,7 @@
       models = listed;
     });
   });
+  await vms.list();
   await config.refresh();
   log.info({ address, incarnation, models }, 'sidecar is ready');
 
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -5,5 +5,8 @@
 export * from './routing/pickUpstream';
 export * from './scheduling/scheduler';
 export * from './settings/config';
+export * from './settings/configFaults';
+export * from './settings/configState';
+export * from './settings/relay';
 export * from './settings/schema';
 export * from './settings/tree';
--- a/packages/decisions/settings/config.ts
+++ b/packages/decisions/settings/config.ts
@@ -31,33 +31,71 @@
 /** Name of an entry in the map of entries and in the table service. */
 export const getEntryKey = (kind: EntryKind, id: string): string => `${kind}/${id}`;
 
-/** Configuration made of entries; those with a null value are removed entries. */
-export const newConfig = (revision: number, list: readonly ConfigEntry[]): Config => {
-  const present = list.filter((entry) => entry.value !== null);
+type Parts = Pick<Config, 'teams' | 'keysByHash' | 'routes' | 'levels'>;
+
+const getParts = (entries: ReadonlyMap<string, ConfigEntry>, kinds: Set<EntryKind>, old: Parts) => {
+  const present = [...entries.values()].filter((entry) => kinds.has(entry.kind));
   const select = <T>(kind: EntryKind): (readonly [string, T])[] =>
     present.filter((entry) => entry.kind === kind).map(({ id, value }) => [id, value as T]);
-  const keys = select<Key>('key').map(([id, key]) => ({ ...key, id }));
-  return {
-    revision,
-    entries: new Map(list.map((entry) => [getEntryKey(entry.kind, entry.id), entry])),
-    teams: new Map(select<Team>('team')),
-    keysByHash: new Map(keys.map((key) => [key.hash, key])),
-    // The longest path wins, so that a route below another's prefix is found first.
-    routes: select<Route>('route')
+  const getKeys = () =>
+    new Map(select<Key>('key').map(([id, key]) => [key.hash, { ...key, id }] as const));
+  // The longest path wins, so that a route below another's prefix is found first.
+  const getRoutes = () =>
+    select<Route>('route')
       .map(([name, route]) => ({ ...route, name }))
-      .sort((a, b) => b.path.length - a.path.length || (a.name < b.name ? -1 : 1)),
-    levels: new Map(select<Level>('settings')),
+      .sort((a, b) => b.path.length - a.path.length || (a.name < b.name ? -1 : 1));
+  return {
+    teams: kinds.has('team') ? new Map(select<Team>('team')) : old.teams,
+    keysByHash: kinds.has('key') ? getKeys() : old.keysByHash,
+    routes: kinds.has('route') ? getRoutes() : old.routes,
+    levels: kinds.has('settings') ? new Map(select<Level>('settings')) : old.levels,
   };
 };
 
-/** Configuration after a change; an older or repeated change leaves it as it is. */
-export const applyChange = (config: Config, change: Change): Config => {
-  if (change.revision <= config.revision) return config;
+const EMPTY_CONFIG: Config = {
+  revision: 0,
+  entries: new Map(),
+  teams: new Map(),
+  keysByHash: new Map(),
+  routes: [],
+  levels: new Map(),
+};
+
+/** Configuration made of entries. */
+export const newConfig = (revision: number, list: readonly ConfigEntry[]): Config => {
+  const entries = new Map(list.map((entry) => [getEntryKey(entry.kind, entry.id), entry]));
+  const kinds = new Set<EntryKind>(['team', 'key', 'route', 'settings']);
+  return { revision, entries, ...getParts(entries, kinds, EMPTY_CONFIG) };
+};
+
+/**
+ * Configuration after changes in the order of their revisions; older or repeated ones leave it as
+ * it is. Only the parts whose kinds are touched are built anew.
+ */
+export const applyChanges = (config: Config, changes: readonly Change[]): Config => {
+  const newer = changes.filter((change) => change.revision > config.revision);
+  const last = newer.at(-1);
+  if (last === undefined) return config;
   const entries = new Map(config.entries);
-  change.changes.forEach(({ kind, id, value }) => {
-    entries.set(getEntryKey(kind, id), { kind, id, value, revision: change.revision });
-  });
-  return newConfig(change.revision, [...entries.values()]);
+  const kinds = new Set<EntryKind>();
+  newer.forEach((change) =>
+    change.changes.forEach(({ kind, id, value }) => {
+      const key = getEntryKey(kind, id);
+      kinds.add(kind);
+      if (value === null) entries.delete(key);
+      else if ((entries.get(key)?.revision ?? 0) <= change.revision) {
+        entries.set(key, { kind, id, value, revision: change.revision });
+      }
+    }),
+  );
+  return { revision: last.revision, entries, ...getParts(entries, kinds, config) };
+};
+
+/** Changes that follow a revision without a gap; empty when the first of them is missing. */
+export const getContiguous = (changes: readonly Change[], after: number): readonly Change[] => {
+  const newer = changes.filter((change) => change.revision > after);
+  const gap = newer.findIndex((change, index) => change.revision !== after + 1 + index);
+  return gap === -1 ? newer : newer.slice(0, gap);
 };
 
 const isRouteOf = (route: Route, path: string): boolean =>
--- /dev/null
+++ b/packages/decisions/settings/configFaults.ts
@@ -0,0 +1,58 @@
+import { ENTRY_KIND, ENTRY_SCHEMAS, type EntryChange, type Level } from '@anvilpaddle/protocol';
+import type { Config } from './config';
+import { getLevelFaults } from './tree';
+
+/** Everything that is wrong with one change by itself; each fault names the entry. */
+export const getChangeFaults = (change: EntryChange): string[] => {
+  const place = `${change.kind}/${change.id}`;
+  if (change.value === null) return [];
+  const parsed = ENTRY_SCHEMAS[change.kind].safeParse(change.value);
+  if (!parsed.success) {
+    return parsed.error.issues.map(
+      (issue) => `${place}: ${issue.path.join('.')}: ${issue.message}`,
+    );
+  }
+  return change.kind === ENTRY_KIND.settings ? getLevelFaults(change.id, parsed.data as Level) : [];
+};
+
+const getRepeated = (values: readonly (readonly [string, string])[]): Map<string, string[]> => {
+  const names = new Map<string, string[]>();
+  values.forEach(([value, name]) => names.set(value, [...(names.get(value) ?? []), name]));
+  return new Map([...names].filter(([, list]) => list.length > 1));
+};
+
+/** Everything in a configuration that does not fit together; each fault names the entry. */
+export const getConfigFaults = (config: Config): string[] => {
+  const keys = [...config.entries.values()].filter(({ kind }) => kind === 'key');
+  const routes = new Set(config.routes.map(({ name }) => name));
+  const keyIds = new Set(keys.map(({ id }) => id));
+  const keyValues = keys.map(({ id, value }) => ({
+    id,
+    ...(value as { team: string; hash: string }),
+  }));
+  const known: Readonly<Record<string, { has(name: string): boolean }>> = {
+    team: config.teams,
+    route: routes,
+    key: keyIds,
+  };
+  const levelFaults = [...config.levels.keys()].flatMap((level) => {
+    const [kind = '', name = ''] = level.split('/');
+    const names = known[kind];
+    return names === undefined || names.has(name) ? [] : [`[${level}]: no ${kind} "${name}"`];
+  });
+  return [
+    ...keyValues.flatMap(({ id, team }) =>
+      config.teams.has(team) ? [] : [`key/${id}: no team "${team}"`],
+    ),
+    ...[...getRepeated(keyValues.map(({ id, hash }) => [hash, id])).values()].map(
+      (ids) => `key/${ids.join(', key/')}: the same secret`,
+    ),
+    ...[...config.teams].flatMap(([team, { routes: allowed = [] }]) =>
+      allowed.filter((name) => !routes.has(name)).map((name) => `team/${team}: no route "${name}"`),
+    ),
+    ...[...getRepeated(config.routes.map(({ path, name }) => [path, name]))].map(
+      ([path, names]) => `route/${names.join(', route/')}: the same path ${path}`,
+    ),
+    ...levelFaults,
+  ];
+};
--- /dev/null
+++ b/packages/decisions/settings/relay.ts
@@ -0,0 +1,87 @@
+import { getRendezvousOrder, getRendezvousOwner } from '@anvilpaddle/common';
+import type { Vm } from '@anvilpaddle/platform';
+import type { Member } from '@anvilpaddle/protocol';
+
+const VOTERS_PER_DOMAIN = 3;
+const DIRECT_READERS = 64;
+
+/**
+ * Entries that read the store and hold what is accepted: a few of each failure domain in the
+ * platform's list, which all nodes share, rather than those that one node sees alive.
+ */
+export const getVoters = (vms: readonly Vm[]): Vm[] => {
+  const entries = vms.filter(({ role }) => role === 'entry');
+  const domains = [...new Set(entries.map(({ failureDomain }) => failureDomain))].sort();
+  return domains.flatMap((domain) => {
+    const inDomain = entries.filter(({ failureDomain }) => failureDomain === domain);
+    const names = getRendezvousOrder(
+      'config',
+      inDomain.map(({ vm }) => vm),
+    ).slice(0, VOTERS_PER_DOMAIN);
+    return inDomain.filter(({ vm }) => names.includes(vm));
+  });
+};
+
+/** Voters that must hold a change before it is acknowledged. */
+export const getHolderQuorum = (voters: number): number => Math.max(1, Math.ceil(voters / 2));
+
+/** Voters whose word makes a node current; one of them is among the holders of any change. */
+export const getVouchQuorum = (voters: number): number => Math.floor(voters / 2) + 1;
+
+/** What one voter has said. */
+export interface Vote {
+  readonly vm: string;
+  readonly revision: number;
+  /** Current at some time since its start; one that has forgotten has no vote. */
+  readonly synced: boolean;
+}
+
+/** Whether the votes show that no change beyond the revision has been acknowledged. */
+export const isVouched = (
+  revision: number,
+  votes: readonly Vote[],
+  voters: readonly string[],
+): boolean => {
+  if (voters.length === 0) return false;
+  const counted = new Set(
+    votes
+      .filter((vote) => vote.synced && vote.revision <= revision && voters.includes(vote.vm))
+      .map(({ vm }) => vm),
+  );
+  return counted.size >= getVouchQuorum(voters.length);
+};
+
+/** Place of this process in the relay. */
+export interface Place {
+  readonly vm: string;
+  readonly failureDomain: string;
+}
+
+/**
+ * Address that a node asks for news: a voter of its failure domain, or, in a large domain, one of
+ * the relays that ask the voters; undefined when none is known.
+ */
+export const getSource = (
+  self: Place,
+  voters: readonly Vm[],
+  live: readonly Member[],
+): string | undefined => {
+  const others = voters.filter(({ vm }) => vm !== self.vm);
+  const near = others.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+  const addresses = new Map((near.length > 0 ? near : others).map((vm) => [vm.vm, vm.address]));
+  const domain = live.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+  if (domain.length > DIRECT_READERS) {
+    const entries = domain.filter(({ role, vm }) => role === 'entry' && !addresses.has(vm));
+    const relays = getRendezvousOrder(
+      'relay',
+      entries.map(({ vm }) => vm),
+    ).slice(0, Math.ceil(Math.sqrt(domain.length)));
+    if (relays.length > 0 && !relays.includes(self.vm)) {
+      const relay = getRendezvousOwner(self.vm, relays);
+      return entries.find(({ vm }) => vm === relay)?.address;
+    }
+  }
+  const alive = [...addresses.keys()].filter((vm) => live.some((member) => member.vm === vm));
+  const voter = getRendezvousOwner(self.vm, alive.length > 0 ? alive : [...addresses.keys()]);
+  return voter === undefined ? undefined : addresses.get(voter);
+};
--- a/packages/decisions/settings/schema.ts
+++ b/packages/decisions/settings/schema.ts
@@ -32,6 +32,8 @@
   'batch.lease': { schema: durationSchema, fallback: '10s' },
   /** Time in which a job is to finish when it names none. */
   'batch.completion_window': { schema: durationSchema, fallback: '24h' },
+  /** Time after which keys are refused by an entry that may have missed a withdrawal. */
+  'keys.max_age': { schema: durationSchema, fallback: '3s' },
 } as const satisfies Readonly<Record<string, { schema: z.ZodType; fallback: string }>>;
 
 export type SettingName = keyof typeof SETTINGS;
--- a/packages/protocol/errors.ts
+++ b/packages/protocol/errors.ts
@@ -14,6 +14,8 @@
   stopping: 503,
   no_upstream: 503,
   platform_unavailable: 503,
+  /** The entry cannot tell whether keys are still valid. */
+  keys_unconfirmed: 503,
   upstream_failed: 502,
   deadline_exceeded: 504,
   internal: 500,
@@ -28,6 +30,8 @@
   readonly run: RunState;
   /** Name of the field that is wrong, when there is one. */
   readonly param?: string | undefined;
+  /** Each fault by itself, when there may be several. */
+  readonly details?: readonly string[] | undefined;
   /** When coming back helps, in milliseconds. */
   readonly retryAfterMs?: number | undefined;
 }
@@ -47,6 +51,7 @@
     code: error.code,
     param: error.param ?? null,
     run: error.run,
+    ...(error.details === undefined ? {} : { details: error.details }),
     ...(error.retryAfterMs === undefined ? {} : { retry_after_ms: Math.ceil(error.retryAfterMs) }),
   },
 });
