--- a/anvilpaddle-app/controllers/configRelay.ts
+++ b/anvilpaddle-app/controllers/configRelay.ts
@@ -122,8 +122,8 @@
         const pushed = others.map(async ({ address }) => count(await pushTo(address, change)));
         if (holders >= quorum) resolve(true);
         void Promise.all(pushed).then(() => resolve(holders >= quorum));
-        const told = new Set([self.address, ...others.map(({ address }) => address)]);
-        const rest = services.getLive().filter(({ address }) => !told.has(address));
+        const told = new Set([self.vm, ...others.map(({ vm }) => vm)]);
+        const rest = services.getLive().filter(({ vm }) => !told.has(vm));
         if (rest.length > PUSH_TO_ALL) return;
         rest.forEach(({ address }) => {
           void peers.call(address, 'config.push', { change });
--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -56,7 +56,8 @@
 /** Client that sends the fleet secret with each attempt. */
 export const newAttemptClient = (secret: string, localAddress?: string): AttemptClient => {
   const agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    localAddress,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- a/anvilpaddle-app/entry/filters/authenticate.ts
+++ b/anvilpaddle-app/entry/filters/authenticate.ts
@@ -6,6 +6,7 @@
 import type { EntryServices, Exchange, Filter, Next } from '../exchange';
 
 const STREAM_TYPE = 'text/event-stream';
+const LAST_WRITE_MS = 500;
 
 const getBearer = (exchange: Exchange): string | undefined =>
   /^Bearer\s+(\S+)$/i.exec(exchange.request.headers.authorization ?? '')?.[1];
@@ -39,10 +40,14 @@
         (ended) => {
           const error: ApiError = { ...ended, run: exchange.outcome.run };
           const { response } = exchange;
-          if (response.headersSent && !response.writableEnded && isStream(exchange)) {
-            response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`);
+          const finish = (): void => resolve(newFailure(error));
+          if (!response.headersSent || response.writableEnded || !isStream(exchange)) {
+            finish();
+            return;
           }
-          resolve(newFailure(error));
+          response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`, finish);
+          // A caller that reads nothing does not hold its stream open.
+          services.clock.after(LAST_WRITE_MS, finish);
         },
       );
       // The body may have taken long to come.
--- a/anvilpaddle-app/peers/peerClient.ts
+++ b/anvilpaddle-app/peers/peerClient.ts
@@ -42,7 +42,8 @@
   localAddress?: string,
 ): PeerClient => {
   const agent = new Agent({
-    connect: { timeout: timeoutMs, localAddress },
+    connect: { timeout: timeoutMs },
+    localAddress,
     bodyTimeout: timeoutMs,
   });
   const links = new Map<string, JSONRPCClient>();
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -15,7 +15,7 @@
 import { waitFor } from './waitFor';
 
 export const FLEET_SECRET = 'secret-of-the-test-fleet';
-const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
+export const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
 
 /** One VM with its process; the process can be ended and started again. */
 export interface Node {
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -37,7 +37,8 @@
   localAddress?: string,
 ): HttpClient => {
   const agent = new Agent({
-    connect: { timeout: timeoutMs, localAddress },
+    connect: { timeout: timeoutMs },
+    localAddress,
     keepAliveTimeout: 30 * MS_PER_SECOND,
   });
   return {
