--- a/anvilpaddle-app/entry/actions/health.ts
+++ b/anvilpaddle-app/entry/actions/health.ts
@@ -1,6 +1,7 @@
 import { newFailure } from '@anvilpaddle/common';
 import { newApiError } from '@anvilpaddle/protocol';
 import { newUnconfirmedError } from '../../controllers/keyWatch';
+import { STOP_STAGE } from '../../process/program';
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
@@ -11,7 +12,7 @@
   path: '/ready',
   access: ACTION_ACCESS.open,
   run: async (exchange, services) => {
-    if (services.isStopping()) {
+    if (services.getStopStage() !== STOP_STAGE.serving) {
       return newFailure(newApiError('stopping', 'this entry is stopping'));
     }
     if (services.config.ageMs() > exchange.settings['keys.max_age']) {
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { getEffectiveSettings, LeastOfTwoRouter } from '@anvilpaddle/decisions';
+import { getEffectiveSettings, AffinityRouter } from '@anvilpaddle/decisions';
 import {
   getAddressText,
   listen,
@@ -16,10 +16,10 @@
 import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
 import { newMemberController } from '../controllers/memberController';
-import { newObservedVmList } from '../controllers/observedVmList';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
-import { waitUntil, type Program } from '../process/program';
+import { getMemberTiming } from '../process/memberTiming';
+import { STOP_STAGE, waitMs, waitUntil, type Program, type StopStage } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
 import { newAttemptClient } from './attemptClient';
@@ -80,7 +80,6 @@
   const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
   const attempts = newAttemptClient(secret, localAddress);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
-  const vms = newObservedVmList(platform.vms);
   const config = newConfigController({
     self: {
       vm: file.process.vm,
@@ -91,9 +90,10 @@
     peers,
     seeds: file.peers.seeds,
     tables: platform.tables,
-    getVms: vms.latest,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
     getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
     intervalMs: file.platform.refresh,
     clock,
     random: Math.random,
@@ -101,7 +101,7 @@
   });
   const keyWatch = newKeyWatch(config, clock);
   const metrics = newMetrics(file.metrics.statsd);
-  let isStopping = false;
+  let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
 
   const getSelf = (): Member => ({
@@ -110,15 +110,15 @@
     role: 'entry',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: stage !== STOP_STAGE.serving,
     models: [],
     revision: config.current().revision,
   });
   const members = newMemberController(
-    vms,
+    platform.vms,
     peers,
     getSelf,
-    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    getMemberTiming(file),
     clock,
     log,
   );
@@ -143,11 +143,11 @@
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
       return revoked.ok ? revoked.value.state : undefined;
     },
-    router: new LeastOfTwoRouter(Math.random),
+    router: new AffinityRouter(Math.random, () => clock.monotonic()),
     metrics,
     clock,
     log,
-    isStopping: () => isStopping,
+    getStopStage: () => stage,
   };
   const filters = [
     newAccountFilter(services),
@@ -182,7 +182,6 @@
     {},
     log,
   );
-  await vms.list();
   await config.refresh();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
@@ -196,8 +195,10 @@
   return {
     callers,
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      // Readiness fails from here on; what comes nonetheless is served until the balancer knows.
+      stage = STOP_STAGE.leaving;
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      stage = STOP_STAGE.refusing;
       await waitUntil(clock, () => open === 0);
       server.close();
       server.closeIdleConnections();
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -13,7 +13,7 @@
       vm: services.vm,
       revision: services.config.current().revision,
       configAgeMs: Math.round(services.config.ageMs()),
-      stopping: services.isStopping(),
+      stage: services.getStopStage(),
       members: services.members.live(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -30,6 +30,11 @@
     vm: nameSchema,
     failure_domain: nameSchema,
     log_level: z.enum(LOG_LEVELS).default('info'),
+    /**
+     * Time from the start of a planned stop in which new work is still served, so that the balancer
+     * (of an entry) or the entries (of a sidecar) can turn away first.
+     */
+    stop_grace: durationSchema.default(6000),
   }),
   platform: z.strictObject({
     url: z.url(),
@@ -37,6 +42,8 @@
     timeout: durationSchema.default(2000),
     /** Time between two looks for newer configuration. */
     refresh: durationSchema.default(500),
+    /** Time between two reads of the VM list. */
+    list_refresh: durationSchema.default(1000),
   }),
   peers: z.strictObject({
     /** Address for messages between processes. */
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -4,10 +4,10 @@
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
-import { newObservedVmList } from '../controllers/observedVmList';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
-import { waitUntil, type Program } from '../process/program';
+import { getMemberTiming } from '../process/memberTiming';
+import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
@@ -36,7 +36,6 @@
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
   const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
-  const vms = newObservedVmList(platform.vms);
   const config = newConfigController({
     self: {
       vm: file.process.vm,
@@ -47,9 +46,10 @@
     peers,
     seeds: file.peers.seeds,
     tables: platform.tables,
-    getVms: vms.latest,
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
     getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
     intervalMs: file.platform.refresh,
     clock,
     random: Math.random,
@@ -58,7 +58,8 @@
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
-  let isStopping = false;
+  let isLeaving = false;
+  let isRefusing = false;
 
   const getWeight = (team: string): number =>
     getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
@@ -68,24 +69,24 @@
     role: 'sidecar',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: isLeaving,
     group: file.upstream.group,
     models: [...models],
     load: task.load(),
     revision: config.current().revision,
   });
 
-  const shared = { task, client, clock, log, getWeight, isStopping: () => isStopping };
+  const shared = { task, client, clock, log, getWeight, isStopping: () => isRefusing };
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
     attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
   });
   const members = newMemberController(
-    vms,
+    platform.vms,
     peers,
     getSelf,
-    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    getMemberTiming(file),
     clock,
     log,
   );
@@ -102,6 +103,7 @@
   );
   const worker = newBatchWorker({
     ...shared,
+    isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
     tables: platform.tables,
@@ -112,14 +114,15 @@
       models = listed;
     });
   });
-  await vms.list();
   await config.refresh();
   log.info({ address, incarnation, models }, 'sidecar is ready');
 
   return {
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      isLeaving = true;
+      // An entry that has not heard yet is served, since its request may be on the way.
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
       await worker.close();
