--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -13,6 +13,7 @@
 import { HEADER, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
+import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
 import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
@@ -79,8 +80,27 @@
   const secret = file.peers.secrets[0] ?? '';
   const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
   const attempts = newAttemptClient(secret, localAddress);
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'entry',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
+  const keyWatch = newKeyWatch(config, clock);
   const metrics = newMetrics(file.metrics.statsd);
   let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
@@ -123,8 +143,9 @@
     vm: file.process.vm,
     incarnation,
     failureDomain: file.process.failure_domain,
-    operatorKeyHash: file.operators.key_hash,
+    operatorKeyHashes: file.operators.key_hash,
     config,
+    keyWatch,
     members,
     limits,
     jobs: newJobController(platform.tables, platform.objects),
@@ -162,17 +183,18 @@
     }
   };
 
-  await config.refresh();
   const peerServer = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       ...limits.handlers,
     },
     {},
     log,
   );
+  await config.refresh();
   limits.start();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
@@ -195,6 +217,7 @@
       server.closeIdleConnections();
       await members.close();
       await limits.close();
+      keyWatch.close();
       await config.close();
       await peerServer.close();
       metrics.close();
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -32,10 +32,28 @@
     clock,
     localAddress,
   );
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
   const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'sidecar',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
@@ -75,6 +93,7 @@
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
     },
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -18,5 +18,8 @@
 export * from './routing/router';
 export * from './scheduling/scheduler';
 export * from './settings/config';
+export * from './settings/configFaults';
+export * from './settings/configState';
+export * from './settings/relay';
 export * from './settings/schema';
 export * from './settings/tree';
