--- /dev/null
+++ b/anvilpaddle-app/batch/itemRunner.ts
@@ -0,0 +1,213 @@
+import { newId, SERVICE_CLASS, type Clock } from '@anvilpaddle/common';
+import type { Item, Job } from '@anvilpaddle/decisions';
+import type { UpstreamClient } from '../sidecar/upstreamClient';
+import type { UpstreamTask } from '../sidecar/upstreamTask';
+import { newErrorResult, newResponseResult, type ItemResult } from './itemResult';
+import { wait } from './settledCommit';
+import { readAnswer, type AnswerBody } from './upstreamBody';
+
+const FAILURE_DELAY_MS = 250;
+const REFUSAL_DELAY_MS = 200;
+const UNREACHABLE_DELAY_MS = 500;
+const NEVER_MS = Number.MAX_SAFE_INTEGER;
+const RETRIED_STATUS = new Set([408, 425, 429]);
+
+/** Parts of the sidecar that items run on. */
+export interface RunnerServices {
+  readonly task: UpstreamTask;
+  readonly client: UpstreamClient;
+  readonly clock: Clock;
+  readonly getWeight: (team: string) => number;
+}
+
+/** Terms of one item's run. */
+export interface RunTerms {
+  readonly job: Job;
+  readonly maxAttempts: number;
+  readonly timeoutMs: number;
+  readonly maxAnswerBytes: number;
+  /** Aborted when the chunk is given up: running items are cancelled. */
+  readonly signal: AbortSignal;
+  /** Aborted at a planned stop: waiting items are taken back, running ones go on. */
+  readonly drainSignal: AbortSignal;
+  /** Notes durably that the item is about to be sent; false when the chunk is lost. */
+  markStarted(): Promise<boolean>;
+  /** Called when the item has got a slot. */
+  onStart(): void;
+}
+
+/** Runs items at the upstream, behind its online requests. */
+export interface ItemRunner {
+  /** Result of the item; undefined when the chunk was given up before there was one. */
+  run(item: Item, terms: RunTerms): Promise<ItemResult | undefined>;
+}
+
+type Outcome =
+  | { readonly kind: 'answer'; readonly answer: AnswerBody; readonly id: string }
+  /** It may have run, and there is no whole answer. */
+  | { readonly kind: 'cut'; readonly detail: string }
+  | { readonly kind: 'not_sent' }
+  | { readonly kind: 'preempted' }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'abandoned'; readonly wasSent: boolean };
+
+const newOutcomeUnknown = (item: Item): ItemResult =>
+  newErrorResult(item.customId, {
+    code: 'outcome_unknown',
+    message: 'the call was sent, its answer was lost, and it may not be repeated',
+  });
+
+/** Runner on the upstream's task and client. */
+export const newItemRunner = (services: RunnerServices): ItemRunner => {
+  const { task, client, clock } = services;
+  let suspects: Promise<unknown> = Promise.resolve();
+
+  const call = async (
+    id: string,
+    item: Item,
+    terms: RunTerms,
+    signal: AbortSignal,
+  ): Promise<Outcome> => {
+    const body = item.body === undefined || item.body === null ? '' : JSON.stringify(item.body);
+    const answer = await client.call({
+      id,
+      method: item.method,
+      path: item.url,
+      headers: body === '' ? {} : { 'content-type': 'application/json' },
+      body: Buffer.from(body),
+      signal,
+    });
+    if (!answer.ok) {
+      if (answer.error.kind === 'not_sent') return { kind: 'not_sent' };
+      return { kind: 'cut', detail: answer.error.detail };
+    }
+    const read = await readAnswer(answer.value, terms.maxAnswerBytes, item.model !== undefined);
+    return read === undefined
+      ? { kind: 'cut', detail: 'the answer was cut or too large' }
+      : { kind: 'answer', answer: read, id };
+  };
+
+  const runOnce = (item: Item, terms: RunTerms): Promise<Outcome> =>
+    new Promise((resolve) => {
+      const id = newId('item');
+      const abort = new AbortController();
+      let isStarted = false;
+      let isPreempted = false;
+      const getWhenAborted = (outcome: Outcome): Outcome => {
+        if (outcome.kind === 'answer') return outcome;
+        if (isPreempted) return { kind: 'preempted' };
+        return terms.signal.aborted ? { kind: 'abandoned', wasSent: true } : outcome;
+      };
+      const withdraw = (): void => {
+        if (isStarted) return;
+        void task.withdraw(id).then((taken) => {
+          if (taken) resolve({ kind: 'abandoned', wasSent: false });
+        });
+      };
+      const giveUp = (): void => {
+        abort.abort();
+        withdraw();
+      };
+      const finish = (outcome: Outcome): void => {
+        terms.signal.removeEventListener('abort', giveUp);
+        terms.drainSignal.removeEventListener('abort', withdraw);
+        resolve(outcome);
+      };
+      terms.signal.addEventListener('abort', giveUp, { once: true });
+      terms.drainSignal.addEventListener('abort', withdraw, { once: true });
+      const start = (): void => {
+        isStarted = true;
+        terms.onStart();
+        const timer = clock.after(terms.timeoutMs, () => abort.abort());
+        let usedTokens = 0;
+        call(id, item, terms, abort.signal)
+          .catch((): Outcome => ({ kind: 'cut', detail: 'the call failed' }))
+          .then((outcome) => {
+            if (outcome.kind === 'answer') usedTokens = outcome.answer.tokens;
+            finish(getWhenAborted(outcome));
+          })
+          .finally(() => {
+            timer.cancel();
+            task.finish(id, usedTokens);
+          });
+      };
+      task.submit(
+        {
+          id,
+          team: terms.job.team,
+          route: terms.job.route,
+          serviceClass: SERVICE_CLASS.batch,
+          weight: services.getWeight(terms.job.team),
+          maxTokens: item.maxTokens,
+          deadlineMs: NEVER_MS,
+        },
+        {
+          start,
+          preempt: () => {
+            // Cancelling a call that may not be repeated would lose its outcome.
+            if (!item.isRepeatable) return;
+            isPreempted = true;
+            abort.abort();
+          },
+          refuse: () => finish({ kind: 'refused' }),
+        },
+      );
+      if (terms.signal.aborted) giveUp();
+      if (terms.drainSignal.aborted) withdraw();
+    });
+
+  /** Items that were running when an answer was cut go one at a time: one may crash the engine. */
+  const runSuspect = (item: Item, terms: RunTerms): Promise<Outcome> => {
+    const run = suspects.then(() => runOnce(item, terms));
+    suspects = run;
+    return run;
+  };
+
+  const isFailure = (outcome: Outcome): boolean =>
+    outcome.kind === 'cut' ||
+    (outcome.kind === 'answer' &&
+      (outcome.answer.status >= 500 || RETRIED_STATUS.has(outcome.answer.status)));
+
+  const getFinal = (item: Item, outcome: Outcome): ItemResult | undefined => {
+    if (outcome.kind === 'answer') {
+      const { status, body } = outcome.answer;
+      return newResponseResult(item.customId, { status, requestId: outcome.id, body });
+    }
+    if (!item.isRepeatable) return newOutcomeUnknown(item);
+    const message = outcome.kind === 'cut' ? outcome.detail : 'the call failed';
+    return newErrorResult(item.customId, { code: 'upstream_failed', message });
+  };
+
+  const isSent = ({ kind }: Outcome): boolean => kind === 'cut' || kind === 'preempted';
+
+  /** Waits that cost no attempt: the upstream has not run the item, or was told to stop it. */
+  const getFreeDelayMs = (outcome: Outcome): number | undefined => {
+    if (outcome.kind === 'preempted') return 0;
+    if (outcome.kind === 'refused') return REFUSAL_DELAY_MS;
+    return outcome.kind === 'not_sent' ? UNREACHABLE_DELAY_MS : undefined;
+  };
+
+  return {
+    run: async (item, terms) => {
+      if (!item.isRepeatable && !(await terms.markStarted())) return undefined;
+      let failures = 0;
+      let isSuspect = false;
+      while (!terms.signal.aborted && !terms.drainSignal.aborted) {
+        const outcome: Outcome = await (isSuspect ? runSuspect(item, terms) : runOnce(item, terms));
+        if (outcome.kind === 'abandoned') {
+          return outcome.wasSent && !item.isRepeatable ? newOutcomeUnknown(item) : undefined;
+        }
+        if (!item.isRepeatable && (isSent(outcome) || outcome.kind === 'answer')) {
+          return getFinal(item, outcome);
+        }
+        const freeMs = getFreeDelayMs(outcome);
+        if (freeMs === undefined && !isFailure(outcome)) return getFinal(item, outcome);
+        if (freeMs === undefined) failures += 1;
+        if (failures >= terms.maxAttempts) return getFinal(item, outcome);
+        isSuspect ||= outcome.kind === 'cut';
+        await wait(clock, freeMs ?? FAILURE_DELAY_MS * 4 ** failures, terms.drainSignal);
+      }
+      return undefined;
+    },
+  };
+};
--- a/anvilpaddle-app/controllers/jobController.ts
+++ b/anvilpaddle-app/controllers/jobController.ts
@@ -2,178 +2,217 @@
   CHUNK_STATE,
   chunkSchema,
   fileSchema,
-  getChunkKey,
+  getChunkPrefix,
+  getJobCounts,
   getPartKey,
   JOB_STATE,
   jobSchema,
   type Chunk,
   type File,
   type Job,
+  type JobCounts,
 } from '@anvilpaddle/decisions';
-import { newFailure, newOk, type Result } from '@anvilpaddle/common';
-import type { ObjectStore, PlatformError, Row, TableService } from '@anvilpaddle/platform';
+import { newFailure, newOk, type Clock, type Result } from '@anvilpaddle/common';
+import type { ObjectStore, PlatformError, TableService } from '@anvilpaddle/platform';
+import { newJobCreation, type JobKey } from '../batch/jobCreation';
+import { endJob, readJob } from '../batch/jobEnd';
+import { scanAll } from '../batch/scanAll';
+import { retryCall, settleCommit } from '../batch/settledCommit';
+import { getTeamJobKey, TABLE } from '../batch/tables';
 
-export const JOBS_TABLE = 'jobs';
-export const CHUNKS_TABLE = 'chunks';
-export const FILES_TABLE = 'files';
-const SCAN_LIMIT = 1000;
-const ROWS_PER_COMMIT = 200;
+const MAX_TRIES = 5;
+const MAX_RACES = 10;
+const REMOVALS_AT_ONCE = 16;
 
-/** Why a job could not be changed. */
+/** Why a file or job could not be changed. */
 export type JobError =
-  { readonly kind: 'platform'; readonly error: PlatformError } | { readonly kind: 'conflict' };
-
-/** Counts of one job, from its chunks. */
-export interface JobCounts {
-  readonly total: number;
-  readonly completed: number;
-  readonly failed: number;
-}
+  | { readonly kind: 'platform'; readonly error: PlatformError }
+  | { readonly kind: 'conflict'; readonly detail: string };
 
 /** Keeps files and jobs in the platform's services; used by entries. */
 export interface JobController {
   putPart(file: string, index: number, body: Buffer): Promise<Result<void, PlatformError>>;
+  /** Removes the parts of an upload that was not finished; what can't be removed stays unused. */
+  dropParts(file: string, count: number): Promise<void>;
   createFile(file: File): Promise<Result<void, JobError>>;
   getFile(id: string): Promise<Result<File | undefined, PlatformError>>;
-  removeFile(file: File): Promise<Result<void, PlatformError>>;
-  /** Writes the job and its chunks; it is durable when this resolves. */
-  createJob(job: Job, file: File): Promise<Result<Job, JobError>>;
+  /** Refused while an unfinished job reads the file. */
+  removeFile(file: File): Promise<Result<void, JobError>>;
+  /** Writes the job and its chunks; durable when this resolves. A known key gives its job. */
+  createJob(job: Job, file: File, key?: JobKey): Promise<Result<Job, JobError>>;
   getJob(id: string): Promise<Result<Job | undefined, PlatformError>>;
-  listJobs(team: string): Promise<Result<readonly Job[], PlatformError>>;
+  /** Jobs of a team, the newest first, after one of them. */
+  listJobs(
+    team: string,
+    after: Job | undefined,
+    limit: number,
+  ): Promise<Result<readonly Job[], PlatformError>>;
+  /** Cancels an unfinished job; the job as it is afterwards. */
   cancelJob(id: string): Promise<Result<Job | undefined, JobError>>;
   getCounts(job: Job): Promise<Result<JobCounts, PlatformError>>;
-  /** Chunks of a job in order, a page at a time. */
+  /** Chunks of a job in the order of its input. */
   listChunks(job: string): Promise<Result<readonly Chunk[], PlatformError>>;
+  /** Deletes the results of a job that has ended. */
+  removeResults(job: Job): Promise<Result<void, JobError>>;
   getPartKey(file: string, index: number): string;
   readObject(key: string): Promise<Result<Buffer | undefined, PlatformError>>;
 }
 
 const newPlatformFailure = (error: PlatformError) =>
   newFailure({ kind: 'platform', error } as const);
+const newConflict = (detail: string) => newFailure({ kind: 'conflict', detail } as const);
 
 /** Controller on the platform's table service and object store. */
-export const newJobController = (tables: TableService, objects: ObjectStore): JobController => {
-  const scanAll = async (
-    table: string,
-    prefix: string,
-  ): Promise<Result<readonly Row[], PlatformError>> => {
-    const rows: Row[] = [];
-    for (;;) {
-      const page = await tables.scan(table, { prefix, after: rows.at(-1)?.key, limit: SCAN_LIMIT });
-      if (!page.ok) return page;
-      rows.push(...page.value);
-      if (page.value.length < SCAN_LIMIT) return newOk(rows);
+export const newJobController = (
+  tables: TableService,
+  objects: ObjectStore,
+  clock: Clock,
+): JobController => {
+  const retry = <T>(call: () => Promise<Result<T, PlatformError>>) =>
+    retryCall(call, clock, MAX_TRIES);
+
+  const listChunks = async (job: string): Promise<Result<readonly Chunk[], PlatformError>> => {
+    const rows = await scanAll(tables, TABLE.chunks, getChunkPrefix(job));
+    return rows.ok ? newOk(rows.value.map((row) => chunkSchema.parse(row.value))) : rows;
+  };
+
+  const getCounts = async (job: Job): Promise<Result<JobCounts, PlatformError>> => {
+    if (job.completed !== undefined) {
+      return newOk({ total: job.items, completed: job.completed, failed: job.failed ?? 0 });
     }
+    const chunks = await listChunks(job.id);
+    return chunks.ok ? newOk(getJobCounts(job, chunks.value)) : chunks;
   };
 
-  const readJob = async (id: string): Promise<Result<[Row, Job] | undefined, PlatformError>> => {
-    const row = await tables.get(JOBS_TABLE, id);
-    if (!row.ok) return row;
-    return newOk(row.value && [row.value, jobSchema.parse(row.value.value)]);
+  const removeObjects = async (keys: readonly string[]): Promise<void> => {
+    for (let start = 0; start < keys.length; start += REMOVALS_AT_ONCE) {
+      const some = keys.slice(start, start + REMOVALS_AT_ONCE);
+      await Promise.all(some.map((key) => retry(() => objects.remove(key))));
+    }
   };
 
-  const listChunks = async (job: string): Promise<Result<readonly Chunk[], PlatformError>> => {
-    const rows = await scanAll(CHUNKS_TABLE, `${job}/`);
-    return rows.ok ? newOk(rows.value.map((row) => chunkSchema.parse(row.value))) : rows;
+  const getPartKeys = (file: string, count: number): string[] =>
+    Array.from({ length: count }, (_, index) => getPartKey(file, index));
+
+  const createFile: JobController['createFile'] = async (file) => {
+    const isMine = (row: unknown): boolean => row !== undefined;
+    const commit = await retry(() =>
+      settleCommit(
+        tables,
+        {
+          checks: [{ table: TABLE.files, key: file.id, revision: 0 }],
+          writes: [{ table: TABLE.files, key: file.id, value: file }],
+        },
+        // The id is new, so that a row under it can only be this one.
+        { table: TABLE.files, key: file.id, isMine },
+      ),
+    );
+    return commit.ok ? newOk(undefined) : newPlatformFailure(commit.error);
   };
 
-  const getChunks = (job: Job, file: File): Chunk[] =>
-    file.parts.map((items, index) => ({
-      job: job.id,
-      index,
-      state: CHUNK_STATE.ready,
-      epoch: 0,
-      items,
-      input: getPartKey(file.id, index),
-      failed: 0,
-    }));
+  const removeFile: JobController['removeFile'] = async (file) => {
+    // The row comes first: a job created after the look at the file's jobs changes its revision.
+    const row = await retry(() => tables.get(TABLE.files, file.id));
+    if (!row.ok) return newPlatformFailure(row.error);
+    const range = { prefix: `${file.id}/`, limit: 1 };
+    const users = await retry(() => tables.scan(TABLE.fileJobs, range));
+    if (!users.ok) return newPlatformFailure(users.error);
+    if (users.value.length > 0) return newConflict('an unfinished batch reads the file');
+    const revision = row.value?.revision ?? 0;
+    const commit = await retry(() =>
+      settleCommit(
+        tables,
+        {
+          checks: [{ table: TABLE.files, key: file.id, revision }],
+          writes: [{ table: TABLE.files, key: file.id, value: null }],
+        },
+        { table: TABLE.files, key: file.id, isMine: (found) => found === undefined },
+      ),
+    );
+    if (!commit.ok) return newPlatformFailure(commit.error);
+    if (!commit.value.committed) return newConflict('the file came into use at the same time');
+    await removeObjects(getPartKeys(file.id, file.parts.length));
+    return newOk(undefined);
+  };
 
-  const writeChunks = async (chunks: readonly Chunk[]): Promise<Result<void, JobError>> => {
-    for (let start = 0; start < chunks.length; start += ROWS_PER_COMMIT) {
-      const commit = await tables.transact({
-        checks: [],
-        writes: chunks.slice(start, start + ROWS_PER_COMMIT).map((chunk) => ({
-          table: CHUNKS_TABLE,
-          key: getChunkKey(chunk.job, chunk.index),
-          value: chunk,
-        })),
-      });
+  const cancelJob: JobController['cancelJob'] = async (id) => {
+    for (let race = 0; race < MAX_RACES; race += 1) {
+      const found = await retry(() => readJob(tables, id));
+      if (!found.ok) return newPlatformFailure(found.error);
+      if (found.value === undefined) return newOk(undefined);
+      const { row, job } = found.value;
+      if (job.state !== JOB_STATE.inProgress) return newOk(job);
+      const end = { state: JOB_STATE.cancelled, finishedAt: clock.wall() };
+      const commit = await retry(() => endJob(tables, row, end));
       if (!commit.ok) return newPlatformFailure(commit.error);
+      if (commit.value.committed) return newOk({ ...job, ...end });
     }
-    return newOk(undefined);
+    return newConflict('the job was changed at the same time');
   };
 
-  const putNew = async (
-    table: string,
-    key: string,
-    value: unknown,
-  ): Promise<Result<void, JobError>> => {
-    const commit = await tables.transact({
-      checks: [{ table, key, revision: 0 }],
-      writes: [{ table, key, value }],
-    });
+  const removeResults: JobController['removeResults'] = async (job) => {
+    if (job.state === JOB_STATE.inProgress) return newConflict('the batch has not ended');
+    const found = await retry(() => readJob(tables, job.id));
+    if (!found.ok) return newPlatformFailure(found.error);
+    const chunks = await retry(() => listChunks(job.id));
+    if (!chunks.ok) return newPlatformFailure(chunks.error);
+    const revision = found.value?.row.revision ?? 0;
+    const value = { ...found.value?.job, resultsRemoved: true };
+    const commit = await retry(() =>
+      settleCommit(
+        tables,
+        {
+          checks: [{ table: TABLE.jobs, key: job.id, revision }],
+          writes: [{ table: TABLE.jobs, key: job.id, value }],
+        },
+        {
+          table: TABLE.jobs,
+          key: job.id,
+          isMine: (row) => jobSchema.safeParse(row?.value).data?.resultsRemoved === true,
+        },
+      ),
+    );
     if (!commit.ok) return newPlatformFailure(commit.error);
-    return commit.value.committed ? newOk(undefined) : newFailure({ kind: 'conflict' });
+    const keys = chunks.value.flatMap(({ output, errors }) => [output, errors]);
+    await removeObjects(keys.filter((key) => key !== undefined));
+    return newOk(undefined);
   };
 
   return {
-    putPart: (file, index, body) => objects.put(getPartKey(file, index), body),
-    createFile: (file) => putNew(FILES_TABLE, file.id, file),
+    putPart: (file, index, body) => retry(() => objects.put(getPartKey(file, index), body)),
+    dropParts: (file, count) => removeObjects(getPartKeys(file, count)),
+    createFile,
     getFile: async (id) => {
-      const row = await tables.get(FILES_TABLE, id);
+      const row = await retry(() => tables.get(TABLE.files, id));
       return row.ok ? newOk(row.value && fileSchema.parse(row.value.value)) : row;
     },
-    removeFile: async (file) => {
-      const commit = await tables.transact({
-        checks: [],
-        writes: [{ table: FILES_TABLE, key: file.id, value: null }],
-      });
-      if (!commit.ok) return commit;
-      await Promise.all(file.parts.map((_, index) => objects.remove(getPartKey(file.id, index))));
-      return newOk(undefined);
-    },
-    createJob: async (job, file) => {
-      // Sidecars look only at jobs in progress, so the job's row comes last.
-      const written = await writeChunks(getChunks(job, file));
-      if (!written.ok) return written;
-      const created = await putNew(JOBS_TABLE, job.id, job);
-      return created.ok ? newOk(job) : created;
-    },
+    removeFile,
+    createJob: newJobCreation(tables, clock),
     getJob: async (id) => {
-      const found = await readJob(id);
-      return found.ok ? newOk(found.value?.[1]) : found;
+      const found = await retry(() => readJob(tables, id));
+      return found.ok ? newOk(found.value?.job) : found;
     },
-    listJobs: async (team) => {
-      const rows = await scanAll(JOBS_TABLE, '');
+    listJobs: async (team, after, limit) => {
+      const range = { prefix: `${team}/`, after: after && getTeamJobKey(after), limit };
+      const rows = await retry(() => tables.scan(TABLE.teamJobs, range));
       if (!rows.ok) return rows;
-      return newOk(
-        rows.value.map((row) => jobSchema.parse(row.value)).filter((job) => job.team === team),
-      );
-    },
-    cancelJob: async (id) => {
-      const found = await readJob(id);
-      if (!found.ok) return newPlatformFailure(found.error);
-      if (found.value === undefined) return newOk(undefined);
-      const [row, job] = found.value;
-      if (job.state !== JOB_STATE.inProgress) return newOk(job);
-      const cancelled: Job = { ...job, state: JOB_STATE.cancelled };
-      const commit = await tables.transact({
-        checks: [{ table: JOBS_TABLE, key: id, revision: row.revision }],
-        writes: [{ table: JOBS_TABLE, key: id, value: cancelled }],
-      });
-      if (!commit.ok) return newPlatformFailure(commit.error);
-      return commit.value.committed ? newOk(cancelled) : newFailure({ kind: 'conflict' });
-    },
-    getCounts: async (job) => {
-      const chunks = await listChunks(job.id);
-      if (!chunks.ok) return chunks;
-      const done = chunks.value.filter((chunk) => chunk.state === CHUNK_STATE.done);
-      const failed = done.reduce((sum, chunk) => sum + chunk.failed, 0);
-      const finished = done.reduce((sum, chunk) => sum + chunk.items, 0);
-      return newOk({ total: job.items, completed: finished - failed, failed });
+      const jobs: Job[] = [];
+      for (const { value } of rows.value) {
+        const found = await retry(() => readJob(tables, (value as { job: string }).job));
+        if (!found.ok) return found;
+        if (found.value !== undefined) jobs.push(found.value.job);
+      }
+      return newOk(jobs);
     },
+    cancelJob,
+    getCounts,
     listChunks,
+    removeResults,
     getPartKey,
-    readObject: (key) => objects.get(key),
+    readObject: (key) => retry(() => objects.get(key)),
   };
 };
+
+/** Chunks whose results are committed. */
+export const getDoneChunks = (chunks: readonly Chunk[]): readonly Chunk[] =>
+  chunks.filter(({ state }) => state === CHUNK_STATE.done);
--- a/anvilpaddle-app/entry/actions/batches.ts
+++ b/anvilpaddle-app/entry/actions/batches.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
-import { getRoute, JOB_STATE, type File, type Job } from '@anvilpaddle/decisions';
+import { getRoute, JOB_STATE, type File, type Job, type NamedRoute } from '@anvilpaddle/decisions';
 import {
+  getSecretHash,
   MS_PER_HOUR,
-  MS_PER_SECOND,
   newFailure,
   newId,
   newOk,
@@ -14,7 +14,8 @@
 import { answerJson, newPlatformFailure } from '../apiResult';
 import type { EntryServices, Exchange } from '../exchange';
 import { parseObject } from '../json';
-import { OUTPUT_SUFFIX } from './files';
+import { getJobBody } from './jobBody';
+import type { JobKey } from '../../batch/jobCreation';
 import type { JobError } from '../../controllers/jobController';
 
 const requestSchema = z.object({
@@ -28,49 +29,35 @@
 });
 type JobRequest = z.infer<typeof requestSchema>;
 
-const getSeconds = (wallMs: number): number => Math.floor(wallMs / MS_PER_SECOND);
-
-/** Job as OpenAI's API shows a batch; times in seconds. */
-const getJobBody = async (job: Job, services: EntryServices): Promise<Result<object, ApiError>> => {
-  const counts = await services.jobs.getCounts(job);
-  if (!counts.ok) return newPlatformFailure(counts.error);
-  const isFinal = job.state === JOB_STATE.completed || job.state === JOB_STATE.cancelled;
-  return newOk({
-    id: job.id,
-    object: 'batch',
-    endpoint: job.endpoint,
-    input_file_id: job.file,
-    completion_window: `${Math.round((job.dueAt - job.createdAt) / MS_PER_HOUR)}h`,
-    status: job.state,
-    created_at: getSeconds(job.createdAt),
-    expires_at: getSeconds(job.dueAt),
-    output_file_id: isFinal ? `${job.id}${OUTPUT_SUFFIX}` : null,
-    request_counts: counts.value,
-    metadata: job.metadata ?? null,
-  });
-};
-
 const answerJob = async (
   exchange: Exchange,
   services: EntryServices,
   job: Job,
 ): Promise<Result<void, ApiError>> => {
-  const body = await getJobBody(job, services);
-  return body.ok ? answerJson(exchange, body.value) : body;
+  const counts = await services.jobs.getCounts(job);
+  if (!counts.ok) return newPlatformFailure(counts.error);
+  return answerJson(exchange, getJobBody(job, counts.value, services.clock.wall()));
 };
 
 const newJobFailure = (error: JobError) =>
   error.kind === 'platform'
     ? newPlatformFailure(error.error)
-    : newFailure(newApiError('conflict', 'the job was changed at the same time'));
+    : newFailure(newApiError('conflict', error.detail));
+
+interface ParsedRequest {
+  readonly fields: JobRequest;
+  readonly bodyHash: string;
+}
 
-const parseRequest = async (exchange: Exchange): Promise<Result<JobRequest, ApiError>> => {
+const parseRequest = async (exchange: Exchange): Promise<Result<ParsedRequest, ApiError>> => {
   const body = await readBody(exchange.request, exchange.settings['request.max_body']);
   if (!body.ok) return newFailure(newApiError('too_large', 'the body is too large'));
   const json = parseObject(body.value);
   if (!json.ok) return json;
   const parsed = requestSchema.safeParse(json.value);
-  if (parsed.success) return newOk(parsed.data);
+  if (parsed.success) {
+    return newOk({ fields: parsed.data, bodyHash: getSecretHash(String(body.value)) });
+  }
   const issue = parsed.error.issues[0];
   const param = issue?.path.join('.') ?? '';
   return newFailure(newApiError('invalid_request', `${param}: ${issue?.message}`, { param }));
@@ -90,15 +77,62 @@
 const findJob = async (
   exchange: Exchange,
   services: EntryServices,
+  id = exchange.params.id ?? '',
 ): Promise<Result<Job, ApiError>> => {
-  const id = exchange.params.id ?? '';
   const job = await services.jobs.getJob(id);
   if (!job.ok) return newPlatformFailure(job.error);
   if (job.value !== undefined && job.value.team === exchange.team) return newOk(job.value);
   return newFailure(newApiError('not_found', `no batch ${id}`));
 };
 
-/** POST /v1/batches: accepted once it is durable. */
+const newForbidden = (message: string) => newFailure(newApiError('forbidden', message));
+
+/** Route that the team may send the job's items to. */
+const findRoute = (exchange: Exchange, endpoint: string): Result<NamedRoute, ApiError> => {
+  const route = getRoute(exchange.config, endpoint);
+  if (route === undefined) {
+    return newFailure(
+      newApiError('invalid_request', `endpoint: no route for ${endpoint}`, { param: 'endpoint' }),
+    );
+  }
+  const allowed = exchange.config.teams.get(exchange.team ?? '')?.routes;
+  if (allowed === undefined || allowed.includes(route.name)) return newOk(route);
+  return newForbidden(`team ${exchange.team} may not use ${route.name}`);
+};
+
+const newJob = (
+  exchange: Exchange,
+  request: JobRequest,
+  route: NamedRoute,
+  file: File,
+  nowMs: number,
+): Job => {
+  const windowMs =
+    request.completion_window === undefined
+      ? exchange.settings['batch.completion_window']
+      : Number.parseInt(request.completion_window, 10) * MS_PER_HOUR;
+  return {
+    id: newId('batch'),
+    team: exchange.team ?? '',
+    state: JOB_STATE.inProgress,
+    file: file.id,
+    endpoint: request.endpoint,
+    route: route.name,
+    group: route.group,
+    chunks: file.parts.length,
+    items: file.parts.reduce((sum, count) => sum + count, 0),
+    createdAt: nowMs,
+    dueAt: nowMs + windowMs,
+    metadata: request.metadata,
+  };
+};
+
+const getJobKey = (exchange: Exchange, bodyHash: string): JobKey | undefined => {
+  const key = exchange.request.headers['idempotency-key'];
+  return typeof key === 'string' && key !== '' ? { key, bodyHash } : undefined;
+};
+
+/** POST /v1/batches: accepted once it is durable; the same idempotency key gives the same job. */
 export const createBatch: Action = {
   name: 'batches.create',
   method: 'POST',
@@ -107,37 +141,19 @@
   run: async (exchange, services) => {
     const request = await parseRequest(exchange);
     if (!request.ok) return request;
-    const { input_file_id: fileId, endpoint, completion_window: window } = request.value;
-    const route = getRoute(exchange.config, endpoint);
-    if (route === undefined) {
-      return newFailure(
-        newApiError('invalid_request', `endpoint: no route for ${endpoint}`, { param: 'endpoint' }),
-      );
-    }
-    const file = await findFile(exchange, services, fileId);
+    const { fields, bodyHash } = request.value;
+    if (!exchange.settings['batch.enabled']) return newForbidden('batches are switched off');
+    const route = findRoute(exchange, fields.endpoint);
+    if (!route.ok) return route;
+    const file = await findFile(exchange, services, fields.input_file_id);
     if (!file.ok) return file;
-    const createdAt = services.clock.wall();
-    const windowMs =
-      window === undefined
-        ? exchange.settings['batch.completion_window']
-        : Number.parseInt(window, 10) * MS_PER_HOUR;
-    const created = await services.jobs.createJob(
-      {
-        id: newId('batch'),
-        team: exchange.team ?? '',
-        state: JOB_STATE.inProgress,
-        file: fileId,
-        endpoint,
-        route: route.name,
-        group: route.group,
-        chunks: file.value.parts.length,
-        items: file.value.parts.reduce((sum, count) => sum + count, 0),
-        createdAt,
-        dueAt: createdAt + windowMs,
-        metadata: request.value.metadata,
-      },
-      file.value,
-    );
+    const job = newJob(exchange, fields, route.value, file.value, services.clock.wall());
+    if (job.items === 0) {
+      const message = 'input_file_id: the file has no items';
+      return newFailure(newApiError('invalid_request', message, { param: 'input_file_id' }));
+    }
+    const key = getJobKey(exchange, bodyHash);
+    const created = await services.jobs.createJob(job, file.value, key);
     return created.ok ? answerJob(exchange, services, created.value) : newJobFailure(created.error);
   },
 };
@@ -154,22 +170,47 @@
   },
 };
 
-/** GET /v1/batches */
+const DEFAULT_PAGE = 20;
+const MAX_PAGE = 100;
+
+const getPageSize = (text: string | null): number | undefined => {
+  if (text === null) return DEFAULT_PAGE;
+  const size = Number(text);
+  return Number.isInteger(size) && size >= 1 && size <= MAX_PAGE ? size : undefined;
+};
+
+/** GET /v1/batches: a page of the team's jobs, the newest first. */
 export const listBatches: Action = {
   name: 'batches.list',
   method: 'GET',
   path: '/v1/batches',
   access: ACTION_ACCESS.team,
   run: async (exchange, services) => {
-    const jobs = await services.jobs.listJobs(exchange.team ?? '');
+    const query = exchange.url.searchParams;
+    const limit = getPageSize(query.get('limit'));
+    if (limit === undefined) {
+      const message = `limit: expected a whole number from 1 to ${MAX_PAGE}`;
+      return newFailure(newApiError('invalid_request', message, { param: 'limit' }));
+    }
+    const afterId = query.get('after');
+    const after = afterId === null ? undefined : await findJob(exchange, services, afterId);
+    if (after !== undefined && !after.ok) return after;
+    const jobs = await services.jobs.listJobs(exchange.team ?? '', after?.value, limit + 1);
     if (!jobs.ok) return newPlatformFailure(jobs.error);
     const data: object[] = [];
-    for (const job of jobs.value) {
-      const body = await getJobBody(job, services);
-      if (!body.ok) return body;
-      data.push(body.value);
+    for (const job of jobs.value.slice(0, limit)) {
+      const counts = await services.jobs.getCounts(job);
+      if (!counts.ok) return newPlatformFailure(counts.error);
+      data.push(getJobBody(job, counts.value, services.clock.wall()));
     }
-    return answerJson(exchange, { object: 'list', data, has_more: false });
+    const page = jobs.value.slice(0, limit);
+    return answerJson(exchange, {
+      object: 'list',
+      data,
+      first_id: page[0]?.id ?? null,
+      last_id: page.at(-1)?.id ?? null,
+      has_more: jobs.value.length > limit,
+    });
   },
 };
 
--- a/anvilpaddle-app/entry/actions/files.ts
+++ b/anvilpaddle-app/entry/actions/files.ts
@@ -1,15 +1,14 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { CHUNK_STATE, type Chunk, type File, type Job } from '@anvilpaddle/decisions';
+import type { File, Job } from '@anvilpaddle/decisions';
 import { newFailure, newOk, type Result } from '@anvilpaddle/common';
 import { newApiError, type ApiError } from '@anvilpaddle/protocol';
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson, newPlatformFailure } from '../apiResult';
 import type { EntryServices, Exchange } from '../exchange';
+import { getDoneChunks, type JobError } from '../../controllers/jobController';
 import { getFileBody } from './fileBody';
-
-/** Ending of the id of a job's result file. */
-export const OUTPUT_SUFFIX = '-output';
+import { getResultFile, RESULT_SUFFIX, type ResultFile } from './jobBody';
 
 const newMissing = (id: string) => newFailure(newApiError('not_found', `no file ${id}`));
 
@@ -25,37 +24,89 @@
   return newOk(file.value);
 };
 
+const newJobFailure = (error: JobError) =>
+  error.kind === 'platform'
+    ? newPlatformFailure(error.error)
+    : newFailure(newApiError('conflict', error.detail));
+
+const findResultJob = async (
+  exchange: Exchange,
+  services: EntryServices,
+  file: ResultFile,
+): Promise<Result<Job, ApiError>> => {
+  const job = await services.jobs.getJob(file.job);
+  if (!job.ok) return newPlatformFailure(job.error);
+  const isThere = job.value?.team === exchange.team && job.value?.resultsRemoved !== true;
+  return isThere && job.value !== undefined
+    ? newOk(job.value)
+    : newMissing(`${file.job}${RESULT_SUFFIX[file.kind]}`);
+};
+
 const findResults = async (
   exchange: Exchange,
   services: EntryServices,
+  file: ResultFile,
 ): Promise<Result<readonly string[], ApiError>> => {
-  const id = exchange.params.id ?? '';
-  const job = await services.jobs.getJob(id.slice(0, -OUTPUT_SUFFIX.length));
-  if (!job.ok) return newPlatformFailure(job.error);
-  if (job.value === undefined || job.value.team !== exchange.team) return newMissing(id);
-  const chunks = await services.jobs.listChunks((job.value satisfies Job).id);
+  const job = await findResultJob(exchange, services, file);
+  if (!job.ok) return job;
+  const chunks = await services.jobs.listChunks(job.value.id);
   if (!chunks.ok) return newPlatformFailure(chunks.error);
-  const isDone = (chunk: Chunk): boolean => chunk.state === CHUNK_STATE.done;
-  return newOk(chunks.value.filter(isDone).map(({ output }) => output ?? ''));
+  const keys = getDoneChunks(chunks.value).map((chunk) => chunk[file.kind]);
+  return newOk(keys.filter((key) => key !== undefined));
 };
 
-const write = async (response: ServerResponse, body: Buffer): Promise<void> => {
-  if (!response.write(body)) await once(response, 'drain');
+const removeResults = async (
+  exchange: Exchange,
+  services: EntryServices,
+  file: ResultFile,
+): Promise<Result<void, ApiError>> => {
+  const job = await findResultJob(exchange, services, file);
+  if (!job.ok) return job;
+  const removed = await services.jobs.removeResults(job.value);
+  if (!removed.ok) return newJobFailure(removed.error);
+  return answerJson(exchange, { id: exchange.params.id, object: 'file', deleted: true });
 };
 
+const write = async (
+  response: ServerResponse,
+  body: Buffer,
+  signal: AbortSignal,
+): Promise<void> => {
+  if (!response.write(body)) await once(response, 'drain', { signal });
+};
+
+/** Sends objects one after the other; a part that can't be read cuts the answer short visibly. */
 const sendObjects = async (
   exchange: Exchange,
   services: EntryServices,
   keys: readonly string[],
 ): Promise<Result<void, ApiError>> => {
-  exchange.response.writeHead(200, { 'content-type': 'application/jsonl' });
-  for (const key of keys) {
+  const { response, signal } = exchange;
+  const read = async (key: string): Promise<Result<Buffer, ApiError>> => {
     const body = await services.jobs.readObject(key);
     if (!body.ok) return newPlatformFailure(body.error);
-    if (body.value === undefined) return newFailure(newApiError('internal', `lost object ${key}`));
-    await write(exchange.response, body.value);
+    if (body.value !== undefined) return newOk(body.value);
+    return newFailure(newApiError('internal', `lost object ${key}`));
+  };
+  // The first object is read before the status line goes out, which can't be taken back.
+  const [firstKey, ...otherKeys] = keys;
+  const first = firstKey === undefined ? newOk(Buffer.alloc(0)) : await read(firstKey);
+  if (!first.ok) return first;
+  response.writeHead(200, { 'content-type': 'application/jsonl' });
+  try {
+    await write(response, first.value, signal);
+    for (const key of otherKeys) {
+      const body = await read(key);
+      if (!body.ok) {
+        response.destroy();
+        return body;
+      }
+      await write(response, body.value, signal);
+    }
+  } catch {
+    return newFailure(newApiError('internal', 'the caller is gone'));
   }
-  exchange.response.end();
+  response.end();
   return newOk(undefined);
 };
 
@@ -78,10 +129,12 @@
   path: '/v1/files/:id',
   access: ACTION_ACCESS.team,
   run: async (exchange, services) => {
+    const results = getResultFile(exchange.params.id ?? '');
+    if (results !== undefined) return removeResults(exchange, services, results);
     const file = await findFile(exchange, services);
     if (!file.ok) return file;
     const removed = await services.jobs.removeFile(file.value);
-    if (!removed.ok) return newPlatformFailure(removed.error);
+    if (!removed.ok) return newJobFailure(removed.error);
     return answerJson(exchange, { id: file.value.id, object: 'file', deleted: true });
   },
 };
@@ -94,8 +147,9 @@
   access: ACTION_ACCESS.team,
   run: async (exchange, services) => {
     const id = exchange.params.id ?? '';
-    if (id.endsWith(OUTPUT_SUFFIX)) {
-      const keys = await findResults(exchange, services);
+    const results = getResultFile(id);
+    if (results !== undefined) {
+      const keys = await findResults(exchange, services, results);
       return keys.ok ? sendObjects(exchange, services, keys.value) : keys;
     }
     const file = await findFile(exchange, services);
--- /dev/null
+++ b/anvilpaddle-app/entry/actions/jobBody.ts
@@ -0,0 +1,50 @@
+import { getForecast, JOB_STATE, type Job, type JobCounts } from '@anvilpaddle/decisions';
+import { MS_PER_HOUR, MS_PER_SECOND } from '@anvilpaddle/common';
+
+/** Endings of the ids of a job's result files. */
+export const RESULT_SUFFIX = { output: '-output', errors: '-errors' } as const;
+
+/** Which results of which job a file's id names. */
+export interface ResultFile {
+  readonly job: string;
+  readonly kind: keyof typeof RESULT_SUFFIX;
+}
+
+/** Result file that an id names; undefined for other files. */
+export const getResultFile = (id: string): ResultFile | undefined => {
+  const kinds = Object.keys(RESULT_SUFFIX) as ResultFile['kind'][];
+  const kind = kinds.find((name) => id.endsWith(RESULT_SUFFIX[name]));
+  return kind && { job: id.slice(0, -RESULT_SUFFIX[kind].length), kind };
+};
+
+const getSeconds = (wallMs: number): number => Math.floor(wallMs / MS_PER_SECOND);
+
+/** Job as OpenAI's API shows a batch, with the forecast added; times in seconds. */
+export const getJobBody = (job: Job, counts: JobCounts, nowMs: number): object => {
+  const hasEnded = job.state !== JOB_STATE.inProgress;
+  const isReadable = hasEnded && job.resultsRemoved !== true;
+  const forecast = getForecast(job, counts, nowMs);
+  const endedAt = job.finishedAt === undefined ? null : getSeconds(job.finishedAt);
+  return {
+    id: job.id,
+    object: 'batch',
+    endpoint: job.endpoint,
+    errors: null,
+    input_file_id: job.file,
+    completion_window: `${Math.round((job.dueAt - job.createdAt) / MS_PER_HOUR)}h`,
+    status: job.state,
+    created_at: getSeconds(job.createdAt),
+    in_progress_at: getSeconds(job.createdAt),
+    expires_at: getSeconds(job.dueAt),
+    completed_at: job.state === JOB_STATE.completed ? endedAt : null,
+    cancelled_at: job.state === JOB_STATE.cancelled ? endedAt : null,
+    output_file_id: isReadable && counts.completed > 0 ? `${job.id}${RESULT_SUFFIX.output}` : null,
+    error_file_id: isReadable && counts.failed > 0 ? `${job.id}${RESULT_SUFFIX.errors}` : null,
+    request_counts: counts,
+    metadata: job.metadata ?? null,
+    anvilpaddle: {
+      late_expected: forecast.isLate,
+      estimated_finish_at: forecast.finishAt === undefined ? null : getSeconds(forecast.finishAt),
+    },
+  };
+};
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -115,7 +115,7 @@
     config,
     members,
     limits,
-    jobs: newJobController(platform.tables, platform.objects),
+    jobs: newJobController(platform.tables, platform.objects, clock),
     attempts,
     revoke: async (sidecar, revocation) => {
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -1,231 +1,335 @@
-import { text } from 'node:stream/consumers';
+import { setMaxListeners } from 'node:events';
 import {
-  CHUNK_STATE,
-  chunkSchema,
+  getEffectiveSettings,
+  getLeaseMs,
+  getRenewalMs,
+  newMissingModels,
   JOB_STATE,
-  jobSchema,
-  type Chunk,
+  type Config,
+  type EffectiveSettings,
+  type ItemRules,
   type Job,
 } from '@anvilpaddle/decisions';
 import {
-  getFaultMessage,
-  newId,
+  BYTES_PER_MIB,
   newMailbox,
-  SERVICE_CLASS,
   type Clock,
   type Logger,
+  type Random,
 } from '@anvilpaddle/common';
-import type { ObjectStore, Row, TableService } from '@anvilpaddle/platform';
-import { CHUNKS_TABLE, JOBS_TABLE } from '../controllers/jobController';
+import type { ObjectStore, TableService } from '@anvilpaddle/platform';
+import { newChunkFinder, type FinderCounts } from '../batch/chunkFinder';
+import { newChunkRun, type ChunkRun, type PlacedItem } from '../batch/chunkRun';
+import { newItemRunner } from '../batch/itemRunner';
+import { newErrorResult, type ItemResult } from '../batch/itemResult';
+import { readJob } from '../batch/jobEnd';
+import { newPace } from '../batch/pace';
+import { wait } from '../batch/settledCommit';
 import type { UpstreamClient } from './upstreamClient';
 import type { UpstreamTask } from './upstreamTask';
 
-const POLL_MS = 200;
-const SCAN_LIMIT = 1000;
-const ITEM_DEADLINE_MS = 3_600_000;
+const TICK_MS = 50;
+const MAX_HELD_CHUNKS = 4;
+const MAX_HELD_BYTES = 64 * BYTES_PER_MIB;
+const FIRST_IDLE_MS = 100;
+const MAX_IDLE_MS = 1500;
+/** Reads a second that all sidecars together may spend on looking for work. */
+const LOOKS_PER_SECOND = 300;
+/** Time between two looks at the jobs of the held chunks; a cancelled job stops within it. */
+const JOB_CHECK_MS = 1500;
+/** Time without progress after which held chunks are given back. */
+const STALL_MS = 30_000;
+const STOP_GRACE_MS = 5000;
+const MAX_CACHED_JOBS = 100;
 
 /** Parts of the sidecar that the batch worker works with. */
 export interface BatchServices {
   readonly owner: string;
   readonly group: string;
+  readonly slots: number;
   readonly tables: TableService;
   readonly objects: ObjectStore;
   readonly task: UpstreamTask;
   readonly client: UpstreamClient;
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Logger;
   readonly isStopping: () => boolean;
   readonly getWeight: (team: string) => number;
+  readonly getConfig: () => Config;
+  /** Models that this upstream serves. */
+  readonly getModels: () => readonly string[];
+  /** Models that some upstream of the group serves. */
+  readonly getGroupModels: () => readonly string[];
+  /** Live sidecars of the group, this one included. */
+  readonly getSidecarCount: () => number;
 }
 
 /** Pulls chunks of batch jobs when the upstream has spare slots. */
 export interface BatchWorker {
+  readonly counts: FinderCounts;
+  /** Planned stop: finishes or takes back what runs and gives the chunks back. */
   close(): Promise<void>;
 }
 
-interface Item {
-  readonly custom_id: string;
-  readonly method: string;
-  readonly url: string;
-  readonly body: unknown;
-}
-
-interface Claim {
-  readonly job: Job;
-  readonly jobRow: Row;
-  readonly chunk: Chunk;
-  readonly key: string;
-  readonly revision: number;
-}
-
-interface ItemResult {
-  readonly line: string;
-  readonly failed: boolean;
-}
+const newSettingsCache = (getConfig: () => Config): ((job?: Job) => EffectiveSettings) => {
+  let config = getConfig();
+  let cache = new Map<string, EffectiveSettings>();
+  return (job) => {
+    if (getConfig() !== config) {
+      config = getConfig();
+      cache = new Map();
+    }
+    const id = job?.id ?? '';
+    const known = cache.get(id);
+    if (known !== undefined) return known;
+    const subject = { route: job?.route, team: job?.team, job: job?.id };
+    const settings = getEffectiveSettings(config.levels, subject);
+    if (cache.size >= MAX_CACHED_JOBS) cache.clear();
+    cache.set(id, settings);
+    return settings;
+  };
+};
 
-const getResultLine = (customId: string, response: object | null, error: object | null): string =>
-  JSON.stringify({ id: newId('item'), custom_id: customId, response, error });
+const getRules = (config: Config, job: Job): ItemRules => ({
+  endpoint: job.endpoint,
+  route: config.routes.find(({ name }) => name === job.route),
+  routeName: job.route,
+  team: config.teams.get(job.team),
+});
 
 /** Starts the worker. */
 export const newBatchWorker = (services: BatchServices): BatchWorker => {
-  const { tables, objects, task, client, clock, log } = services;
-  const stop = new AbortController();
-
-  const claimChunk = async (job: Job, jobRow: Row, row: Row): Promise<Claim | undefined> => {
-    const ready = chunkSchema.parse(row.value);
-    if (ready.state !== CHUNK_STATE.ready) return undefined;
-    const chunk: Chunk = {
-      ...ready,
-      state: CHUNK_STATE.claimed,
-      owner: services.owner,
-      epoch: ready.epoch + 1,
-    };
-    const commit = await tables.transact({
-      checks: [{ table: CHUNKS_TABLE, key: row.key, revision: row.revision }],
-      writes: [{ table: CHUNKS_TABLE, key: row.key, value: chunk }],
-    });
-    if (!commit.ok || !commit.value.committed) return undefined;
-    return { job, jobRow, chunk, key: row.key, revision: commit.value.revision };
-  };
-
-  const findClaim = async (): Promise<Claim | undefined> => {
-    const jobs = await tables.scan(JOBS_TABLE, { prefix: '', limit: SCAN_LIMIT });
-    if (!jobs.ok) return undefined;
-    for (const jobRow of jobs.value) {
-      const job = jobSchema.parse(jobRow.value);
-      if (job.state !== JOB_STATE.inProgress || job.group !== services.group) continue;
-      const chunks = await tables.scan(CHUNKS_TABLE, { prefix: `${job.id}/`, limit: SCAN_LIMIT });
-      if (!chunks.ok) return undefined;
-      for (const row of chunks.value) {
-        const claim = await claimChunk(job, jobRow, row);
-        if (claim !== undefined) return claim;
+  const { tables, task, clock, log, random } = services;
+  const finder = newChunkFinder(tables, clock, random);
+  const runner = newItemRunner(services);
+  const pace = newPace(clock);
+  const drain = new AbortController();
+  setMaxListeners(0, drain.signal);
+  const held = new Set<ChunkRun>();
+  const ending = new Set<Promise<void>>();
+  const renewedMs = new Map<ChunkRun, number>();
+  let wake = (): void => undefined;
+  let isFinding = false;
+  let idleMs = FIRST_IDLE_MS;
+  let nextFindMs = 0;
+  let checkedMs = 0;
+  let progressMs = clock.monotonic();
+
+  // A part of the slots more than there are, so that a free slot need not wait for this worker.
+  const window = services.slots + Math.ceil(services.slots / 2);
+
+  const getSettings = newSettingsCache(services.getConfig);
+  const getLease = (): number =>
+    getLeaseMs(getSettings()['batch.lease'], services.getSidecarCount());
+  const sum = (count: (run: ChunkRun) => number): number =>
+    [...held].reduce((total, run) => total + count(run), 0);
+  const isServed = (model: string): boolean => services.getModels().includes(model);
+  const missing = newMissingModels(
+    (model) => isServed(model) || services.getGroupModels().includes(model),
+  );
+  const isUnserved = (model: string): boolean =>
+    missing.isGone(model, getSettings()['batch.model_wait'], clock.monotonic());
+  const canRun = (model: string): boolean => isServed(model) || isUnserved(model);
+
+  const drop = (run: ChunkRun): void => {
+    held.delete(run);
+    renewedMs.delete(run);
+    run.abandon();
+  };
+
+  const end = (run: ChunkRun, how: () => Promise<unknown>): void => {
+    const done = how()
+      .catch((fault: unknown) => log.error({ err: fault }, 'chunk failed'))
+      .then(() => {
+        drop(run);
+        ending.delete(done);
+        wake();
+      });
+    ending.add(done);
+  };
+
+  const runItem = async (run: ChunkRun, { item, place }: PlacedItem): Promise<void> => {
+    if (item.model !== undefined && isUnserved(item.model)) {
+      const message = `no upstream serves model ${item.model}`;
+      const error = { code: 'model_not_found', message, param: 'body.model' };
+      run.settle(place, newErrorResult(item.customId, error));
+      return;
+    }
+    const settings = getSettings(run.job);
+    let result: ItemResult | undefined;
+    try {
+      result = await runner.run(item, {
+        job: run.job,
+        maxAttempts: Math.max(1, settings['batch.max_attempts']),
+        timeoutMs: settings['batch.item_timeout'],
+        maxAnswerBytes: settings['request.max_answer'],
+        signal: run.signal,
+        drainSignal: drain.signal,
+        markStarted: async () => (await run.ledger.markStarted(place)) === 'written',
+        onStart: () => {
+          progressMs = clock.monotonic();
+        },
+      });
+    } finally {
+      run.settle(place, result);
+    }
+    if (result !== undefined) pace.note();
+  };
+
+  const startItems = (): void => {
+    let free = window - sum((run) => run.running());
+    for (const run of held) {
+      while (free > 0 && sum((each) => each.heldBytes()) < MAX_HELD_BYTES) {
+        const placed = run.next();
+        if (placed === undefined) break;
+        free -= 1;
+        runItem(run, placed)
+          .catch((fault: unknown) => log.error({ err: fault }, 'item failed'))
+          .finally(() => wake());
       }
     }
-    return undefined;
   };
 
-  const callUpstream = async (id: string, item: Item): Promise<ItemResult> => {
-    const answer = await client.call({
-      id,
-      method: item.method,
-      path: item.url,
-      headers: { 'content-type': 'application/json' },
-      body: Buffer.from(JSON.stringify(item.body)),
-      signal: stop.signal,
+  const loading = new Set<ChunkRun>();
+  const finishing = new Set<ChunkRun>();
+  const finishRuns = (): void => {
+    [...held]
+      .filter((run) => run.isFinished() && !loading.has(run) && !finishing.has(run))
+      .forEach((run) => {
+        finishing.add(run);
+        end(run, () => run.finish().finally(() => finishing.delete(run)));
+      });
+  };
+
+  const find = async (): Promise<void> => {
+    const claim = await finder.find({
+      owner: services.owner,
+      group: services.group,
+      leaseMs: getLease(),
+      maxAttempts: getSettings()['batch.max_attempts'],
+      itemsPerSecond: pace.perSecond() * services.getSidecarCount(),
+      getWeight: services.getWeight,
+      canRun: (models) => models.length === 0 || models.some(canRun),
+      isHeld: (key) => [...held].some((run) => run.key === key),
     });
-    if (!answer.ok) {
-      const error = { code: answer.error.kind, message: answer.error.detail };
-      return { line: getResultLine(item.custom_id, null, error), failed: true };
+    if (claim === undefined) {
+      const spreadMs = (services.getSidecarCount() * 1000) / LOOKS_PER_SECOND;
+      nextFindMs = clock.monotonic() + Math.max(idleMs, spreadMs) * (0.5 + random());
+      idleMs = Math.min(MAX_IDLE_MS, idleMs * 2);
+      return;
     }
-    const content = await text(answer.value.body);
-    const response = {
-      status_code: answer.value.status,
-      request_id: id,
-      body: JSON.parse(content),
-    };
-    return {
-      line: getResultLine(item.custom_id, response, null),
-      failed: answer.value.status >= 400,
-    };
-  };
-
-  const runItem = (job: Job, line: string): Promise<ItemResult> =>
-    new Promise((resolve) => {
-      const item = JSON.parse(line) as Item;
-      const id = newId('item');
-      const fail = (message: string): void =>
-        resolve({
-          line: getResultLine(item.custom_id, null, { code: 'failed', message }),
-          failed: true,
-        });
-      const start = (): void => {
-        callUpstream(id, item)
-          .then(resolve, (fault: unknown) => fail(getFaultMessage(fault)))
-          .finally(() => task.finish(id, 0));
-      };
-      task.submit(
-        {
-          id,
-          team: job.team,
-          route: job.route,
-          serviceClass: SERVICE_CLASS.batch,
-          weight: services.getWeight(job.team),
-          maxTokens: undefined,
-          deadlineMs: clock.monotonic() + ITEM_DEADLINE_MS,
-        },
-        { start, preempt: () => undefined, refuse: (reason) => fail(reason) },
-      );
+    idleMs = FIRST_IDLE_MS;
+    const run = newChunkRun(services, claim, canRun);
+    held.add(run);
+    loading.add(run);
+    renewedMs.set(run, clock.monotonic());
+    if (sum((each) => each.running()) === 0) progressMs = clock.monotonic();
+    void run.load(getRules(services.getConfig(), claim.job)).then(() => {
+      loading.delete(run);
+      wake();
     });
+  };
 
-  const commitResults = async (claim: Claim, results: readonly ItemResult[]): Promise<void> => {
-    const { chunk, job } = claim;
-    const output = `results/${job.id}/${chunk.index}-${chunk.epoch}`;
-    const stored = await objects.put(
-      output,
-      Buffer.from(results.map(({ line }) => `${line}\n`).join('')),
-    );
-    if (!stored.ok) return;
-    const failed = results.filter((result) => result.failed).length;
-    await tables.transact({
-      checks: [
-        { table: CHUNKS_TABLE, key: claim.key, revision: claim.revision },
-        { table: JOBS_TABLE, key: job.id, revision: claim.jobRow.revision },
-      ],
-      writes: [
-        {
-          table: CHUNKS_TABLE,
-          key: claim.key,
-          value: { ...chunk, state: CHUNK_STATE.done, output, failed },
-        },
-      ],
-    });
+  const isWorkWanted = (): boolean => {
+    if (services.isStopping() || drain.signal.aborted || isFinding) return false;
+    if (!getSettings()['batch.enabled'] || clock.monotonic() < nextFindMs) return false;
+    if (held.size >= MAX_HELD_CHUNKS || loading.size > 0) return false;
+    const isBusy = sum((run) => run.running()) > 0;
+    // While the last items drain, the next chunk is fetched; a slot never waits for the store.
+    return sum((run) => run.pending()) < window && (isBusy || task.spareSlots() > 0);
   };
 
-  const finishJob = async (claim: Claim): Promise<void> => {
-    const rows = await tables.scan(CHUNKS_TABLE, {
-      prefix: `${claim.job.id}/`,
-      limit: SCAN_LIMIT,
+  const startFinding = (): void => {
+    if (!isWorkWanted()) return;
+    isFinding = true;
+    find()
+      .catch((fault: unknown) => log.error({ err: fault }, 'no chunk found'))
+      .finally(() => {
+        isFinding = false;
+        wake();
+      });
+  };
+
+  const renewLeases = (): void => {
+    const nowMs = clock.monotonic();
+    held.forEach((run) => {
+      const leaseMs = getLease();
+      if (nowMs - (renewedMs.get(run) ?? 0) < getRenewalMs(leaseMs)) return;
+      renewedMs.set(run, nowMs);
+      void run.ledger.renew(leaseMs).then((outcome) => {
+        if (outcome === 'lost') drop(run);
+      });
     });
-    if (!rows.ok) return;
-    const isDone = rows.value.every((row) => chunkSchema.parse(row.value).state === 'done');
-    if (!isDone) return;
-    await tables.transact({
-      checks: [{ table: JOBS_TABLE, key: claim.job.id, revision: claim.jobRow.revision }],
-      writes: [
-        {
-          table: JOBS_TABLE,
-          key: claim.job.id,
-          value: { ...claim.job, state: JOB_STATE.completed, finishedAt: clock.wall() },
-        },
-      ],
+  };
+
+  const checkJob = async (id: string): Promise<void> => {
+    const found = await readJob(tables, id);
+    if (!found.ok || found.value?.job.state === JOB_STATE.inProgress) return;
+    [...held].filter(({ job }) => job.id === id).forEach(drop);
+  };
+
+  const checkJobs = (): void => {
+    const nowMs = clock.monotonic();
+    if (nowMs - checkedMs < JOB_CHECK_MS) return;
+    checkedMs = nowMs;
+    new Set([...held].map(({ job }) => job.id)).forEach((id) => {
+      checkJob(id).catch((fault: unknown) => log.error({ err: fault }, 'job not read'));
     });
   };
 
-  const runChunk = async (claim: Claim): Promise<void> => {
-    const input = await objects.get(claim.chunk.input);
-    if (!input.ok || input.value === undefined) return;
-    const lines = String(input.value).split('\n').filter(Boolean);
-    const results = await Promise.all(lines.map((line) => runItem(claim.job, line)));
-    await commitResults(claim, results);
-    await finishJob(claim);
+  /** Chunks that can't go on behind online work or an upstream that is away are given back. */
+  const releaseStalled = (): void => {
+    const nowMs = clock.monotonic();
+    if (nowMs - progressMs < STALL_MS || held.size === 0) return;
+    progressMs = nowMs;
+    nextFindMs = nowMs + STALL_MS;
+    [...held]
+      .filter((run) => !finishing.has(run) && !loading.has(run))
+      .forEach((run) => {
+        finishing.add(run);
+        end(run, () => run.release().finally(() => finishing.delete(run)));
+      });
   };
 
-  const mailbox = newMailbox<'poll'>(
-    async () => {
-      if (services.isStopping() || task.spareSlots() === 0) return;
-      const claim = await findClaim();
-      if (claim !== undefined) await runChunk(claim);
+  const mailbox = newMailbox<'pump' | 'tick'>(
+    (message) => {
+      if (message === 'tick') {
+        missing.refresh();
+        renewLeases();
+        checkJobs();
+        releaseStalled();
+      }
+      startItems();
+      finishRuns();
+      startFinding();
     },
     (fault) => log.error({ err: fault }, 'batch worker failed'),
   );
-  const timer = clock.every(POLL_MS, () => {
-    if (mailbox.size() === 0) mailbox.post('poll');
-  });
+  wake = () => {
+    mailbox.post('pump');
+  };
+  const timer = clock.every(TICK_MS, () => mailbox.post('tick'));
+
+  const awaitIdle = async (limitMs: number): Promise<void> => {
+    const endMs = clock.monotonic() + limitMs;
+    const isBusy = (): boolean => sum((run) => run.running()) + loading.size > 0;
+    while (isBusy() && clock.monotonic() < endMs) await wait(clock, TICK_MS);
+  };
+
+  const releaseAll = async (): Promise<void> => {
+    const left = [...held].filter((run) => !finishing.has(run));
+    await Promise.all(left.map((run) => (run.isFinished() ? run.finish() : run.release())));
+  };
 
   return {
+    counts: finder.counts,
     close: async () => {
+      drain.abort();
+      await awaitIdle(STOP_GRACE_MS);
       timer.cancel();
-      stop.abort();
+      await Promise.race([Promise.all([releaseAll(), ...ending]), wait(clock, STOP_GRACE_MS)]);
+      held.forEach(drop);
       await mailbox.close();
     },
   };
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -80,10 +80,20 @@
     { [PEER_PATH.attempts]: attemptServer.serve },
     log,
   );
+  const getGroup = (): Member[] =>
+    members
+      .live()
+      .filter(({ vm, group }) => vm !== file.process.vm && group === file.upstream.group);
   const worker = newBatchWorker({
     ...shared,
     owner: incarnation,
     group: file.upstream.group,
+    slots: file.upstream.slots,
+    random: Math.random,
+    getConfig: config.current,
+    getModels: () => models,
+    getGroupModels: () => getGroup().flatMap((member) => member.models),
+    getSidecarCount: () => getGroup().length + 1,
     tables: platform.tables,
     objects: platform.objects,
   });
--- /dev/null
+++ b/packages/decisions/batch/item.ts
@@ -0,0 +1,154 @@
+import { z } from 'zod';
+import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import type { Route, Team } from '@anvilpaddle/protocol';
+
+/** Longest line of an input file in bytes. */
+export const MAX_LINE_BYTES = 1_048_576;
+
+const itemSchema = z.object({
+  custom_id: z.string().min(1).max(512),
+  method: z.string().min(1),
+  url: z.string().startsWith('/'),
+  body: z.unknown(),
+});
+
+/** One call that a line of a job asks for. */
+export interface Item {
+  readonly customId: string;
+  readonly method: string;
+  readonly url: string;
+  readonly body: unknown;
+  /** Model that a model route's item names. */
+  readonly model: string | undefined;
+  /** Output tokens that the body allows, when it says so. */
+  readonly maxTokens: number | undefined;
+  /** Whether a second run does no harm. */
+  readonly isRepeatable: boolean;
+}
+
+/** Why an item ends without a response. */
+export interface ItemError {
+  readonly code: string;
+  readonly message: string;
+  readonly param?: string | undefined;
+}
+
+/** Line that is no item, with its custom id as far as it has one. */
+export interface BadItem {
+  readonly customId: string | null;
+  readonly error: ItemError;
+}
+
+/** What items are checked against. */
+export interface ItemRules {
+  readonly endpoint: string;
+  /** Undefined once the route is removed. */
+  readonly route: Route | undefined;
+  readonly routeName: string;
+  /** Undefined once the team is removed. */
+  readonly team: Team | undefined;
+}
+
+/** What is stored in place of a line over the limit. */
+export const getOversizeLine = (head: string, bytes: number): string => {
+  const customId = /"custom_id"\s*:\s*("(?:[^"\\]|\\.)*")/.exec(head)?.[1];
+  return `{"custom_id":${customId ?? 'null'},"oversize_bytes":${bytes}}`;
+};
+
+const getCustomId = (value: unknown): string | null => {
+  if (typeof value !== 'object' || value === null || !('custom_id' in value)) return null;
+  return typeof value.custom_id === 'string' ? value.custom_id : null;
+};
+
+const parseJson = (line: string): unknown => {
+  try {
+    return JSON.parse(line) as unknown;
+  } catch {
+    return undefined;
+  }
+};
+
+const getField = (body: unknown, name: string): unknown =>
+  typeof body === 'object' && body !== null ? (body as Record<string, unknown>)[name] : undefined;
+
+const isEndpoint = (endpoint: string, url: string): boolean => {
+  const path = url.split('?', 1)[0] ?? '';
+  if (path.split('/').includes('..')) return false;
+  return path === endpoint || (endpoint.endsWith('/') && path.startsWith(endpoint));
+};
+
+const getModelError = (body: unknown, team: Team): ItemError | undefined => {
+  const model = getField(body, 'model');
+  if (typeof model !== 'string') {
+    return { code: 'invalid_request', message: 'model: expected a string', param: 'body.model' };
+  }
+  if (getField(body, 'stream') === true) {
+    const message = 'stream: not allowed in a batch';
+    return { code: 'invalid_request', message, param: 'body.stream' };
+  }
+  if (team.models === undefined || team.models.includes(model)) return undefined;
+  const message = `the team may not use model ${model}`;
+  return { code: 'forbidden', message, param: 'body.model' };
+};
+
+const getRuleError = (
+  item: z.infer<typeof itemSchema>,
+  rules: ItemRules,
+): ItemError | undefined => {
+  const { endpoint, route, routeName, team } = rules;
+  if (!isEndpoint(endpoint, item.url)) {
+    const message = `url: expected the job's endpoint ${endpoint}`;
+    return { code: 'invalid_request', message, param: 'url' };
+  }
+  if (route === undefined) return { code: 'not_found', message: `no route for ${endpoint}` };
+  if (team === undefined || (team.routes !== undefined && !team.routes.includes(routeName))) {
+    return { code: 'forbidden', message: `the team may not use ${routeName}` };
+  }
+  if (route.kind !== 'model') return undefined;
+  if (item.method !== 'POST') {
+    return { code: 'invalid_request', message: 'method: expected POST', param: 'method' };
+  }
+  return getModelError(item.body, team);
+};
+
+const getMaxTokens = (body: unknown): number | undefined => {
+  const value = getField(body, 'max_tokens') ?? getField(body, 'max_completion_tokens');
+  return typeof value === 'number' ? value : undefined;
+};
+
+/** Item of a line, or the error that it ends with. */
+export const parseItem = (line: string, rules: ItemRules): Result<Item, BadItem> => {
+  const value = parseJson(line);
+  const customId = getCustomId(value);
+  const oversize = getField(value, 'oversize_bytes');
+  if (typeof oversize === 'number' && getField(value, 'method') === undefined) {
+    const message = `the line has ${oversize} bytes, allowed are ${MAX_LINE_BYTES}`;
+    return newFailure({ customId, error: { code: 'too_large', message } });
+  }
+  const parsed = itemSchema.safeParse(value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const param = issue?.path.join('.') ?? '';
+    const message = value === undefined ? 'the line is not JSON' : `${param}: ${issue?.message}`;
+    return newFailure({ customId, error: { code: 'invalid_request', message, param } });
+  }
+  const error = getRuleError(parsed.data, rules);
+  if (error !== undefined) return newFailure({ customId, error });
+  const { method, url, body } = parsed.data;
+  const isModel = rules.route?.kind === 'model';
+  return newOk({
+    customId: parsed.data.custom_id,
+    method,
+    url,
+    body,
+    model: isModel ? String(getField(body, 'model')) : undefined,
+    maxTokens: getMaxTokens(body),
+    isRepeatable: isModel || (rules.route?.idempotentMethods.includes(method) ?? false),
+  });
+};
+
+/** Model that a line names, without any check of the line. */
+export const getLineModel = (line: string): string | undefined => {
+  const model = getField(getField(parseJson(line), 'body'), 'model');
+  return typeof model === 'string' ? model : undefined;
+};
--- a/packages/decisions/settings/schema.ts
+++ b/packages/decisions/settings/schema.ts
@@ -30,6 +30,10 @@
   'batch.max_attempts': { schema: countSchema, fallback: '3' },
   /** Time after which the chunk of a silent owner may be taken over. */
   'batch.lease': { schema: durationSchema, fallback: '10s' },
+  /** Longest time of one run of an item at the upstream. */
+  'batch.item_timeout': { schema: durationSchema, fallback: '10m' },
+  /** Time for which items wait for a model that no upstream serves. */
+  'batch.model_wait': { schema: durationSchema, fallback: '10m' },
   /** Time in which a job is to finish when it names none. */
   'batch.completion_window': { schema: durationSchema, fallback: '24h' },
 } as const satisfies Readonly<Record<string, { schema: z.ZodType; fallback: string }>>;
