--- a/anvilpaddle-app/batch/chunkFinder.ts
+++ b/anvilpaddle-app/batch/chunkFinder.ts
@@ -26,6 +26,8 @@
 /** What a sidecar looks for. */
 export interface Wanted extends ClaimTerms {
   readonly group: string;
+  /** Revision of the configuration in force here; jobs of a newer one wait. */
+  readonly revision: number;
   readonly itemsPerSecond: number;
   getWeight(team: string): number;
   /** Whether this sidecar can run a part of a chunk that names these models. */
@@ -139,7 +141,8 @@
     counts,
     find: async (wanted) => {
       const jobs = await getOpenJobs(wanted.group);
-      const open = [...jobs.values()].map((job) => ({
+      const known = [...jobs.values()].filter((job) => job.revision <= wanted.revision);
+      const open = known.map((job) => ({
         id: job.id,
         team: job.team,
         weight: wanted.getWeight(job.team),
--- a/anvilpaddle-app/batch/tables.ts
+++ b/anvilpaddle-app/batch/tables.ts
@@ -11,6 +11,8 @@
   teamJobs: 'team_jobs',
   /** Unfinished jobs by input file; such a file can't be deleted. */
   fileJobs: 'file_jobs',
+  /** When a group's upstreams were last seen to serve a model. */
+  servedModels: 'served_models',
   /** Idempotency keys by team. */
   jobKeys: 'job_keys',
 } as const;
--- a/anvilpaddle-app/entry/actions/batches.ts
+++ b/anvilpaddle-app/entry/actions/batches.ts
@@ -119,6 +119,7 @@
     endpoint: request.endpoint,
     route: route.name,
     group: route.group,
+    revision: exchange.config.revision,
     chunks: file.parts.length,
     items: file.parts.reduce((sum, count) => sum + count, 0),
     createdAt: nowMs,
@@ -225,6 +226,7 @@
     if (!job.ok) return job;
     const cancelled = await services.jobs.cancelJob(job.value.id);
     if (!cancelled.ok) return newJobFailure(cancelled.error);
+    services.tellJobEnded(job.value);
     return answerJob(exchange, services, cancelled.value ?? job.value);
   },
 };
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -122,6 +122,14 @@
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
       return revoked.ok ? revoked.value.state : undefined;
     },
+    tellJobEnded: ({ id, group }) => {
+      members
+        .listed()
+        .filter((vm) => vm.role === 'sidecar' && (vm.group === undefined || vm.group === group))
+        .forEach((vm) => {
+          void peers.call(vm.address, 'job.ended', { job: id });
+        });
+    },
     router: new AffinityRouter(Math.random, () => clock.monotonic()),
     metrics,
     clock,
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -3,6 +3,7 @@
 import type {
   Config,
   EffectiveSettings,
+  Job,
   NamedKey,
   NamedRoute,
   Router,
@@ -31,6 +32,8 @@
     address: string,
     revocation: Revocation,
   ) => Promise<Revoked['state'] | undefined>;
+  /** Tells the sidecars of the job's group, which would see it by themselves a little later. */
+  readonly tellJobEnded: (job: Job) => void;
   readonly router: Router;
   readonly metrics: Metrics;
   readonly clock: Clock;
--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -12,6 +12,7 @@
 } from '@anvilpaddle/decisions';
 import {
   BYTES_PER_MIB,
+  MS_PER_SECOND,
   newMailbox,
   type Clock,
   type Logger,
@@ -23,6 +24,7 @@
 import { newItemRunner } from '../batch/itemRunner';
 import { newErrorResult, type ItemResult } from '../batch/itemResult';
 import { readJob } from '../batch/jobEnd';
+import { newModelRegistry } from '../batch/modelRegistry';
 import { newPace } from '../batch/pace';
 import { wait } from '../batch/settledCommit';
 import type { UpstreamClient } from './upstreamClient';
@@ -36,8 +38,10 @@
 const LOOKS_PER_LEASE = 4;
 /** Reads a second that all sidecars together may spend on looking for work. */
 const LOOKS_PER_SECOND = 300;
-/** Time between two looks at the jobs of the held chunks; a cancelled job stops within it. */
+/** Least time between two looks at the jobs of the held chunks. */
 const JOB_CHECK_MS = 1500;
+/** Reads a second that all sidecars together may spend on looking at their jobs. */
+const JOB_CHECKS_PER_SECOND = 500;
 /** Time without progress after which held chunks are given back. */
 const STALL_MS = 30_000;
 const STOP_GRACE_MS = 5000;
@@ -60,8 +64,6 @@
   readonly getConfig: () => Config;
   /** Models that this upstream serves. */
   readonly getModels: () => readonly string[];
-  /** Models that some upstream of the group serves. */
-  readonly getGroupModels: () => readonly string[];
   /** Live sidecars of the group, this one included. */
   readonly getSidecarCount: () => number;
 }
@@ -69,6 +71,8 @@
 /** Pulls chunks of batch jobs when the upstream has spare slots. */
 export interface BatchWorker {
   readonly counts: FinderCounts;
+  /** Looks at a job at once, because it is said to have ended. */
+  hearJobEnded(job: string): void;
   /** Planned stop: finishes or takes back what runs and gives the chunks back. */
   close(): Promise<void>;
 }
@@ -102,6 +106,7 @@
 /** Starts the worker. */
 export const newBatchWorker = (services: BatchServices): BatchWorker => {
   const { tables, task, clock, log, random } = services;
+  const registry = newModelRegistry(services);
   const finder = newChunkFinder(tables, clock, random);
   const runner = newItemRunner(services);
   const pace = newPace(clock);
@@ -126,9 +131,7 @@
   const sum = (count: (run: ChunkRun) => number): number =>
     [...held].reduce((total, run) => total + count(run), 0);
   const isServed = (model: string): boolean => services.getModels().includes(model);
-  const missing = newMissingModels(
-    (model) => isServed(model) || services.getGroupModels().includes(model),
-  );
+  const missing = newMissingModels((model) => isServed(model) || registry.isServed(model));
   const isUnserved = (model: string): boolean =>
     missing.isGone(model, getSettings()['batch.model_wait'], clock.monotonic());
   const canRun = (model: string): boolean => isServed(model) || isUnserved(model);
@@ -213,13 +216,14 @@
       group: services.group,
       leaseMs: getLease(),
       maxAttempts: getSettings()['batch.max_attempts'],
+      revision: services.getConfig().revision,
       itemsPerSecond: pace.perSecond() * services.getSidecarCount(),
       getWeight: services.getWeight,
       canRun: (models) => models.length === 0 || models.some(canRun),
       isHeld: (key) => [...held].some((run) => run.key === key),
     });
     if (claim === undefined) {
-      const spreadMs = (services.getSidecarCount() * 1000) / LOOKS_PER_SECOND;
+      const spreadMs = (services.getSidecarCount() * MS_PER_SECOND) / LOOKS_PER_SECOND;
       nextFindMs = clock.monotonic() + Math.max(idleMs, spreadMs) * (0.5 + random());
       // A lapse is judged over several looks, so that they are to be closer than the lease.
       idleMs = Math.min(MAX_IDLE_MS, getLease() / LOOKS_PER_LEASE, idleMs * 2);
@@ -277,7 +281,8 @@
 
   const checkJobs = (): void => {
     const nowMs = clock.monotonic();
-    if (nowMs - checkedMs < JOB_CHECK_MS) return;
+    const spreadMs = (services.getSidecarCount() * MS_PER_SECOND) / JOB_CHECKS_PER_SECOND;
+    if (nowMs - checkedMs < Math.max(JOB_CHECK_MS, spreadMs)) return;
     checkedMs = nowMs;
     new Set([...held].map(({ job }) => job.id)).forEach((id) => {
       checkJob(id).catch((fault: unknown) => log.error({ err: fault }, 'job not read'));
@@ -330,12 +335,17 @@
 
   return {
     counts: finder.counts,
+    hearJobEnded: (id) => {
+      if (![...held].some(({ job }) => job.id === id)) return;
+      checkJob(id).catch((fault: unknown) => log.error({ err: fault }, 'job not read'));
+    },
     close: async () => {
       drain.abort();
       await awaitIdle(STOP_GRACE_MS);
       timer.cancel();
       await Promise.race([Promise.all([releaseAll(), ...ending]), wait(clock, STOP_GRACE_MS)]);
       held.forEach(drop);
+      await registry.close();
       await mailbox.close();
     },
   };
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,6 +1,6 @@
 import { FirstComeScheduler, getEffectiveSettings } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
-import { newPlatform } from '@anvilpaddle/platform';
+import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
@@ -11,7 +11,7 @@
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
-import { newBatchWorker } from './batchWorker';
+import { newBatchWorker, type BatchWorker } from './batchWorker';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
@@ -72,21 +72,24 @@
     clock,
     log,
   );
+  const isOfGroup = ({ role, group }: Vm): boolean =>
+    role === 'sidecar' && (group === undefined || group === file.upstream.group);
+  let worker: BatchWorker | undefined;
   const server = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
     {
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
+      'job.ended': ({ job }) => {
+        worker?.hearJobEnded(job);
+        return {};
+      },
     },
     { [PEER_PATH.attempts]: attemptServer.serve },
     log,
   );
-  const getGroup = (): Member[] =>
-    members
-      .live()
-      .filter(({ vm, group }) => vm !== file.process.vm && group === file.upstream.group);
-  const worker = newBatchWorker({
+  worker = newBatchWorker({
     ...shared,
     isStopping: () => isLeaving,
     owner: incarnation,
@@ -95,8 +98,7 @@
     random: Math.random,
     getConfig: config.current,
     getModels: () => models,
-    getGroupModels: () => getGroup().flatMap((member) => member.models),
-    getSidecarCount: () => getGroup().length + 1,
+    getSidecarCount: () => Math.max(1, members.listed().filter(isOfGroup).length),
     tables: platform.tables,
     objects: platform.objects,
   });
@@ -116,7 +118,7 @@
       isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
-      await worker.close();
+      await worker?.close();
       await members.close();
       await config.close();
       await task.close();
--- /dev/null
+++ b/anvilpaddle-app/tests/batchProcesses.test.ts
@@ -0,0 +1,304 @@
+import { request as httpRequest } from 'node:http';
+import OpenAI, { toFile } from 'openai';
+import { PLATFORM_RATES } from '@anvilpaddle/standins';
+import { newFleet, type Fleet } from './kit/fleet';
+import { waitFor } from './kit/waitFor';
+
+const CHAT = '/v1/chat/completions';
+const PAUSE_MS = 2500;
+const STOP_LIMIT_MS = 5000;
+
+interface ResultLine {
+  readonly custom_id: string | null;
+  readonly response: { readonly status_code: number } | null;
+  readonly error: { readonly code: string; readonly message: string } | null;
+}
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const newItem = (index: number, maxTokens = 1): string =>
+  JSON.stringify({
+    custom_id: `dossier-${index}`,
+    method: 'POST',
+    url: CHAT,
+    body: {
+      model: 'small-chat',
+      messages: [{ role: 'user', content: `${index}` }],
+      max_tokens: maxTokens,
+    },
+  });
+
+const newItems = (count: number, maxTokens = 1): string[] =>
+  Array.from({ length: count }, (_, index) => newItem(index, maxTokens));
+
+const parseLines = (content: string): ResultLine[] =>
+  content
+    .split('\n')
+    .filter(Boolean)
+    .map((line) => JSON.parse(line) as ResultLine);
+
+describe('batch jobs in separate processes', () => {
+  let fleet: Fleet;
+  let key: string;
+  let client: OpenAI;
+
+  beforeAll(async () => {
+    fleet = await newFleet({
+      entries: 2,
+      engines: 3,
+      plains: 1,
+      engine: { slots: 16, prefillMs: 2, tokenMs: 2 },
+      levels: {
+        fleet: { 'limits.rate': '10000', 'limits.burst': '10000', 'batch.lease': '1s' },
+      },
+    });
+    key = await fleet.newTeam('association');
+    client = new OpenAI({ apiKey: key, baseURL: `${fleet.entries[1]?.url}/v1`, maxRetries: 0 });
+  });
+
+  afterAll(() => fleet.close());
+
+  const upload = async (content: string): Promise<string> => {
+    const file = await toFile(Buffer.from(content), 'dossiers.jsonl');
+    return (await client.files.create({ purpose: 'batch', file })).id;
+  };
+
+  const post = (entry: number, body: object, idempotencyKey: string): Promise<Response> =>
+    fetch(`${fleet.entries[entry]?.url}/v1/batches`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${key}`, 'idempotency-key': idempotencyKey },
+      body: JSON.stringify(body),
+    });
+
+  const newBody = (file: string, endpoint = CHAT) => ({
+    input_file_id: file,
+    endpoint: endpoint as typeof CHAT,
+    completion_window: '24h' as const,
+  });
+
+  const waitForEnd = (id: string, limitMs?: number) =>
+    waitFor(
+      `the end of ${id}`,
+      async () => {
+        const job = await client.batches.retrieve(id).catch(() => undefined);
+        return job !== undefined && job.status !== 'in_progress' && job;
+      },
+      limitMs,
+    );
+
+  const readLines = async (file: string | null | undefined): Promise<ResultLine[]> =>
+    file == null ? [] : parseLines(await (await client.files.content(file)).text());
+
+  it('loses and doubles nothing when sidecars die, pause and the stores fail', async () => {
+    const lines = newItems(3000);
+    fleet.platform.rates.set(PLATFORM_RATES);
+    const file = await upload(lines.join('\n'));
+    const { id } = await client.batches.create(newBody(file));
+    const [first, second] = fleet.sidecars;
+    await waitFor('items run', () => fleet.engines.every(({ records }) => records.length > 20));
+    await first?.child.kill();
+    second?.child.pause();
+    fleet.platform.faults.add({ path: '/tables/transact', kind: 'drop_after', times: 5 });
+    fleet.platform.faults.add({ path: '/objects/results', kind: 'drop_after', times: 5 });
+    fleet.platform.faults.add({ path: '/tables', kind: 'refuse', times: 20 });
+    fleet.platform.faults.add({ path: '/objects', kind: 'refuse', times: 10 });
+    await sleep(PAUSE_MS);
+    second?.child.resume();
+    await first?.restart();
+    const job = await waitForEnd(id);
+    fleet.platform.rates.set(undefined);
+    fleet.platform.faults.clear();
+    const results = await readLines(job.output_file_id);
+
+    expect(job.request_counts).toEqual({ total: 3000, completed: 3000, failed: 0 });
+    expect(results.map((result) => result.custom_id)).toEqual(
+      lines.map((line) => (JSON.parse(line) as ResultLine).custom_id),
+    );
+  });
+
+  it('keeps a job whose entry dies after the acknowledgement, and gives it again on a resend', async () => {
+    const file = await upload(newItems(300).join('\n'));
+    const created = await post(0, newBody(file), 'night-1');
+    const { id } = (await created.json()) as { id: string };
+    await fleet.entries[0]?.child.kill();
+    const resent = await post(1, newBody(file), 'night-1');
+    const other = await post(1, { ...newBody(file), metadata: { night: '2' } }, 'night-1');
+    const job = await waitForEnd(id);
+    await fleet.entries[0]?.restart();
+
+    expect(await resent.json()).toMatchObject({ id });
+    expect(other.status).toBe(409);
+    expect(job.request_counts).toEqual({ total: 300, completed: 300, failed: 0 });
+    expect(await readLines(job.output_file_id)).toHaveLength(300);
+  });
+
+  it('gives racing resends one job', async () => {
+    const file = await upload(newItems(10).join('\n'));
+    const answers = await Promise.all(
+      [0, 1, 0, 1, 0, 1].map((entry) => post(entry, newBody(file), 'night-2')),
+    );
+    const ids = await Promise.all(
+      answers.map(async (answer) => ((await answer.json()) as { id: string }).id),
+    );
+
+    expect(answers.map(({ status }) => status)).toEqual(Array(6).fill(200));
+    expect(new Set(ids).size).toBe(1);
+    await waitForEnd(ids[0] ?? '');
+  });
+
+  it('stops everywhere within 5 s of a cancel and adds no result', async () => {
+    const file = await upload(newItems(1500, 400).join('\n'));
+    const { id } = await client.batches.create(newBody(file));
+    const isRunning = () => fleet.engines.flatMap(({ records }) => records);
+    await waitFor('long items run', () => isRunning().some(({ tokens }) => tokens > 20));
+    const cancelled = await Promise.all([client.batches.cancel(id), client.batches.cancel(id)]);
+    const endMs = performance.now() + STOP_LIMIT_MS;
+    await waitFor(
+      'no item runs',
+      () => isRunning().every(({ state }) => state === 'finished' || state === 'cancelled'),
+      STOP_LIMIT_MS,
+    );
+    const seen = isRunning().length;
+    await sleep(Math.max(0, endMs - performance.now()));
+    const after = await client.batches.retrieve(id);
+
+    expect(cancelled.map(({ status }) => status)).toEqual(['cancelled', 'cancelled']);
+    expect(isRunning()).toHaveLength(seen);
+    expect(after.request_counts).toEqual(cancelled[0]?.request_counts);
+  });
+
+  it('never repeats a call that may not be repeated when its sidecar dies', async () => {
+    const [plain] = fleet.plains;
+    const lines = Array.from({ length: 200 }, (_, index) =>
+      JSON.stringify({
+        custom_id: `form-${index}`,
+        method: 'POST',
+        url: `/intake/${index}`,
+        body: { index },
+      }),
+    );
+    plain?.faults.add({ path: '/intake', kind: 'delay', delayMs: 30 });
+    const file = await upload(lines.join('\n'));
+    const { id } = await client.batches.create(newBody(file, '/intake/'));
+    await waitFor('calls run', () => (plain?.calls.length ?? 0) > 30);
+    await fleet.sidecars[3]?.child.kill();
+    await fleet.sidecars[3]?.restart();
+    const job = await waitForEnd(id);
+    plain?.faults.clear();
+    const failed = await readLines(job.error_file_id);
+    const paths = plain?.calls.map(({ path }) => path) ?? [];
+
+    expect(new Set(paths).size).toBe(paths.length);
+    expect(failed.length).toBeGreaterThan(0);
+    expect(failed.every(({ error }) => error?.code === 'outcome_unknown')).toBe(true);
+    expect(job.request_counts).toEqual({
+      total: 200,
+      completed: 200 - failed.length,
+      failed: failed.length,
+    });
+  });
+
+  it('ends bad lines with error results and keeps the order of the rest', async () => {
+    const lines = [newItem(0), '', 'no JSON', '{"custom_id":"x"}', newItem(0), newItem(1)];
+    const big = JSON.stringify({ custom_id: 'big', body: 'x'.repeat(1_100_000) });
+    const file = await upload([...lines, big, newItem(2)].join('\r\n'));
+    const job = await waitForEnd((await client.batches.create(newBody(file))).id);
+    const failed = await readLines(job.error_file_id);
+    const succeeded = await readLines(job.output_file_id);
+
+    expect(job.request_counts).toEqual({ total: 7, completed: 3, failed: 4 });
+    expect(succeeded.map((result) => result.custom_id)).toEqual([
+      'dossier-0',
+      'dossier-1',
+      'dossier-2',
+    ]);
+    expect(
+      failed.map((result) => [result.custom_id, result.error?.code, result.error?.message]),
+    ).toMatchSnapshot();
+  });
+
+  it('removes what is left of an upload that was cut or is too large', async () => {
+    const before = fleet.platform.objects.size;
+    const boundary = 'cut-here';
+    const head = `--${boundary}\r\ncontent-disposition: form-data; name="file"; filename="a"\r\n\r\n`;
+    const url = new URL(`${fleet.entries[1]?.url}/v1/files`);
+    const cut = httpRequest(url, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${key}`,
+        'content-type': `multipart/form-data; boundary=${boundary}`,
+      },
+    });
+    cut.on('error', () => undefined);
+    cut.write(`${head}${newItems(600).join('\n')}\n`);
+    await waitFor('parts stored', () => fleet.platform.objects.size === before + 2);
+    cut.destroy();
+    await waitFor('parts removed', () => fleet.platform.objects.size === before);
+    const level = { 'limits.rate': '1000', 'limits.burst': '1000', 'files.max_size': '100KiB' };
+    const smallKey = await fleet.newTeam('small', level);
+    const small = new OpenAI({
+      apiKey: smallKey,
+      baseURL: `${fleet.entries[1]?.url}/v1`,
+      maxRetries: 0,
+    });
+    const tooLarge = await toFile(Buffer.from(newItems(3000).join('\n')), 'large.jsonl');
+
+    await expect(small.files.create({ purpose: 'batch', file: tooLarge })).rejects.toMatchObject({
+      status: 413,
+    });
+    expect(fleet.platform.objects.size).toBe(before);
+  });
+
+  it('refuses an empty file, keeps a file in use, and deletes results on request only', async () => {
+    const empty = await upload('\n\n');
+    await expect(client.batches.create(newBody(empty))).rejects.toMatchObject({ status: 400 });
+    const file = await upload(newItems(400, 40).join('\n'));
+    const { id } = await client.batches.create(newBody(file));
+    await expect(client.files.delete(file)).rejects.toMatchObject({ status: 409 });
+    const job = await waitForEnd(id);
+    await client.files.delete(file);
+    const page = await client.batches.list({ limit: 1 });
+    const next = await client.batches.list({ limit: 1, after: page.data[0]?.id });
+
+    expect(await readLines(job.output_file_id)).toHaveLength(400);
+    expect(page.data.map((listed) => listed.id)).toEqual([id]);
+    expect(next.data).toHaveLength(1);
+    expect(next.data[0]?.id).not.toBe(id);
+    await client.files.delete(job.output_file_id ?? '');
+    await expect(client.files.content(job.output_file_id ?? '')).rejects.toMatchObject({
+      status: 404,
+    });
+  });
+
+  it('says early that a job will be late', async () => {
+    const lines = newItems(2000, 100);
+    const file = await upload(lines.join('\n'));
+    const due = await client.batches.create({ ...newBody(file), completion_window: '0h' as '24h' });
+    const job = await waitFor('progress', async () => {
+      const read = await client.batches.retrieve(due.id);
+      return (read.request_counts?.completed ?? 0) > 0 && read;
+    });
+    await client.batches.cancel(due.id);
+
+    expect(job).toMatchObject({ status: 'in_progress', anvilpaddle: { late_expected: true } });
+  });
+
+  it('hands chunks over at a planned stop of a sidecar', async () => {
+    const file = await upload(newItems(1000, 20).join('\n'));
+    const seen = fleet.engines.map(({ records }) => records.length);
+    const { id } = await client.batches.create(newBody(file));
+    await waitFor('items run', () =>
+      fleet.engines.every(({ records }, index) => records.length > (seen[index] ?? 0) + 10),
+    );
+    const code = await fleet.sidecars[0]?.child.stop();
+    const job = await waitForEnd(id);
+    await fleet.sidecars[0]?.restart();
+
+    expect(code).toBe(0);
+    expect(job.request_counts).toEqual({ total: 1000, completed: 1000, failed: 0 });
+    expect(await readLines(job.output_file_id)).toHaveLength(1000);
+  });
+});
--- a/anvilpaddle-app/tests/kit/batchFleet.ts
+++ b/anvilpaddle-app/tests/kit/batchFleet.ts
@@ -221,7 +221,6 @@
         getWeight: () => 1,
         getConfig: () => config,
         getModels: () => [MODEL],
-        getGroupModels: () => [MODEL],
         getSidecarCount: () => nodes.length,
       });
       const node = { gate, worker };
@@ -259,6 +258,7 @@
         endpoint: '/v1/chat/completions',
         route: 'chat',
         group: GROUP,
+        revision: 1,
         chunks: parts.length,
         items: lines.length,
         createdAt: clock.wall(),
--- a/packages/decisions/batch/chunk.ts
+++ b/packages/decisions/batch/chunk.ts
@@ -61,6 +61,8 @@
   endpoint: z.string(),
   route: z.string(),
   group: z.string(),
+  /** Revision of the configuration that it was accepted under; an older one may lack its team. */
+  revision: z.number().default(0),
   chunks: z.number(),
   items: z.number(),
   /** Items that ended with a response and with an error; set when the job has ended. */
--- a/packages/decisions/tests/batch.test.ts
+++ b/packages/decisions/tests/batch.test.ts
@@ -49,6 +49,7 @@
   endpoint: '/v1/chat/completions',
   route: 'chat',
   group: 'llm',
+  revision: 1,
   chunks: 2,
   items: 100,
   createdAt: 0,
--- a/packages/protocol/messages/index.ts
+++ b/packages/protocol/messages/index.ts
@@ -1,12 +1,14 @@
 import type { z } from 'zod';
 import { ATTEMPT_METHODS } from './attempts';
+import { JOB_METHODS } from './jobs';
 import { MEMBER_METHODS } from './members';
 
 export * from './attempts';
+export * from './jobs';
 export * from './members';
 
 /** Methods between processes with the schemas of their parameters and results. */
-export const METHODS = { ...ATTEMPT_METHODS, ...MEMBER_METHODS } as const;
+export const METHODS = { ...ATTEMPT_METHODS, ...JOB_METHODS, ...MEMBER_METHODS } as const;
 export type Methods = typeof METHODS;
 export type Method = keyof Methods;
 export type Params<M extends Method> = z.infer<Methods[M]['params']>;
--- a/packages/standins/platformStandIn.ts
+++ b/packages/standins/platformStandIn.ts
@@ -2,6 +2,7 @@
 import { listen, readBody, sendJson, type Address, BYTES_PER_MIB } from '@anvilpaddle/common';
 import type { Range, Transaction, Vm } from '@anvilpaddle/platform';
 import { applyDelay, newFaults, type Faults } from './faults';
+import { newRateLimits, type RateLimits } from './rateLimits';
 import { newTables, type Tables } from './tables';
 
 const MAX_BODY_BYTES = 64 * BYTES_PER_MIB;
@@ -13,6 +14,8 @@
   readonly faults: Faults;
   readonly tables: Tables;
   readonly objects: Map<string, Buffer>;
+  /** Rates of the stores; off until they are set. */
+  readonly rates: RateLimits;
   /** Replaces the VM list. */
   setVms(vms: readonly Vm[]): void;
   close(): Promise<void>;
@@ -26,6 +29,7 @@
 /** Starts the stand-in on an address; port 0 takes any. */
 export const newPlatformStandIn = async (address: Address): Promise<PlatformStandIn> => {
   const faults = newFaults();
+  const rates = newRateLimits();
   const tables = newTables();
   const objects = new Map<string, Buffer>();
   let vms: readonly Vm[] = [];
@@ -75,6 +79,10 @@
     const path = request.url ?? '/';
     const body = await readBody(request, MAX_BODY_BYTES);
     if (!body.ok) return;
+    if (!rates.take(path, request.method ?? 'GET')) {
+      sendJson(response, 429, {}, { 'retry-after': '1' });
+      return;
+    }
     const fault = faults.take(path, request.socket.remoteAddress);
     await applyDelay(fault);
     if (fault?.kind === 'refuse') {
@@ -97,6 +105,7 @@
   return {
     url: `http://${bound.host}:${bound.port}`,
     faults,
+    rates,
     tables,
     objects,
     setVms: (next) => {
