--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,6 +1,6 @@
 import { FirstComeScheduler, getEffectiveSettings, newAttemptLedger } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
-import { newPlatform } from '@anvilpaddle/platform';
+import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
@@ -10,7 +10,7 @@
 import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptServer } from './attemptServer';
-import { newBatchWorker } from './batchWorker';
+import { newBatchWorker, type BatchWorker } from './batchWorker';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
@@ -89,6 +89,9 @@
     clock,
     log,
   );
+  const isOfGroup = ({ role, group }: Vm): boolean =>
+    role === 'sidecar' && (group === undefined || group === file.upstream.group);
+  let worker: BatchWorker | undefined;
   const server = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
@@ -96,15 +99,24 @@
       ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
+      'job.ended': ({ job }) => {
+        worker?.hearJobEnded(job);
+        return {};
+      },
     },
     { [PEER_PATH.attempts]: attemptServer.serve },
     log,
   );
-  const worker = newBatchWorker({
+  worker = newBatchWorker({
     ...shared,
     isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
+    slots: file.upstream.slots,
+    random: Math.random,
+    getConfig: config.current,
+    getModels: () => models,
+    getSidecarCount: () => Math.max(1, members.listed().filter(isOfGroup).length),
     tables: platform.tables,
     objects: platform.objects,
   });
@@ -124,7 +136,7 @@
       isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
-      await worker.close();
+      await worker?.close();
       await members.close();
       await config.close();
       await task.close();
--- a/packages/protocol/messages/index.ts
+++ b/packages/protocol/messages/index.ts
@@ -1,11 +1,13 @@
 import type { z } from 'zod';
 import { ATTEMPT_METHODS } from './attempts';
 import { CONFIG_METHODS } from './config';
+import { JOB_METHODS } from './jobs';
 import { LIMIT_METHODS } from './limits';
 import { MEMBER_METHODS } from './members';
 
 export * from './attempts';
 export * from './config';
+export * from './jobs';
 export * from './limits';
 export * from './members';
 
@@ -13,6 +15,7 @@
 export const METHODS = {
   ...ATTEMPT_METHODS,
   ...CONFIG_METHODS,
+  ...JOB_METHODS,
   ...LIMIT_METHODS,
   ...MEMBER_METHODS,
 } as const;
