Scheduler that yields batch slots, shares by used tokens and refuses early

Replaces first come, first served at the sidecar; FirstComeScheduler stays as the naive version. Online work preempts batch work when no slot is free; teams are ordered by start-time fair queueing over settled tokens; an online request is refused at its arrival when its expected wait is over scheduling.max_wait or its deadline. The task's mailbox bounds submissions only, since a dropped 'finish' would have cost a slot for good. Load reports online work as running and batch apart.

--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -74,6 +74,8 @@
     slots: countSchema.pipe(z.number().positive()),
     /** Slots that batch work leaves free. */
     reserve: countSchema.default(0),
+    /** Batch items at the upstream together; all of `slots` when missing. */
+    batch_slots: countSchema.optional(),
   }),
 });
 export type SidecarFile = z.output<typeof sidecarFileSchema>;
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,4 @@
-import { FirstComeScheduler, getEffectiveSettings } from '@anvilpaddle/decisions';
+import { YieldingScheduler } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
@@ -11,6 +11,7 @@
 import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
 import { newBatchWorker } from './batchWorker';
+import { newTeamSettings } from './teamSettings';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
@@ -34,15 +35,18 @@
   );
   const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
-  const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
+  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
+  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
+  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
+  const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const task = newUpstreamTask(scheduler, clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
   let isStopping = false;
 
-  const getWeight = (team: string): number =>
-    getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
+  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const getSelf = (): Member => ({
     vm: file.process.vm,
     address,
--- a/anvilpaddle-app/sidecar/upstreamTask.ts
+++ b/anvilpaddle-app/sidecar/upstreamTask.ts
@@ -3,11 +3,17 @@
 import type { Load } from '@anvilpaddle/protocol';
 
 const TICK_MS = 50;
+const MAX_WAITING_MESSAGES = 10_000;
+const RETRY_AFTER_MS = 1000;
 
 /** What the task tells the owner of a piece of work. */
 export interface WorkOwner {
+  /** A throw counts as the end of the work. */
   start(): void;
-  /** Batch work must leave the upstream at once; it may be submitted again. */
+  /**
+   * Batch work must leave the upstream at once: cancel, `finish` with 0 tokens unless it has just
+   * ended by itself, and submit it again under the same id to keep its place in line.
+   */
   preempt(): void;
   refuse(reason: 'overloaded' | 'deadline', retryAfterMs: number): void;
 }
@@ -21,6 +27,7 @@
 /** The one task that decides what enters the upstream. */
 export interface UpstreamTask {
   submit(work: Work, owner: WorkOwner): void;
+  /** Frees the slot; `usedTokens` is 0 when nobody counted them. */
   finish(id: string, usedTokens: number): void;
   /** Takes back work that waits; false when it has started or is unknown. */
   withdraw(id: string): Promise<boolean>;
@@ -33,14 +40,44 @@
 export const newUpstreamTask = (scheduler: Scheduler, clock: Clock, log: Logger): UpstreamTask => {
   const owners = new Map<string, WorkOwner>();
 
-  const carryOut = (effect: Effect): void => {
+  let isTickWaiting = false;
+
+  const tell = (effect: Effect, owner: WorkOwner): void => {
+    switch (effect.kind) {
+      case 'start':
+        owner.start();
+        return;
+      case 'preempt':
+        owner.preempt();
+        return;
+      default:
+        owners.delete(effect.id);
+        owner.refuse(effect.reason, effect.retryAfterMs);
+    }
+  };
+
+  /** Gives false when the owner failed to start its work. */
+  const carryOut = (effect: Effect): boolean => {
     const owner = owners.get(effect.id);
-    if (owner === undefined) return;
-    if (effect.kind === 'start') owner.start();
-    if (effect.kind === 'preempt') owner.preempt();
-    if (effect.kind === 'refuse') {
-      owners.delete(effect.id);
-      owner.refuse(effect.reason, effect.retryAfterMs);
+    if (owner === undefined) return effect.kind !== 'start';
+    try {
+      tell(effect, owner);
+      return true;
+    } catch (fault) {
+      log.error({ err: fault, effect: effect.kind }, 'owner of work failed');
+      return effect.kind !== 'start';
+    }
+  };
+
+  const finishNow = (id: string, usedTokens: number): Effect[] => {
+    owners.delete(id);
+    return scheduler.finish(id, usedTokens, clock.monotonic());
+  };
+
+  const carryOutAll = (effects: readonly Effect[]): void => {
+    const left = [...effects];
+    for (let effect = left.shift(); effect !== undefined; effect = left.shift()) {
+      if (!carryOut(effect)) left.push(...finishNow(effect.id, 0));
     }
   };
 
@@ -48,11 +85,15 @@
     const nowMs = clock.monotonic();
     switch (message.kind) {
       case 'submit':
+        if (owners.has(message.work.id)) {
+          // One id at a time: the work that came first keeps it.
+          message.owner.refuse('overloaded', RETRY_AFTER_MS);
+          return [];
+        }
         owners.set(message.work.id, message.owner);
         return scheduler.enqueue(message.work, nowMs);
       case 'finish':
-        owners.delete(message.id);
-        return scheduler.finish(message.id, message.usedTokens, nowMs);
+        return finishNow(message.id, message.usedTokens);
       case 'withdraw': {
         const taken = scheduler.withdraw(message.id);
         if (taken) owners.delete(message.id);
@@ -60,20 +101,27 @@
         return [];
       }
       default:
+        isTickWaiting = false;
         return scheduler.tick(nowMs);
     }
   };
 
   const mailbox = newMailbox<Message>(
-    (message) => decide(message).forEach(carryOut),
+    (message) => carryOutAll(decide(message)),
     (fault) => log.error({ err: fault }, 'upstream task failed'),
+    // A lost `finish` would cost a slot for good, so that only submissions are bounded, below.
+    Infinity,
   );
-  const timer = clock.every(TICK_MS, () => mailbox.post({ kind: 'tick' }));
+  const timer = clock.every(TICK_MS, () => {
+    if (isTickWaiting) return;
+    isTickWaiting = mailbox.post({ kind: 'tick' });
+  });
 
   return {
     submit: (work, owner) => {
-      const posted = mailbox.post({ kind: 'submit', work, owner });
-      if (!posted) owner.refuse('overloaded', 1000);
+      const isFull = mailbox.size() >= MAX_WAITING_MESSAGES;
+      const isPosted = !isFull && mailbox.post({ kind: 'submit', work, owner });
+      if (!isPosted) owner.refuse('overloaded', RETRY_AFTER_MS);
     },
     finish: (id, usedTokens) => {
       mailbox.post({ kind: 'finish', id, usedTokens });
--- /dev/null
+++ b/packages/decisions/scheduling/fairQueue.ts
@@ -0,0 +1,171 @@
+import type { Work } from './scheduler';
+import type { Estimate } from './serviceEstimates';
+import { newTeamLine, type TeamLine } from './teamLine';
+
+const MIN_WEIGHT = 0.001;
+const RETENTION_MS = 10_000;
+const DEBT_RETENTION_MS = 60_000;
+
+/** Work in line or at the upstream, with what it is expected to take. */
+export interface Entry {
+  readonly work: Work;
+  readonly estimate: Estimate;
+  readonly arrivedMs: number;
+  /** Wait that was worked out at the arrival, before the team's correction. */
+  readonly rawWaitMs: number;
+}
+
+/** How a team stands in one queue. */
+export interface Standing {
+  readonly waiting: number;
+  readonly running: number;
+  /** Part of the upstream that is the team's among the teams seen lately. */
+  readonly share: number;
+}
+
+/**
+ * Start-time fair queue over teams. Each team has a virtual time, its service in tokens divided by
+ * its weight; the backlogged team with the lowest goes first. The estimate is charged at the start
+ * and settled against the real use at the end.
+ */
+export interface FairQueue {
+  add(entry: Entry, place: 'front' | 'back'): void;
+  /** Takes the entry whose turn it is and charges its team. */
+  take(nowMs: number): Entry | undefined;
+  /** Whether an entry waits. */
+  has(id: string): boolean;
+  /** Takes back an entry that waits. */
+  remove(id: string): Entry | undefined;
+  /** Corrects the charge of a taken entry to what it has used. */
+  settle(entry: Entry, usedTokens: number, nowMs: number): void;
+  /** Removes and returns what the predicate selects. */
+  drop(isSelected: (entry: Entry) => boolean): Entry[];
+  /** Slot-milliseconds of waiting work that goes before a new arrival of the team. */
+  getWorkAheadMs(team: string): number;
+  getStanding(team: string): Standing;
+  waiting(): number;
+  /** Teams that are remembered. */
+  teams(): number;
+  /** Forgets teams that have been idle for 10 s and owe nothing, or for 60 s. */
+  forget(nowMs: number): void;
+}
+
+interface Team {
+  readonly line: TeamLine;
+  weight: number;
+  virtual: number;
+  running: number;
+  seenMs: number;
+}
+
+/** Empty queue. */
+export const newFairQueue = (): FairQueue => {
+  const teams = new Map<string, Team>();
+  const backlogged = new Map<string, Team>();
+  const teamOfEntry = new Map<string, string>();
+  let virtualNow = 0;
+
+  const newTeam = (): Team => ({
+    line: newTeamLine(),
+    weight: 1,
+    virtual: virtualNow,
+    running: 0,
+    seenMs: 0,
+  });
+
+  const removeWaiting = (name: string, team: Team, entry: Entry): void => {
+    team.line.remove(entry);
+    teamOfEntry.delete(entry.work.id);
+    if (team.line.size() === 0) backlogged.delete(name);
+  };
+
+  const remove = (id: string): Entry | undefined => {
+    const name = teamOfEntry.get(id);
+    const team = name === undefined ? undefined : teams.get(name);
+    const entry = team?.line.get(id);
+    if (name === undefined || team === undefined || entry === undefined) return undefined;
+    removeWaiting(name, team, entry);
+    return entry;
+  };
+
+  const getNext = (): readonly [string, Team] | undefined => {
+    let next: readonly [string, Team] | undefined;
+    for (const candidate of backlogged) {
+      if (next === undefined || candidate[1].virtual < next[1].virtual) next = candidate;
+    }
+    return next;
+  };
+
+  return {
+    add: (entry, place) => {
+      const { work, arrivedMs } = entry;
+      const team = teams.get(work.team) ?? newTeam();
+      teams.set(work.team, team);
+      // Time without work earns no credit.
+      if (team.line.size() === 0) team.virtual = Math.max(team.virtual, virtualNow);
+      team.weight = Math.max(MIN_WEIGHT, work.weight);
+      team.seenMs = arrivedMs;
+      team.line.add(entry, place);
+      backlogged.set(work.team, team);
+      teamOfEntry.set(work.id, work.team);
+    },
+    take: (nowMs) => {
+      const next = getNext();
+      if (next === undefined) return undefined;
+      const [name, team] = next;
+      const entry = team.line.first();
+      if (entry === undefined) return undefined;
+      removeWaiting(name, team, entry);
+      virtualNow = Math.max(virtualNow, team.virtual);
+      team.virtual += entry.estimate.tokens / team.weight;
+      team.running += 1;
+      team.seenMs = nowMs;
+      return entry;
+    },
+    has: (id) => teamOfEntry.has(id),
+    remove,
+    settle: (entry, usedTokens, nowMs) => {
+      const team = teams.get(entry.work.team);
+      if (team === undefined) return;
+      team.running -= 1;
+      team.seenMs = nowMs;
+      team.virtual += (usedTokens - entry.estimate.tokens) / team.weight;
+    },
+    drop: (isSelected) => {
+      const selected = [...backlogged.values()].flatMap((team) =>
+        team.line.entries().filter(isSelected),
+      );
+      selected.forEach((entry) => remove(entry.work.id));
+      return selected;
+    },
+    getWorkAheadMs: (name) => {
+      const own = teams.get(name);
+      const weight = own?.weight ?? 1;
+      const start = Math.max(own?.virtual ?? virtualNow, virtualNow);
+      const turn = start + (own?.line.tokens() ?? 0) / weight;
+      let aheadMs = own?.line.durationMs() ?? 0;
+      for (const [other, team] of backlogged) {
+        if (other === name) continue;
+        const tokensAhead = Math.max(0, (turn - team.virtual) * team.weight);
+        aheadMs += team.line.durationMs() * Math.min(1, tokensAhead / team.line.tokens());
+      }
+      return aheadMs;
+    },
+    getStanding: (name) => {
+      const team = teams.get(name);
+      if (team === undefined) return { waiting: 0, running: 0, share: 1 / (teams.size + 1) };
+      let sum = 0;
+      for (const { weight } of teams.values()) sum += weight;
+      return { waiting: team.line.size(), running: team.running, share: team.weight / sum };
+    },
+    waiting: () => teamOfEntry.size,
+    teams: () => teams.size,
+    forget: (nowMs) => {
+      for (const [name, team] of teams) {
+        const keepMs = team.virtual <= virtualNow ? RETENTION_MS : DEBT_RETENTION_MS;
+        const isIdle = team.line.size() === 0 && team.running === 0;
+        if (isIdle && nowMs - team.seenMs >= keepMs) teams.delete(name);
+      }
+    },
+  };
+};
--- /dev/null
+++ b/packages/decisions/scheduling/serviceEstimates.ts
@@ -0,0 +1,92 @@
+import type { Work } from './scheduler';
+
+const LEARNING_RATE = 0.1;
+const REFUSAL_DECAY = 0.95;
+const KEPT_KEYS = 2000;
+const FIRST_TOKENS = 64;
+
+/** What one request is expected to take. */
+export interface Estimate {
+  readonly tokens: number;
+  readonly durationMs: number;
+}
+
+/** Expected service of a request, learned from the requests before it. */
+export interface ServiceEstimates {
+  get(work: Work): Estimate;
+  /** Takes in what finished work has used; 0 tokens stands for "not counted". */
+  learn(work: Work, usedTokens: number, durationMs: number): void;
+  /** Lowers an expectation on which work was refused, so that a wrong one does not last. */
+  decay(work: Work): void;
+  /** Tokens to charge for a time in a slot when nobody counted them. */
+  getTokensOf(durationMs: number): number;
+  /** Number of learned keys. */
+  size(): number;
+}
+
+interface Mean {
+  samples: number;
+  tokens: number;
+  durationMs: number;
+}
+
+const newMean = (): Mean => ({ samples: 0, tokens: FIRST_TOKENS, durationMs: 0 });
+
+const addSample = (mean: Mean, tokens: number, durationMs: number): Mean => {
+  const samples = mean.samples + 1;
+  // The first samples form a plain average; afterwards the old ones fade.
+  const rate = Math.max(LEARNING_RATE, 1 / samples);
+  return {
+    samples,
+    tokens: mean.tokens + (tokens - mean.tokens) * rate,
+    durationMs: mean.durationMs + (durationMs - mean.durationMs) * rate,
+  };
+};
+
+const getKey = (work: Work): string => JSON.stringify([work.serviceClass, work.team, work.route]);
+
+/** Estimates for each class, team and route; the keys used last are kept. */
+export const newServiceEstimates = (keptKeys: number = KEPT_KEYS): ServiceEstimates => {
+  const means = new Map<string, Mean>();
+  let overall = newMean();
+  let tokensPerMs: number | undefined;
+
+  const put = (key: string, mean: Mean): void => {
+    means.delete(key);
+    means.set(key, mean);
+    if (means.size <= keptKeys) return;
+    const [oldest] = means.keys();
+    if (oldest !== undefined) means.delete(oldest);
+  };
+
+  const getTokensOf = (durationMs: number): number => durationMs * (tokensPerMs ?? 1);
+
+  return {
+    get: (work) => {
+      const { tokens, durationMs } = means.get(getKey(work)) ?? overall;
+      // The allowance only ever lowers the estimate: asking for much must not cost others anything.
+      return { tokens: Math.max(1, Math.min(tokens, work.maxTokens ?? tokens)), durationMs };
+    },
+    learn: (work, usedTokens, durationMs) => {
+      const isCounted = usedTokens > 0;
+      // Calls that fail at once would make a slow upstream look fast.
+      if (!isCounted && tokensPerMs !== undefined) return;
+      if (isCounted && durationMs > 0) {
+        const rate = usedTokens / durationMs;
+        tokensPerMs = (tokensPerMs ?? rate) + (rate - (tokensPerMs ?? rate)) * LEARNING_RATE;
+      }
+      const tokens = isCounted ? usedTokens : getTokensOf(durationMs);
+      const key = getKey(work);
+      put(key, addSample(means.get(key) ?? newMean(), tokens, durationMs));
+      overall = addSample(overall, tokens, durationMs);
+    },
+    decay: (work) => {
+      const key = getKey(work);
+      const mean = means.get(key);
+      if (mean === undefined) overall.durationMs *= REFUSAL_DECAY;
+      else put(key, { ...mean, durationMs: mean.durationMs * REFUSAL_DECAY });
+    },
+    getTokensOf,
+    size: () => means.size,
+  };
+};
--- /dev/null
+++ b/packages/decisions/scheduling/teamLine.ts
@@ -0,0 +1,43 @@
+import type { Entry } from './fairQueue';
+
+/** Waiting work of one team in order of arrival; preempted work goes first. */
+export interface TeamLine {
+  add(entry: Entry, place: 'front' | 'back'): void;
+  get(id: string): Entry | undefined;
+  remove(entry: Entry): void;
+  first(): Entry | undefined;
+  entries(): Entry[];
+  size(): number;
+  /** Expected tokens of all entries. */
+  tokens(): number;
+  /** Expected time in a slot of all entries, in milliseconds. */
+  durationMs(): number;
+}
+
+/** Empty line. */
+export const newTeamLine = (): TeamLine => {
+  const front = new Map<string, Entry>();
+  const back = new Map<string, Entry>();
+  let tokens = 0;
+  let durationMs = 0;
+  const size = (): number => front.size + back.size;
+  return {
+    add: (entry, place) => {
+      (place === 'front' ? front : back).set(entry.work.id, entry);
+      tokens += entry.estimate.tokens;
+      durationMs += entry.estimate.durationMs;
+    },
+    get: (id) => front.get(id) ?? back.get(id),
+    remove: (entry) => {
+      if (!front.delete(entry.work.id)) back.delete(entry.work.id);
+      // Sums of fractions drift; an empty line puts them right.
+      tokens = size() === 0 ? 0 : tokens - entry.estimate.tokens;
+      durationMs = size() === 0 ? 0 : durationMs - entry.estimate.durationMs;
+    },
+    first: () => (front.size > 0 ? front : back).values().next().value,
+    entries: () => [...front.values(), ...back.values()],
+    size,
+    tokens: () => tokens,
+    durationMs: () => durationMs,
+  };
+};
--- /dev/null
+++ b/packages/decisions/scheduling/yieldingScheduler.ts
@@ -0,0 +1,284 @@
+import { SERVICE_CLASS } from '@anvilpaddle/common';
+import type { Load } from '@anvilpaddle/protocol';
+import { newFairQueue, type Entry, type FairQueue } from './fairQueue';
+import type { Effect, Scheduler, Work } from './scheduler';
+import { newServiceEstimates } from './serviceEstimates';
+import { newWaitCorrection } from './waitCorrection';
+
+const REFILL_HOLD_MS = 20;
+const PREEMPT_PATIENCE_MS = 100;
+const MIN_RETRY_AFTER_MS = 50;
+const LONGEST_WAIT_FACTOR = 2;
+const KEPT_PREEMPTED = 10_000;
+
+/** What bounds the work at one upstream. */
+export interface Bounds {
+  /** Requests that the upstream works on together. */
+  readonly slots: number;
+  /** Slots that batch work leaves free. */
+  readonly reserve: number;
+  /** Batch items at the upstream together; `slots` when missing. */
+  readonly batchSlots?: number;
+  /** Longest wait of a team's online requests, in milliseconds. */
+  readonly getMaxWaitMs: (team: string) => number;
+  /** Pause after a preemption before batch work starts again, in milliseconds. */
+  readonly refillHoldMs?: number;
+}
+
+interface Running {
+  readonly entry: Entry;
+  readonly startedMs: number;
+  preemptedMs: number | undefined;
+}
+
+const isBatch = ({ work }: Entry): boolean => work.serviceClass === SERVICE_CLASS.batch;
+
+/**
+ * Online before batch, teams by weighted service within each class, and refusals at the arrival
+ * when the wait would be too long. Batch work runs in spare slots and is preempted at once when
+ * an online request wants one.
+ */
+export class YieldingScheduler implements Scheduler {
+  private readonly queues: Record<'online' | 'batch', FairQueue> = {
+    online: newFairQueue(),
+    batch: newFairQueue(),
+  };
+
+  private readonly running = new Map<string, Running>();
+
+  /** How often each item was preempted that has not finished since; the oldest are dropped. */
+  private readonly preemptions = new Map<string, number>();
+
+  private readonly estimates = newServiceEstimates();
+
+  private readonly correction = newWaitCorrection();
+
+  private onlineRunning = 0;
+
+  private refillFromMs = -Infinity;
+
+  constructor(private readonly bounds: Bounds) {}
+
+  enqueue(work: Work, nowMs: number): Effect[] {
+    if (this.isKnown(work.id)) return [];
+    const estimate = this.estimates.get(work);
+    const isOnline = work.serviceClass === SERVICE_CLASS.online;
+    const rawWaitMs = isOnline ? this.getRawWaitMs(work.team) : 0;
+    const entry: Entry = { work, estimate, arrivedMs: nowMs, rawWaitMs };
+    const refusal = isOnline ? this.getRefusal(entry, nowMs) : undefined;
+    if (refusal !== undefined) return [refusal];
+    const place = this.preemptions.has(work.id) ? 'front' : 'back';
+    this.queues[work.serviceClass].add(entry, place);
+    return this.fill(nowMs);
+  }
+
+  finish(id: string, usedTokens: number, nowMs: number): Effect[] {
+    const ended = this.running.get(id);
+    if (ended === undefined) return this.fill(nowMs);
+    this.running.delete(id);
+    if (!isBatch(ended.entry)) this.onlineRunning -= 1;
+    this.settle(ended, usedTokens > 0 ? usedTokens : 0, nowMs);
+    return this.fill(nowMs);
+  }
+
+  withdraw(id: string): boolean {
+    const taken = this.queues.online.remove(id) ?? this.queues.batch.remove(id);
+    this.preemptions.delete(id);
+    return taken !== undefined;
+  }
+
+  tick(nowMs: number): Effect[] {
+    const lateOnline = this.queues.online.drop((entry) => this.isLate(entry, nowMs));
+    const lateBatch = this.queues.batch.drop(({ work }) => work.deadlineMs <= nowMs);
+    const refusals = [...lateOnline, ...lateBatch].map((entry) => this.refuseLate(entry, nowMs));
+    this.queues.online.forget(nowMs);
+    this.queues.batch.forget(nowMs);
+    return [...refusals, ...this.fill(nowMs)];
+  }
+
+  /** Batch work yields, so that it makes the upstream no busier for online requests. */
+  load(): Load {
+    return {
+      running: this.onlineRunning,
+      waiting: this.queues.online.waiting(),
+      slots: this.bounds.slots,
+      batch: this.running.size - this.onlineRunning,
+    };
+  }
+
+  spareSlots(): number {
+    if (this.queues.online.waiting() > 0) return 0;
+    return Math.max(0, this.getFreeForBatch() - this.queues.batch.waiting());
+  }
+
+  /** Waiting requests and items. */
+  waiting(): number {
+    return this.queues.online.waiting() + this.queues.batch.waiting();
+  }
+
+  private isKnown(id: string): boolean {
+    return this.running.has(id) || Object.values(this.queues).some((queue) => queue.has(id));
+  }
+
+  private getFreeForBatch(): number {
+    const { slots, reserve, batchSlots = slots } = this.bounds;
+    const batchRunning = this.running.size - this.onlineRunning;
+    return Math.min(slots - reserve - this.running.size, batchSlots - batchRunning);
+  }
+
+  private getRawWaitMs(team: string): number {
+    const { slots } = this.bounds;
+    const { online } = this.queues;
+    if (online.waiting() === 0 && this.onlineRunning < slots) return 0;
+    let runningMs = 0;
+    this.running.forEach(({ entry }) => {
+      if (!isBatch(entry)) runningMs += entry.estimate.durationMs;
+    });
+    const turnoverMs = runningMs / Math.max(1, this.onlineRunning);
+    return (online.getWorkAheadMs(team) + turnoverMs) / slots;
+  }
+
+  private getRefusal(entry: Entry, nowMs: number): Effect | undefined {
+    const { id, team, deadlineMs } = entry.work;
+    const timeLeftMs = deadlineMs - nowMs;
+    const waitMs = this.correction.apply(team, entry.rawWaitMs);
+    const overdueMs = waitMs + entry.estimate.durationMs - timeLeftMs;
+    // An upstream with a free slot loses nothing by trying.
+    if (timeLeftMs <= 0 || (waitMs > 0 && overdueMs > 0)) {
+      this.estimates.decay(entry.work);
+      return { kind: 'refuse', id, reason: 'deadline', retryAfterMs: this.getRetryAfterMs(waitMs) };
+    }
+    const excessMs = waitMs - this.bounds.getMaxWaitMs(team);
+    if (excessMs <= 0 || this.isWithinShare(team)) return undefined;
+    const retryAfterMs = this.getRetryAfterMs(excessMs);
+    return { kind: 'refuse', id, reason: 'overloaded', retryAfterMs };
+  }
+
+  private getRetryAfterMs(waitMs: number): number {
+    return Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+  }
+
+  /** Whether the team has nothing in line and fewer requests running than its part of the slots. */
+  private isWithinShare(team: string): boolean {
+    const { waiting, running, share } = this.queues.online.getStanding(team);
+    return waiting === 0 && running < share * this.bounds.slots;
+  }
+
+  private isLate({ work, estimate, arrivedMs }: Entry, nowMs: number): boolean {
+    const longestMs = this.bounds.getMaxWaitMs(work.team) * LONGEST_WAIT_FACTOR;
+    return nowMs + estimate.durationMs >= work.deadlineMs || nowMs - arrivedMs >= longestMs;
+  }
+
+  private refuseLate({ work, arrivedMs, estimate, rawWaitMs }: Entry, nowMs: number): Effect {
+    const isDeadline = nowMs + estimate.durationMs >= work.deadlineMs;
+    this.estimates.decay(work);
+    this.preemptions.delete(work.id);
+    // The wait was longer than expected; the next arrivals of the team must expect that.
+    this.correction.learn(work.team, rawWaitMs, nowMs - arrivedMs);
+    const waitMs = this.correction.apply(work.team, this.getRawWaitMs(work.team));
+    return {
+      kind: 'refuse',
+      id: work.id,
+      reason: isDeadline ? 'deadline' : 'overloaded',
+      retryAfterMs: this.getRetryAfterMs(waitMs),
+    };
+  }
+
+  private settle(ended: Running, usedTokens: number, nowMs: number): void {
+    const { entry, startedMs, preemptedMs } = ended;
+    const { work } = entry;
+    const durationMs = Math.max(0, nowMs - startedMs);
+    const queue = this.queues[work.serviceClass];
+    if (preemptedMs !== undefined && usedTokens === 0) {
+      // Work lost to a preemption is not the team's use.
+      queue.settle(entry, 0, nowMs);
+      this.rememberPreemption(work.id);
+      return;
+    }
+    this.preemptions.delete(work.id);
+    queue.settle(entry, usedTokens || this.estimates.getTokensOf(durationMs), nowMs);
+    this.estimates.learn(work, usedTokens, durationMs);
+  }
+
+  private rememberPreemption(id: string): void {
+    const count = (this.preemptions.get(id) ?? 0) + 1;
+    this.preemptions.delete(id);
+    this.preemptions.set(id, count);
+    if (this.preemptions.size <= KEPT_PREEMPTED) return;
+    const [oldest] = this.preemptions.keys();
+    if (oldest !== undefined) this.preemptions.delete(oldest);
+  }
+
+  private fill(nowMs: number): Effect[] {
+    return [...this.startOnline(nowMs), ...this.yieldBatch(nowMs), ...this.startBatch(nowMs)];
+  }
+
+  private startOnline(nowMs: number): Effect[] {
+    const effects: Effect[] = [];
+    while (this.running.size < this.bounds.slots) {
+      const entry = this.queues.online.take(nowMs);
+      if (entry === undefined) break;
+      const effect = this.start(entry, nowMs);
+      if (effect.kind === 'start') {
+        this.correction.learn(entry.work.team, entry.rawWaitMs, nowMs - entry.arrivedMs);
+      }
+      effects.push(effect);
+    }
+    return effects;
+  }
+
+  private startBatch(nowMs: number): Effect[] {
+    const effects: Effect[] = [];
+    if (this.queues.online.waiting() > 0 || nowMs < this.refillFromMs) return effects;
+    while (this.getFreeForBatch() > 0) {
+      const entry = this.queues.batch.take(nowMs);
+      if (entry === undefined) break;
+      effects.push(this.start(entry, nowMs));
+    }
+    return effects;
+  }
+
+  private start(entry: Entry, nowMs: number): Effect {
+    const { id, deadlineMs, serviceClass } = entry.work;
+    // After a pause of the process the deadline may have passed unseen.
+    if (deadlineMs <= nowMs) {
+      this.queues[serviceClass].settle(entry, 0, nowMs);
+      return this.refuseLate(entry, nowMs);
+    }
+    this.running.set(id, { entry, startedMs: nowMs, preemptedMs: undefined });
+    if (!isBatch(entry)) this.onlineRunning += 1;
+    return { kind: 'start', id };
+  }
+
+  private yieldBatch(nowMs: number): Effect[] {
+    const { slots, reserve } = this.bounds;
+    const wanted = this.queues.online.waiting() + reserve;
+    if (this.running.size === this.onlineRunning || this.running.size + wanted <= slots) return [];
+    const items = [...this.running].filter(([, { entry }]) => isBatch(entry));
+    const isLeaving = ({ preemptedMs }: Running): boolean =>
+      preemptedMs !== undefined && nowMs - preemptedMs < PREEMPT_PATIENCE_MS;
+    const leaving = items.filter(([, item]) => isLeaving(item)).length;
+    const free = slots - this.running.size + leaving;
+    const missing = wanted - free;
+    if (missing <= 0) return [];
+    const victims = items
+      .filter(([, { preemptedMs }]) => preemptedMs === undefined)
+      .sort(([idA, a], [idB, b]) => this.compareVictims(idA, a, idB, b))
+      .slice(0, missing);
+    if (victims.length > 0) this.refillFromMs = nowMs + this.getRefillHoldMs();
+    return victims.map(([id, item]) => {
+      this.running.set(id, { ...item, preemptedMs: nowMs });
+      return { kind: 'preempt', id };
+    });
+  }
+
+  private getRefillHoldMs(): number {
+    return this.bounds.refillHoldMs ?? REFILL_HOLD_MS;
+  }
+
+  /** Least often preempted first, then the youngest: it loses the least work. */
+  private compareVictims(idA: string, a: Running, idB: string, b: Running): number {
+    const count = (id: string): number => this.preemptions.get(id) ?? 0;
+    return count(idA) - count(idB) || b.startedMs - a.startedMs;
+  }
+}
--- a/packages/decisions/settings/schema.ts
+++ b/packages/decisions/settings/schema.ts
@@ -15,6 +15,8 @@
   'limits.burst': { schema: numberSchema, fallback: '20' },
   /** Share of service when teams compete. */
   'scheduling.weight': { schema: numberSchema, fallback: '1' },
+  /** Longest expected wait for a slot with which an online request is still accepted. */
+  'scheduling.max_wait': { schema: durationSchema, fallback: '5s' },
   /** Longest time from arrival to answer. */
   'request.timeout': { schema: durationSchema, fallback: '120s' },
   'request.max_body': { schema: sizeSchema, fallback: '4MiB' },
--- a/packages/protocol/messages/members.ts
+++ b/packages/protocol/messages/members.ts
@@ -5,6 +5,8 @@
   running: z.number(),
   waiting: z.number(),
   slots: z.number(),
+  /** Batch items at the upstream; they yield and are not in `running`. */
+  batch: z.number().optional(),
 });
 export type Load = z.infer<typeof loadSchema>;
 
