--- a/packages/decisions/scheduling/serviceEstimates.ts
+++ b/packages/decisions/scheduling/serviceEstimates.ts
@@ -2,6 +2,7 @@
 
 const LEARNING_RATE = 0.1;
 const REFUSAL_DECAY = 0.95;
+const LONG_DEVIATIONS = 2;
 const KEPT_KEYS = 2000;
 const FIRST_TOKENS = 64;
 
@@ -9,6 +10,8 @@
 export interface Estimate {
   readonly tokens: number;
   readonly durationMs: number;
+  /** Duration that few requests exceed. */
+  readonly longMs: number;
 }
 
 /** Expected service of a request, learned from the requests before it. */
@@ -28,18 +31,27 @@
   samples: number;
   tokens: number;
   durationMs: number;
+  /** Mean distance of a duration from the mean. */
+  deviationMs: number;
 }
 
-const newMean = (): Mean => ({ samples: 0, tokens: FIRST_TOKENS, durationMs: 0 });
+const newMean = (): Mean => ({
+  samples: 0,
+  tokens: FIRST_TOKENS,
+  durationMs: 0,
+  deviationMs: 0,
+});
 
 const addSample = (mean: Mean, tokens: number, durationMs: number): Mean => {
   const samples = mean.samples + 1;
   // The first samples form a plain average; afterwards the old ones fade.
   const rate = Math.max(LEARNING_RATE, 1 / samples);
+  const distanceMs = mean.samples === 0 ? 0 : Math.abs(durationMs - mean.durationMs);
   return {
     samples,
     tokens: mean.tokens + (tokens - mean.tokens) * rate,
     durationMs: mean.durationMs + (durationMs - mean.durationMs) * rate,
+    deviationMs: mean.deviationMs + (distanceMs - mean.deviationMs) * rate,
   };
 };
 
@@ -63,9 +75,13 @@
 
   return {
     get: (work) => {
-      const { tokens, durationMs } = means.get(getKey(work)) ?? overall;
+      const { tokens, durationMs, deviationMs } = means.get(getKey(work)) ?? overall;
       // The allowance only ever lowers the estimate: asking for much must not cost others anything.
-      return { tokens: Math.max(1, Math.min(tokens, work.maxTokens ?? tokens)), durationMs };
+      return {
+        tokens: Math.max(1, Math.min(tokens, work.maxTokens ?? tokens)),
+        durationMs,
+        longMs: durationMs + LONG_DEVIATIONS * deviationMs,
+      };
     },
     learn: (work, usedTokens, durationMs) => {
       const isCounted = usedTokens > 0;
--- a/packages/decisions/scheduling/yieldingScheduler.ts
+++ b/packages/decisions/scheduling/yieldingScheduler.ts
@@ -142,11 +142,12 @@
     const { id, team, deadlineMs } = entry.work;
     const timeLeftMs = deadlineMs - nowMs;
     const waitMs = this.correction.apply(team, entry.rawWaitMs);
-    const overdueMs = waitMs + entry.estimate.durationMs - timeLeftMs;
+    const overdueMs = waitMs + entry.estimate.longMs - timeLeftMs;
+    if (entry.estimate.longMs >= timeLeftMs) this.estimates.decay(entry.work);
     // An upstream with a free slot loses nothing by trying.
     if (timeLeftMs <= 0 || (waitMs > 0 && overdueMs > 0)) {
-      this.estimates.decay(entry.work);
-      return { kind: 'refuse', id, reason: 'deadline', retryAfterMs: this.getRetryAfterMs(waitMs) };
+      const retryAfterMs = this.getRetryAfterMs(Math.min(waitMs, overdueMs));
+      return { kind: 'refuse', id, reason: 'deadline', retryAfterMs };
     }
     const excessMs = waitMs - this.bounds.getMaxWaitMs(team);
     if (excessMs <= 0 || this.isWithinShare(team)) return undefined;
@@ -171,7 +172,6 @@
 
   private refuseLate({ work, arrivedMs, estimate, rawWaitMs }: Entry, nowMs: number): Effect {
     const isDeadline = nowMs + estimate.durationMs >= work.deadlineMs;
-    this.estimates.decay(work);
     this.preemptions.delete(work.id);
     // The wait was longer than expected; the next arrivals of the team must expect that.
     this.correction.learn(work.team, rawWaitMs, nowMs - arrivedMs);
@@ -254,7 +254,7 @@
     const { slots, reserve } = this.bounds;
     const wanted = this.queues.online.waiting() + reserve;
     if (this.running.size === this.onlineRunning || this.running.size + wanted <= slots) return [];
-    const items = [...this.running].filter(([, { entry }]) => isBatch(entry));
+    const items = [...this.running].filter(([, { entry }]) => isBatch(entry)).reverse();
     const isLeaving = ({ preemptedMs }: Running): boolean =>
       preemptedMs !== undefined && nowMs - preemptedMs < PREEMPT_PATIENCE_MS;
     const leaving = items.filter(([, item]) => isLeaving(item)).length;
@@ -276,9 +276,9 @@
     return this.bounds.refillHoldMs ?? REFILL_HOLD_MS;
   }
 
-  /** Least often preempted first, then the youngest: it loses the least work. */
+  /** The youngest first: it loses the least work; then the least often preempted. */
   private compareVictims(idA: string, a: Running, idB: string, b: Running): number {
     const count = (id: string): number => this.preemptions.get(id) ?? 0;
-    return count(idA) - count(idB) || b.startedMs - a.startedMs;
+    return b.startedMs - a.startedMs || count(idA) - count(idB);
   }
 }
--- /dev/null
+++ b/packages/decisions/tests/yieldingScheduler.test.ts
@@ -0,0 +1,292 @@
+import fc from 'fast-check';
+import type { Effect, Scheduler } from '../scheduling/scheduler';
+import { YieldingScheduler, type Bounds } from '../scheduling/yieldingScheduler';
+import { getLines, newWork, teach } from './schedulingKit';
+
+const BATCH = { serviceClass: 'batch' } as const;
+const newScheduler = (part: Partial<Bounds> = {}): YieldingScheduler =>
+  new YieldingScheduler({ slots: 2, reserve: 0, getMaxWaitMs: () => 5000, ...part });
+
+type Step = readonly [description: string, act: (scheduler: Scheduler) => Effect[] | boolean];
+const enqueue = (id: string, nowMs: number, part = {}): Step => [
+  `${nowMs} enqueue ${id}`,
+  (scheduler) => scheduler.enqueue(newWork(id, part), nowMs),
+];
+const finish = (id: string, nowMs: number, tokens = 10): Step => [
+  `${nowMs} finish ${id} with ${tokens} tokens`,
+  (scheduler) => scheduler.finish(id, tokens, nowMs),
+];
+const tick = (nowMs: number): Step => [`${nowMs} tick`, (scheduler) => scheduler.tick(nowMs)];
+const withdraw = (id: string): Step => [`withdraw ${id}`, (scheduler) => scheduler.withdraw(id)];
+
+const FAULTS: readonly (readonly [
+  name: string,
+  bounds: Partial<Bounds>,
+  steps: readonly Step[],
+])[] = [
+  [
+    'an online request preempts the youngest item and starts when it has left',
+    {},
+    [
+      enqueue('old', 0, BATCH),
+      enqueue('young', 1, BATCH),
+      enqueue('online', 2),
+      finish('young', 3, 0),
+    ],
+  ],
+  [
+    'a preempted item goes before later items of its team, after the hold',
+    {},
+    [
+      enqueue('i1', 0, BATCH),
+      enqueue('i2', 0, BATCH),
+      enqueue('i3', 0, BATCH),
+      enqueue('online', 1),
+      finish('i2', 2, 0),
+      enqueue('i2', 2, BATCH),
+      finish('online', 10),
+      tick(50),
+    ],
+  ],
+  [
+    'the reserve stays free and is restored by a preemption',
+    { slots: 3, reserve: 1 },
+    [
+      enqueue('i1', 0, BATCH),
+      enqueue('i2', 0, BATCH),
+      enqueue('i3', 0, BATCH),
+      enqueue('x', 1),
+      finish('i2', 2, 0),
+    ],
+  ],
+  [
+    'an item that ends by itself while it is preempted frees the slot once',
+    {},
+    [
+      enqueue('i1', 0, BATCH),
+      enqueue('i2', 0, BATCH),
+      enqueue('x', 1),
+      finish('i2', 2, 40),
+      finish('i2', 2, 0),
+      enqueue('y', 3),
+    ],
+  ],
+  [
+    'an owner that does not cancel costs one more item after a while, not the wait of its item',
+    {},
+    [enqueue('i1', 0, BATCH), enqueue('i2', 0, BATCH), enqueue('x', 1), tick(50), tick(101)],
+  ],
+  [
+    'ends of unknown work, and twice the same id, change nothing',
+    { slots: 1 },
+    [
+      finish('ghost', 0),
+      enqueue('x', 1),
+      enqueue('x', 2),
+      finish('x', 3),
+      finish('x', 4),
+      enqueue('y', 5),
+      enqueue('z', 6),
+      enqueue('z', 7),
+      finish('y', 8),
+    ],
+  ],
+  [
+    'waiting work is withdrawn once, running work never',
+    { slots: 1 },
+    [
+      enqueue('x', 0),
+      enqueue('y', 1),
+      enqueue('i', 1, BATCH),
+      withdraw('y'),
+      withdraw('y'),
+      withdraw('x'),
+      withdraw('i'),
+      withdraw('ghost'),
+      finish('x', 2),
+    ],
+  ],
+  [
+    'after a pause of the process nothing starts whose deadline has passed',
+    { slots: 1 },
+    [
+      enqueue('x', 0),
+      enqueue('late', 1, { deadlineMs: 500 }),
+      enqueue('late-item', 1, { ...BATCH, deadlineMs: 500 }),
+      enqueue('good', 2, { deadlineMs: 90_000 }),
+      finish('x', 4000),
+      finish('good', 4001),
+      tick(4050),
+    ],
+  ],
+  ['work that arrives after its deadline is refused', {}, [enqueue('x', 100, { deadlineMs: 100 })]],
+  [
+    'batch work stays under its own bound',
+    { slots: 3, batchSlots: 1 },
+    [enqueue('i1', 0, BATCH), enqueue('i2', 0, BATCH), finish('i1', 5)],
+  ],
+];
+
+describe('YieldingScheduler', () => {
+  it.each(FAULTS)('%s', (_name, bounds, steps) => {
+    const scheduler = newScheduler(bounds);
+
+    const lines = steps.map(([description, act]) => {
+      const outcome = act(scheduler);
+      const shown = typeof outcome === 'boolean' ? String(outcome) : getLines(outcome).join(', ');
+      return `${description} -> ${shown || 'nothing'}`;
+    });
+
+    expect(lines).toMatchSnapshot();
+  });
+
+  it('spares an item that was preempted before', () => {
+    const scheduler = newScheduler({ refillHoldMs: 0 });
+    scheduler.enqueue(newWork('i1', BATCH), 0);
+    scheduler.enqueue(newWork('x1'), 1);
+    scheduler.enqueue(newWork('x2'), 2);
+    scheduler.finish('i1', 0, 3);
+    scheduler.enqueue(newWork('i2', BATCH), 4);
+    scheduler.finish('x1', 5, 5);
+    scheduler.enqueue(newWork('i1', BATCH), 6);
+    scheduler.finish('x2', 5, 7);
+
+    expect(getLines(scheduler.enqueue(newWork('x3'), 8))).toEqual(['preempt i2']);
+  });
+
+  it('refuses at the arrival what would wait too long, and says when to come back', () => {
+    const scheduler = newScheduler({ slots: 1, getMaxWaitMs: () => 1000 });
+    teach(scheduler, {}, 100, 400);
+    const effects = [1, 2, 3, 4, 5].flatMap((index) =>
+      scheduler.enqueue(newWork(`r${index}`), index),
+    );
+
+    expect(getLines(effects)).toEqual([
+      'start r1',
+      'refuse r4 overloaded after 200',
+      'refuse r5 overloaded after 200',
+    ]);
+  });
+
+  it('refuses at the arrival what cannot meet its deadline', () => {
+    const scheduler = newScheduler({ slots: 1 });
+    teach(scheduler, {}, 100, 400);
+    scheduler.enqueue(newWork('r1'), 0);
+
+    expect(getLines(scheduler.enqueue(newWork('r2', { deadlineMs: 700 }), 0))).toEqual([
+      'refuse r2 deadline after 400',
+    ]);
+  });
+
+  it('tries work with a free slot even when it expects to be late, and learns from it', () => {
+    const scheduler = newScheduler({ slots: 1 });
+    teach(scheduler, {}, 100, 4000);
+
+    expect(getLines(scheduler.enqueue(newWork('r1', { deadlineMs: 700 }), 0))).toEqual([
+      'start r1',
+    ]);
+  });
+
+  it('never refuses a team within its share for the queue of another', () => {
+    const team = fc.constantFrom('b', 'c', 'd');
+    const arrival = fc.record({ team, count: fc.integer({ min: 1, max: 60 }) });
+    fc.assert(
+      fc.property(
+        fc.array(arrival, { maxLength: 10 }),
+        fc.integer({ min: 1, max: 5000 }),
+        (arrivals, durationMs) => {
+          const scheduler = newScheduler({ slots: 4, getMaxWaitMs: () => 100 });
+          ['b', 'c', 'd'].forEach((other) => teach(scheduler, { team: other }, 50, durationMs));
+          arrivals.forEach(({ team: other, count }, turn) => {
+            for (let index = 0; index < count; index += 1) {
+              scheduler.enqueue(newWork(`${turn}-${index}`, { team: other }), turn);
+            }
+          });
+
+          const effects = scheduler.enqueue(newWork('mine', { team: 'a' }), 11);
+
+          expect(effects.filter(({ kind }) => kind === 'refuse')).toEqual([]);
+        },
+      ),
+      { seed: 20, numRuns: 200 },
+    );
+  });
+
+  it('takes no batch work in before it refuses online work', () => {
+    const scheduler = newScheduler({ slots: 2 });
+    const before = scheduler.spareSlots();
+    ['r1', 'r2', 'r3'].forEach((id) => scheduler.enqueue(newWork(id), 0));
+
+    expect([before, scheduler.spareSlots()]).toEqual([2, 0]);
+  });
+
+  it('reports online work as running and batch work apart', () => {
+    const scheduler = newScheduler({ slots: 2 });
+    scheduler.enqueue(newWork('i1', BATCH), 0);
+    scheduler.enqueue(newWork('x'), 0);
+    scheduler.enqueue(newWork('y'), 0);
+
+    expect(scheduler.load()).toEqual({ running: 1, waiting: 1, slots: 2, batch: 1 });
+  });
+
+  it('keeps to its slots, its reserve and the order of classes whatever happens', () => {
+    const action = fc.record({
+      kind: fc.constantFrom('online', 'online', 'batch', 'batch', 'finish', 'withdraw', 'tick'),
+      pick: fc.nat(1000),
+      elapsedMs: fc.nat(80),
+      tokens: fc.nat(200),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(action, { maxLength: 150 }),
+        fc.integer({ min: 1, max: 5 }),
+        fc.integer({ min: 0, max: 2 }),
+        (actions, slots, reserve) => {
+          const scheduler = newScheduler({ slots, reserve, getMaxWaitMs: () => 500 });
+          const running = new Map<string, string>();
+          const waiting = new Map<string, string>();
+          let nowMs = 0;
+          const carryOut = (effects: readonly Effect[]): void => {
+            effects.forEach((effect) => {
+              const serviceClass = waiting.get(effect.id) ?? '';
+              if (effect.kind === 'preempt') expect(running.get(effect.id)).toBe('batch');
+              else expect(waiting.delete(effect.id)).toBe(true);
+              if (effect.kind !== 'start') return;
+              running.set(effect.id, serviceClass);
+              const limit = serviceClass === 'batch' ? slots - reserve : slots;
+              expect(running.size).toBeLessThanOrEqual(limit);
+            });
+            const isOnlineWaiting = [...waiting.values()].includes('online');
+            const starts = effects.filter(({ kind, id }) => kind === 'start' && running.has(id));
+            const batchStarts = starts.filter(({ id }) => running.get(id) === 'batch');
+            if (isOnlineWaiting) expect(batchStarts).toEqual([]);
+            if (isOnlineWaiting) expect(running.size).toBe(slots);
+          };
+          actions.forEach(({ kind, pick, elapsedMs, tokens }, index) => {
+            nowMs += elapsedMs;
+            const id = `w${index}`;
+            if (kind === 'online' || kind === 'batch') {
+              waiting.set(id, kind);
+              const part = { serviceClass: kind, team: `t${pick % 3}`, deadlineMs: nowMs + 2000 };
+              carryOut(scheduler.enqueue(newWork(id, part), nowMs));
+            }
+            const target = [...running.keys(), ...waiting.keys()][pick % 7] ?? 'ghost';
+            if (kind === 'withdraw') {
+              expect(scheduler.withdraw(target)).toBe(waiting.delete(target));
+            }
+            if (kind === 'finish') {
+              if (waiting.has(target)) return;
+              running.delete(target);
+              carryOut(scheduler.finish(target, tokens, nowMs));
+            }
+            if (kind === 'tick') carryOut(scheduler.tick(nowMs));
+          });
+
+          expect(scheduler.waiting()).toBe(waiting.size);
+          expect(scheduler.load().running + (scheduler.load().batch ?? 0)).toBe(running.size);
+        },
+      ),
+      { seed: 21, numRuns: 300 },
+    );
+  });
+});
