--- a/anvilpaddle-app/entry/operatorActions/jobs.ts
+++ b/anvilpaddle-app/entry/operatorActions/jobs.ts
@@ -5,6 +5,8 @@
 import { answerJson, newPlatformFailure } from '../apiResult';
 import type { EntryServices, Exchange } from '../exchange';
 
+const LISTED_JOBS = 100;
+
 /** Job as operators see it; never an item or a result. */
 const getJobSummary = ({ id, team, state, route, items, createdAt, dueAt }: Job) => ({
   id,
@@ -40,7 +42,7 @@
     if (team === null || !exchange.config.teams.has(team)) {
       return newFailure(newApiError('invalid_request', 'team: expected the name of a team'));
     }
-    const jobs = await services.jobs.listJobs(team);
+    const jobs = await services.jobs.listJobs(team, undefined, LISTED_JOBS);
     if (!jobs.ok) return newPlatformFailure(jobs.error);
     return answerJson(exchange, { jobs: jobs.value.map(getJobSummary) });
   },
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,4 @@
-import { FirstComeScheduler, getEffectiveSettings, newAttemptLedger } from '@anvilpaddle/decisions';
+import { newAttemptLedger, YieldingScheduler } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
@@ -11,6 +11,7 @@
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptServer } from './attemptServer';
 import { newBatchWorker, type BatchWorker } from './batchWorker';
+import { newTeamSettings } from './teamSettings';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
@@ -33,7 +34,6 @@
     localAddress,
   );
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
-  const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
   const config = newConfigController({
     self: {
@@ -54,14 +54,18 @@
     random: Math.random,
     log,
   });
+  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
+  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
+  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
+  const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const task = newUpstreamTask(scheduler, clock, log);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
   let isLeaving = false;
   let isRefusing = false;
 
-  const getWeight = (team: string): number =>
-    getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
+  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const getSelf = (): Member => ({
     vm: file.process.vm,
     address,
