--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -13,13 +13,14 @@
 import { HEADER, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
+import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
 import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
 import { getMemberTiming } from '../process/memberTiming';
-import { waitUntil, type Program } from '../process/program';
+import { STOP_STAGE, waitMs, waitUntil, type Program, type StopStage } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
 import { newAttemptClient } from './attemptClient';
@@ -79,10 +80,29 @@
   const secret = file.peers.secrets[0] ?? '';
   const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
   const attempts = newAttemptClient(secret, localAddress);
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'entry',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
+  const keyWatch = newKeyWatch(config, clock);
   const metrics = newMetrics(file.metrics.statsd);
-  let isStopping = false;
+  let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
 
   const getSelf = (): Member => ({
@@ -91,7 +111,7 @@
     role: 'entry',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: stage !== STOP_STAGE.serving,
     models: [],
     revision: config.current().revision,
   });
@@ -121,22 +141,32 @@
   });
   const services: EntryServices = {
     vm: file.process.vm,
+    incarnation,
     failureDomain: file.process.failure_domain,
-    operatorKeyHash: file.operators.key_hash,
+    operatorKeyHashes: file.operators.key_hash,
     config,
+    keyWatch,
     members,
     limits,
-    jobs: newJobController(platform.tables, platform.objects),
+    jobs: newJobController(platform.tables, platform.objects, clock),
     attempts,
     revoke: async (sidecar, revocation) => {
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
       return revoked.ok ? revoked.value.state : undefined;
     },
+    tellJobEnded: ({ id, group }) => {
+      members
+        .listed()
+        .filter((vm) => vm.role === 'sidecar' && (vm.group === undefined || vm.group === group))
+        .forEach((vm) => {
+          void peers.call(vm.address, 'job.ended', { job: id });
+        });
+    },
     router: new AffinityRouter(Math.random, () => clock.monotonic()),
     metrics,
     clock,
     log,
-    isStopping: () => isStopping,
+    getStopStage: () => stage,
   };
   const filters = [
     newAccountFilter(services),
@@ -161,17 +191,18 @@
     }
   };
 
-  await config.refresh();
   const peerServer = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       ...limits.handlers,
     },
     {},
     log,
   );
+  await config.refresh();
   limits.start();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
@@ -185,13 +216,16 @@
   return {
     callers,
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      // Readiness fails from here on; what comes nonetheless is served until the balancer knows.
+      stage = STOP_STAGE.leaving;
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      stage = STOP_STAGE.refusing;
       await waitUntil(clock, () => open === 0);
       server.close();
       server.closeIdleConnections();
       await members.close();
       await limits.close();
+      keyWatch.close();
       await config.close();
       await peerServer.close();
       metrics.close();
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -3,6 +3,7 @@
 import type {
   Config,
   EffectiveSettings,
+  Job,
   NamedKey,
   NamedRoute,
   Router,
@@ -10,16 +11,21 @@
 import type { ApiError, Revocation, Revoked, RunState } from '@anvilpaddle/protocol';
 import type { ConfigController } from '../controllers/configController';
 import type { JobController } from '../controllers/jobController';
+import type { KeyWatch } from '../controllers/keyWatch';
 import type { LimitController } from '../controllers/limitController';
 import type { MemberController } from '../controllers/memberController';
+import type { StopStage } from '../process/program';
 import type { Action } from './action';
 import type { AttemptClient } from './attemptClient';
 
 /** Parts of the entry that filters and actions work with. */
 export interface EntryServices {
   readonly vm: string;
+  readonly incarnation: string;
   readonly failureDomain: string;
-  readonly operatorKeyHash: string;
+  /** Accepted operators' keys as SHA-256 in hex. */
+  readonly operatorKeyHashes: readonly string[];
+  readonly keyWatch: KeyWatch;
   readonly config: ConfigController;
   readonly members: MemberController;
   readonly limits: LimitController;
@@ -30,11 +36,13 @@
     address: string,
     revocation: Revocation,
   ) => Promise<Revoked['state'] | undefined>;
+  /** Tells the sidecars of the job's group, which would see it by themselves a little later. */
+  readonly tellJobEnded: (job: Job) => void;
   readonly router: Router;
   readonly metrics: Metrics;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly isStopping: () => boolean;
+  readonly getStopStage: () => StopStage;
 }
 
 /** What happened to a request, for logs and metrics. */
