--- a/anvilpaddle-app/controllers/limitController.ts
+++ b/anvilpaddle-app/controllers/limitController.ts
@@ -163,6 +163,8 @@
         await sleep(START_POLL_MS);
         admission = await decide(team);
       }
+      const richer = node.richerHolder(team, now());
+      if (richer !== undefined) void ask(team, richer);
       return admission;
     } finally {
       const left = (waiting.get(team) ?? 1) - 1;
--- a/anvilpaddle-app/controllers/limitMembership.ts
+++ b/anvilpaddle-app/controllers/limitMembership.ts
@@ -30,7 +30,7 @@
 export interface LimitMembership {
   /** Reads the view and does what is due: join, confirm, remove. */
   refresh(): Promise<void>;
-  /** Whether this entry is a member by a trusted view and nobody waits to join. */
+  /** Whether this entry is a member by a trusted view and the list misses none. */
   isSettled(): boolean;
   /** Takes this entry out of the view; its share must be unused by then. */
   leave(): Promise<void>;
@@ -136,7 +136,8 @@
     },
     isSettled: () => {
       const view = node.view();
-      return node.isHolding() && view !== undefined && view.members.includes(address);
+      const isMember = view !== undefined && view.members.includes(address);
+      return node.isHolding() && isMember && absentReads.size === 0;
     },
     leave: async () => {
       const stored = await read();
--- a/anvilpaddle-app/tests/kit/limitFleet.ts
+++ b/anvilpaddle-app/tests/kit/limitFleet.ts
@@ -236,6 +236,7 @@
 
   for (let index = 0; index < shape.entries; index += 1) add();
 
+  const stopping = new Set<string>();
   const isUp = (address: string): boolean => entries.get(address)?.process.isEnded() === false;
 
   const fleet: LimitFleet = {
@@ -248,7 +249,8 @@
     rates,
     addresses: () => [...entries.keys()],
     isUp,
-    isRunning: (address) => entries.get(address)?.process.isRunning() === true,
+    isRunning: (address) =>
+      entries.get(address)?.process.isRunning() === true && !stopping.has(address),
     add,
     kill: (address) => entries.get(address)?.process.end(),
     restart: (address) => {
@@ -259,8 +261,10 @@
     resume: (address) => entries.get(address)?.process.resume(),
     stop: async (address) => {
       const entry = entries.get(address);
+      stopping.add(address);
       await entry?.controller.close();
       entry?.process.end();
+      stopping.delete(address);
     },
     setStoreDown: (isDown) => {
       weather.isStoreDown = isDown;
--- a/packages/decisions/limits/lender.ts
+++ b/packages/decisions/limits/lender.ts
@@ -25,10 +25,13 @@
   close(loan: string, unspent: number, nowMs: number): void;
   /** Takes in tokens of another holder as far as there is room. */
   add(amount: number, nowMs: number): void;
+  /** Whether loans take up much of the share. */
+  isTight(): boolean;
   /** Whether the share is full and nothing is lent, as if it had never been used. */
   isUntouched(nowMs: number): boolean;
 }
 
+const TIGHT_PART = 0.25;
 const MAX_RETRY_MS = 1000;
 const SMALLEST_RATE = 1e-6;
 
@@ -114,6 +117,7 @@
       refill(nowMs);
       level = Math.max(level, Math.min(share.burst - lent, level + amount));
     },
+    isTight: () => lent > share.burst * TIGHT_PART,
     isUntouched: (nowMs) => {
       refill(nowMs);
       return loans.size === 0 && level >= share.burst;
--- a/packages/decisions/limits/limitNode.ts
+++ b/packages/decisions/limits/limitNode.ts
@@ -34,6 +34,11 @@
   decide(team: string, tried: ReadonlySet<string>, nowMs: number): Step;
   /** Counts a request that arrives, so that grants follow demand. */
   noteArrival(team: string, nowMs: number): void;
+  /**
+   * Holder to borrow from ahead of need, because its share is much fuller than the one here: a full
+   * share gains nothing more.
+   */
+  richerHolder(team: string, nowMs: number): string | undefined;
   newBorrow(team: string, holder: string, waiting: number, nowMs: number): Borrow;
   lend(borrow: Borrow, nowMs: number): Lent;
   /** Credits an answer to what was asked for at a time. */
@@ -41,7 +46,7 @@
   /** Remembers that a holder did not answer. */
   noteSilence(holder: string, nowMs: number): void;
   takeBack(giveBack: GiveBack, nowMs: number): void;
-  /** Tokens that were borrowed and not used, at least of an age. */
+  /** Tokens borrowed and not used, at least of an age, and word of spent ones where it is wanted. */
   takeReturns(ageMs: number, nowMs: number): Return[];
   /** Forgets teams whose state is as if they had never asked. */
   forgetIdle(nowMs: number): void;
@@ -63,6 +68,8 @@
 const NO_HOLDER_RETRY_MS = 1000;
 const PREFETCH_MS = 100;
 const SMALLEST_RATE = 1e-6;
+/** Part of a share by which another must be fuller before it is borrowed from ahead of need. */
+const IMBALANCE = 0.1;
 
 /** Decisions of the entry at an address; `lifeId` is unique to this process. */
 export const newLimitNode = (
@@ -143,6 +150,20 @@
     return { kind: 'decided', admission: { admitted: false, retryAfterMs } };
   };
 
+  const richerHolder: LimitNode['richerHolder'] = (team, nowMs) => {
+    const state = getTeam(team, nowMs);
+    const share = state.share();
+    if (share.rate === 0 || state.demand(nowMs) * PREFETCH_MS < MS_PER_SECOND) return undefined;
+    const own = state.lender.level(nowMs);
+    if (state.available(nowMs) - own >= 1) return undefined;
+    const others = getOthers(team).filter((other) => isAskable(state, other, nowMs));
+    const holder = getRichest(team, state, others, nowMs);
+    if (holder === undefined) return undefined;
+    const { length } = holding.holders(team);
+    const level = Math.min(share.burst, state.knownLevel(holder, length, nowMs));
+    return level - own > share.burst * IMBALANCE ? holder : undefined;
+  };
+
   return {
     adopt: (view, isTrusted, nowMs) => holding.adopt(view, isTrusted, nowMs),
     view: () => holding.view(),
@@ -150,6 +171,7 @@
     suspend: (nowMs) => holding.suspend(nowMs),
     isConfirmed: (nowMs) => holding.isTrusted() && nowMs - holding.changedMs() >= LOAN_LIFETIME_MS,
     decide,
+    richerHolder,
     noteArrival: (team, nowMs) => getTeam(team, nowMs).noteArrival(nowMs),
     newBorrow: (team, holder, waiting, nowMs) => {
       const state = getTeam(team, nowMs);
@@ -166,7 +188,9 @@
       closed.forEach((loan) => state.lender.close(loan, 0, nowMs));
       const { id, granted, retryAfterMs } = state.lender.lend(need, extra, nowMs);
       const level = state.lender.level(nowMs);
-      return { loan: id, granted, level, retryAfterMs, epoch: holding.view()?.epoch ?? 0 };
+      const epoch = holding.view()?.epoch ?? 0;
+      const tight = state.lender.isTight();
+      return { loan: id, granted, level, retryAfterMs, tight, epoch };
     },
     credit: (team, holder, lent, askedMs, nowMs) => {
       silentUntilMs.delete(holder);
--- a/packages/decisions/limits/purse.ts
+++ b/packages/decisions/limits/purse.ts
@@ -26,6 +26,7 @@
   /** Takes out what is older than an age and has not been spent. */
   takeLeftovers(ageMs: number, nowMs: number): Leftover[];
   isEmpty(): boolean;
+  hasClosed(holder: string): boolean;
 }
 
 const MAX_CLOSED = 64;
@@ -84,6 +85,7 @@
       grants = grants.filter((grant) => !isOld(grant));
       return old;
     },
+    hasClosed: (holder) => closed.has(holder),
     isEmpty: () => grants.length === 0,
   };
 };
--- a/packages/decisions/limits/teamLimit.ts
+++ b/packages/decisions/limits/teamLimit.ts
@@ -34,6 +34,7 @@
   readonly level: number;
   readonly heardMs: number;
   readonly emptyUntilMs: number;
+  readonly isTight: boolean;
 }
 
 const DEMAND_TIME_MS = MS_PER_SECOND;
@@ -62,6 +63,9 @@
     lender.setShare(share, nowMs);
   };
 
+  const getTightHolders = (): string[] =>
+    [...hints].filter(([, hint]) => hint.isTight).map(([holder]) => holder);
+
   const decayDemand = (nowMs: number): void => {
     demand *= Math.exp(-Math.max(0, nowMs - demandMs) / DEMAND_TIME_MS);
     demandMs = Math.max(demandMs, nowMs);
@@ -101,6 +105,7 @@
         level: lent.level,
         heardMs: nowMs,
         emptyUntilMs: nowMs + lent.retryAfterMs,
+        isTight: lent.tight,
       });
     },
     emptyUntilMs: (holder) => hints.get(holder)?.emptyUntilMs ?? 0,
@@ -119,8 +124,13 @@
       return demand;
     },
     takeClosed: (holder) => purse.takeClosed(holder),
-    takeLeftovers: (ageMs, nowMs) => purse.takeLeftovers(ageMs, nowMs),
-    hasBorrowed: () => !purse.isEmpty(),
+    takeLeftovers: (ageMs, nowMs) => [
+      ...purse.takeLeftovers(ageMs, nowMs),
+      ...getTightHolders().flatMap((holder) =>
+        purse.takeClosed(holder).map((loan) => ({ holder, loan, amount: 0 })),
+      ),
+    ],
+    hasBorrowed: () => !purse.isEmpty() || getTightHolders().some((h) => purse.hasClosed(h)),
     isIdle: (nowMs) => {
       decayDemand(nowMs);
       return purse.isEmpty() && demand < NEGLIGIBLE_DEMAND && lender.isUntouched(nowMs);
--- a/packages/protocol/messages/limits.ts
+++ b/packages/protocol/messages/limits.ts
@@ -32,6 +32,8 @@
   level: z.number().nonnegative(),
   /** When asking again helps, in milliseconds. */
   retryAfterMs: z.number().nonnegative(),
+  /** Whether loans take up much of the share, so that word of a spent one is wanted at once. */
+  tight: z.boolean(),
   epoch: z.number(),
 });
 export type Lent = z.infer<typeof lentSchema>;
