--- a/packages/decisions/limits/holding.ts
+++ b/packages/decisions/limits/holding.ts
@@ -1,6 +1,7 @@
 import type { LimitView } from '@anvilpaddle/protocol';
 import { LOAN_LIFETIME_MS } from './constants';
-import { getHolders, getShare } from './view';
+import { newRanking, type Ranking } from './ranking';
+import { getShare } from './view';
 
 /** Part of a team that this entry holds from a moment on. */
 export interface Span {
@@ -25,21 +26,6 @@
 }
 
 const KEPT_SPANS = 8;
-const MAX_KNOWN_TEAMS = 2000;
-
-/** Remembers the answer for each team while it is asked for. */
-const newMemo = <T>(get: (team: string) => T): ((team: string) => T) => {
-  const known = new Map<string, T>();
-  return (team) => {
-    const value = known.get(team);
-    if (value !== undefined) return value;
-    if (known.size >= MAX_KNOWN_TEAMS) known.clear();
-    const computed = get(team);
-    known.set(team, computed);
-    return computed;
-  };
-};
-
 /**
  * Holding of the entry at an address. It begins a loan's lifetime after the first trusted view, when
  * nothing is left of what a former process at this address has lent.
@@ -48,7 +34,7 @@
   let earliestMs: number | undefined;
   let view: LimitView | undefined;
   let isTrusted = false;
-  let getTeamHolders: (team: string) => readonly string[] = () => [];
+  let ranking: Ranking | undefined;
   let spans: Span[] = [];
   let orders = 0;
 
@@ -63,11 +49,13 @@
       const gainsTrust = isNextTrusted && !isTrusted && next.epoch >= (view?.epoch ?? 0);
       if (!isNewer && !gainsTrust) return false;
       view = next;
-      getTeamHolders = newMemo((team) => getHolders(team, next.members, next.holders));
+      const nextRanking = newRanking(next, ranking);
+      ranking = nextRanking;
       if (!isNextTrusted) return true;
       isTrusted = true;
       earliestMs ??= nowMs + LOAN_LIFETIME_MS;
-      const getPart = newMemo((team) => getShare(address, team, next));
+      const getPart = (team: string): number =>
+        getShare(address, team, next, nextRanking.holders(team));
       addSpan(getPart, Math.max(nowMs, earliestMs));
       return true;
     },
@@ -79,7 +67,7 @@
     view: () => view,
     isTrusted: () => isTrusted,
     changedMs: () => spans.at(-1)?.fromMs ?? Number.POSITIVE_INFINITY,
-    holders: (team) => getTeamHolders(team),
+    holders: (team) => ranking?.holders(team) ?? [],
     spansAfter: (order) => spans.filter((span) => span.order > order),
   };
 };
--- a/packages/decisions/limits/view.ts
+++ b/packages/decisions/limits/view.ts
@@ -9,23 +9,21 @@
   holders: number,
 ): readonly string[] => getRendezvousOrder(team, members).slice(0, holders);
 
-const getShareAmong = (
+/**
+ * Part of a team's rate and burst that an entry holds, given the holders among the members. It has
+ * made room for those who join.
+ */
+export const getShare = (
   address: string,
   team: string,
-  members: readonly string[],
-  holders: number,
+  view: LimitView,
+  holders: readonly string[],
 ): number => {
-  const chosen = getHolders(team, members, holders);
-  return chosen.includes(address) ? 1 / chosen.length : 0;
-};
-
-/** Part of a team's rate and burst that an entry holds; it has made room for those who join. */
-export const getShare = (address: string, team: string, view: LimitView): number => {
-  if (!view.members.includes(address)) return 0;
-  const share = getShareAmong(address, team, view.members, view.holders);
-  if (view.joining.length === 0 || share === 0) return share;
-  const all = [...view.members, ...view.joining];
-  return Math.min(share, getShareAmong(address, team, all, view.holders));
+  if (!holders.includes(address)) return 0;
+  const share = 1 / holders.length;
+  if (view.joining.length === 0) return share;
+  const later = getHolders(team, [...holders, ...view.joining], view.holders);
+  return later.includes(address) ? Math.min(share, 1 / later.length) : 0;
 };
 
 /** View in which the entry joins; undefined when it is in the view already. */
