--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -92,6 +92,8 @@
 export const newAttemptServer = (services: AttemptServices): AttemptServer => {
   const { task, client, ledger, clock, incarnation } = services;
 
+  const waiting = new Map<string, Job>();
+
   const relay = async (job: Job, answer: UpstreamAnswer, waitedMs: number): Promise<number> => {
     const counter = newTokenCounter(String(answer.headers['content-type'] ?? ''));
     job.response.writeHead(answer.status, {
@@ -135,6 +137,7 @@
   const start = (job: Job): void => {
     const id = job.attempt.attempt;
     let tokens = 0;
+    waiting.delete(id);
     const leave = (): void => {
       ledger.finish(id, true, clock.monotonic());
       task.finish(id, tokens);
@@ -158,7 +161,9 @@
   const submit = (job: Job): void => {
     const { attempt, response } = job;
     const id = attempt.attempt;
+    waiting.set(id, job);
     response.on('close', () => {
+      waiting.delete(id);
       job.abort.abort();
       if (ledger.giveUp(id, clock.monotonic())) void task.withdraw(id);
     });
@@ -215,9 +220,12 @@
 
   const revoke = (revocation: Revocation): Revoked => {
     if (revocation.incarnation !== incarnation) return { state: 'other_incarnation' };
-    const waited = ledger.state(revocation.attempt) === 'queued';
     const state = ledger.revoke(revocation, clock.monotonic());
-    if (waited) void task.withdraw(revocation.attempt);
+    const job = waiting.get(revocation.attempt);
+    if (state === 'not_sent' && job !== undefined) {
+      void task.withdraw(revocation.attempt);
+      sendRefusal(job.response, ARRIVAL_REFUSALS.revoked, job.attempt);
+    }
     return { state };
   };
 
--- /dev/null
+++ b/anvilpaddle-app/tests/kit/attemptBench.ts
@@ -0,0 +1,240 @@
+import { createServer, type ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  FirstComeScheduler,
+  getEffectiveSettings,
+  LeastOfTwoRouter,
+  newAttemptLedger,
+} from '@anvilpaddle/decisions';
+import {
+  getAddressText,
+  listen,
+  newId,
+  newMetrics,
+  newSilentLogger,
+  SystemClock,
+  type Random,
+} from '@anvilpaddle/common';
+import type { Attempt, Level, Member, Route } from '@anvilpaddle/protocol';
+import { newAttemptClient, type AttemptReply } from '../../entry/attemptClient';
+import { runFilters, type EntryServices, type Exchange } from '../../entry/exchange';
+import { newAccountFilter } from '../../entry/filters/account';
+import { newForwardFilter } from '../../entry/filters/forward';
+import { newReadRequestFilter } from '../../entry/filters/readRequest';
+import { newPeerClient } from '../../peers/peerClient';
+import { newPeerServer } from '../../peers/peerServer';
+import { newAttemptServer } from '../../sidecar/attemptServer';
+import { newUpstreamClient } from '../../sidecar/upstreamClient';
+import { newUpstreamTask } from '../../sidecar/upstreamTask';
+
+const SECRET = 'secret-of-the-attempt-bench';
+const ANY = { host: '127.0.0.1', port: 0 } as const;
+const PEER_TIMEOUT_MS = 1000;
+const clock = new SystemClock();
+const log = newSilentLogger();
+
+/** What the network does to one attempt, and to the question about it. */
+export interface Weather {
+  /**
+   * `duplicate`: a second copy comes late. `late`: the connection is lost, the attempt arrives
+   * afterwards. `never`: the connection is lost, nothing arrives. `unheard`: the attempt arrives,
+   * its answer is lost.
+   */
+  readonly attempt: 'fair' | 'duplicate' | 'late' | 'never' | 'unheard';
+  readonly lateMs: number;
+  readonly word: 'fair' | 'lost' | 'late';
+  /** Whether the sidecar is replaced while the attempt is on its way. */
+  readonly restart: boolean;
+}
+
+export const FAIR_WEATHER: Weather = { attempt: 'fair', lateMs: 0, word: 'fair', restart: false };
+
+/** Sidecar in the test's process; it can be replaced as by a kill and a new start. */
+export interface BenchSidecar {
+  member(): Member;
+  /** Ends the incarnation with all of its connections and begins another. */
+  restart(): Promise<void>;
+  close(): Promise<void>;
+}
+
+const newIncarnation = (url: string, slots: number) => {
+  const incarnation = newId('inc');
+  const client = newUpstreamClient(url, slots);
+  const task = newUpstreamTask(new FirstComeScheduler(slots), clock, log);
+  const server = newAttemptServer({
+    incarnation,
+    client,
+    task,
+    ledger: newAttemptLedger({ retentionMs: 60_000, maxNotes: 10_000, maxSenders: 10 }),
+    clock,
+    log,
+    isStopping: () => false,
+    getWeight: () => 1,
+  });
+  return { incarnation, client, task, server, responses: new Set<ServerResponse>() };
+};
+
+/** Starts a sidecar's attempt server in front of an upstream. */
+export const newBenchSidecar = async (
+  vm: string,
+  url: string,
+  slots: number,
+  models: readonly string[] = [],
+): Promise<BenchSidecar> => {
+  let current = newIncarnation(url, slots);
+  const peers = await newPeerServer(
+    ANY,
+    [SECRET],
+    { 'attempt.revoke': (revocation) => current.server.revoke(revocation) },
+    {
+      '/attempts': (request, response) => {
+        const { responses, server } = current;
+        responses.add(response);
+        response.on('close', () => responses.delete(response));
+        server.serve(request, response);
+      },
+    },
+    log,
+  );
+  const end = async (ended: typeof current): Promise<void> => {
+    ended.responses.forEach((response) => response.socket?.destroy());
+    await ended.client.close();
+    await ended.task.close();
+  };
+  return {
+    member: () => ({
+      vm,
+      address: getAddressText(peers.address),
+      role: 'sidecar',
+      failureDomain: 'fd',
+      incarnation: current.incarnation,
+      leaving: false,
+      group: 'group',
+      models: [...models],
+      load: current.task.load(),
+      revision: 1,
+    }),
+    restart: async () => {
+      const ended = current;
+      current = newIncarnation(url, slots);
+      await end(ended);
+    },
+    close: async () => {
+      await end(current);
+      await peers.close();
+    },
+  };
+};
+
+/** Entry's part that forwards requests, in the test's process. */
+export interface BenchEntry {
+  readonly url: string;
+  close(): Promise<void>;
+}
+
+/** How a bench entry behaves. */
+export interface EntryShape {
+  readonly route: Pick<Route, 'kind'>;
+  /** Settings of one request. */
+  readonly getLevel?: (path: string) => Level;
+  readonly getWeather?: (path: string) => Weather;
+  readonly random: Random;
+}
+
+const LOST: AttemptReply = { kind: 'lost', detail: 'the weather' };
+
+/** Starts an entry in front of the sidecars. */
+export const newBenchEntry = async (
+  sidecars: readonly BenchSidecar[],
+  shape: EntryShape,
+): Promise<BenchEntry> => {
+  const client = newAttemptClient(SECRET);
+  const peers = newPeerClient(SECRET, PEER_TIMEOUT_MS, clock);
+  const weathers = new Map<string, Weather>();
+  const lateCopies: Promise<unknown>[] = [];
+  const getWeather = (path: string): Weather => shape.getWeather?.(path) ?? FAIR_WEATHER;
+
+  const sendLate = (member: Member, attempt: Attempt, body: Buffer, lateMs: number): void => {
+    const copy = sleep(lateMs)
+      .then(() => client.send(member, attempt, body, new AbortController().signal))
+      .then((reply) => {
+        if (reply.kind === 'answer') reply.body.on('error', () => undefined).destroy();
+      });
+    lateCopies.push(copy);
+  };
+
+  const send: EntryServices['attempts']['send'] = async (member, attempt, body, signal) => {
+    const weather = getWeather(attempt.path);
+    weathers.set(attempt.attempt, weather);
+    const sidecar = sidecars.find((candidate) => candidate.member().vm === member.vm);
+    if (weather.restart) void sleep(weather.lateMs).then(() => sidecar?.restart());
+    if (weather.attempt === 'never') return LOST;
+    if (weather.attempt === 'late' || weather.attempt === 'duplicate') {
+      sendLate(member, attempt, body, weather.lateMs);
+    }
+    if (weather.attempt === 'late') return LOST;
+    const reply = await client.send(member, attempt, body, signal);
+    if (weather.attempt !== 'unheard') return reply;
+    if (reply.kind === 'answer') reply.body.on('error', () => undefined).destroy();
+    return LOST;
+  };
+
+  const revoke: EntryServices['revoke'] = async (address, revocation) => {
+    const weather = weathers.get(revocation.attempt) ?? FAIR_WEATHER;
+    if (weather.word === 'late') await sleep(weather.lateMs);
+    const revoked = await peers.call(address, 'attempt.revoke', revocation);
+    if (weather.word === 'lost' || !revoked.ok) return undefined;
+    return revoked.value.state;
+  };
+
+  const services = {
+    vm: 'entry-1',
+    incarnation: newId('inc'),
+    failureDomain: 'fd',
+    members: { live: () => sidecars.map((sidecar) => sidecar.member()), hearLoad: () => undefined },
+    attempts: { send, close: () => client.close() },
+    revoke,
+    router: new LeastOfTwoRouter(shape.random),
+    metrics: newMetrics(undefined),
+    clock,
+    log,
+  } as unknown as EntryServices;
+  const filters = [newAccountFilter(services), newReadRequestFilter(), newForwardFilter(services)];
+
+  const server = createServer((request, response) => {
+    const abort = new AbortController();
+    response.on('close', () => abort.abort());
+    const url = new URL(request.url ?? '/', 'http://entry');
+    const levels = new Map([['fleet', shape.getLevel?.(url.pathname) ?? {}]]);
+    const exchange = {
+      id: newId('req'),
+      request,
+      response,
+      url,
+      startedMs: clock.monotonic(),
+      signal: abort.signal,
+      outcome: { upstream: undefined, attempts: 0, run: 'not_run', firstTokenMs: undefined },
+      settings: getEffectiveSettings(levels, {}),
+      route: {
+        name: 'route',
+        path: '/',
+        access: 'keyed',
+        group: 'group',
+        idempotentMethods: ['GET'],
+        ...shape.route,
+      },
+      team: 'team',
+    } as unknown as Exchange;
+    void runFilters(filters, exchange);
+  });
+  const address = await listen(server, ANY);
+  return {
+    url: `http://${getAddressText(address)}`,
+    close: async () => {
+      await Promise.all(lateCopies);
+      server.closeAllConnections();
+      server.close();
+      await Promise.all([client.close(), peers.close()]);
+    },
+  };
+};
