--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -80,7 +80,8 @@
   // waits behind another, and a lost connection is never repaired by sending again.
   const agent = new Agent({
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    localAddress,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -12,8 +12,10 @@
     answerJson(exchange, {
       vm: services.vm,
       revision: services.config.current().revision,
-      stopping: services.isStopping(),
+      configAgeMs: Math.round(services.config.ageMs()),
+      stage: services.getStopStage(),
       members: services.members.live(),
+      limits: services.limits.status(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
     }),
