Keep a caller's credential from upstreams by its value, under any name

The filter that reads the credential now removes what holds it from query and headers, and whatever is a valid key on routes open to all; the lists of names stay as a second guard.

--- a/anvilpaddle-app/entry/filters/authenticate.ts
+++ b/anvilpaddle-app/entry/filters/authenticate.ts
@@ -3,14 +3,12 @@
 import { getSecretHash, newFailure, type Result } from '@anvilpaddle/common';
 import { getErrorBody, newApiError, type ApiError } from '@anvilpaddle/protocol';
 import { isKeyValid, newUnconfirmedError } from '../../controllers/keyWatch';
+import { getBearer, stripCredentials } from '../credentials';
 import type { EntryServices, Exchange, Filter, Next } from '../exchange';
 
 const STREAM_TYPE = 'text/event-stream';
 const LAST_WRITE_MS = 500;
 
-const getBearer = (exchange: Exchange): string | undefined =>
-  /^Bearer\s+(\S+)$/i.exec(exchange.request.headers.authorization ?? '')?.[1];
-
 const getDigest = (hash: string): Buffer => Buffer.from(hash, 'hex');
 
 const refuse = (message: string): Result<void, ApiError> =>
@@ -63,8 +61,9 @@
     name: 'authenticate',
     apply: async (exchange, next) => {
       const access = exchange.action?.access ?? exchange.route?.access;
-      if (access === 'open') return next();
       const bearer = getBearer(exchange);
+      stripCredentials(exchange);
+      if (access === 'open') return next();
       if (bearer === undefined) return refuse('expected a key as a bearer token');
       if (access === 'operator') {
         return isOperator(bearer) ? next() : refuse('unknown operator key');
