--- /dev/null
+++ b/anvilpaddle-app/cli/commands/index.ts
@@ -0,0 +1,21 @@
+import type { CommandGroup, OperatorCommand } from '../operatorCommand';
+import { JOB_GROUP } from './job';
+import { KEY_GROUP } from './key';
+import { OPERATION_GROUP } from './operation';
+import { ROUTE_GROUP } from './route';
+import { SETTINGS_GROUP } from './settings';
+import { STATUS_COMMAND } from './status';
+import { TEAM_GROUP } from './team';
+
+/** Operators' commands by group. */
+export const GROUPS: readonly CommandGroup[] = [
+  TEAM_GROUP,
+  KEY_GROUP,
+  ROUTE_GROUP,
+  SETTINGS_GROUP,
+  JOB_GROUP,
+  OPERATION_GROUP,
+];
+
+/** Operators' commands of one word. */
+export const SINGLES: readonly OperatorCommand[] = [STATUS_COMMAND];
--- /dev/null
+++ b/anvilpaddle-app/cli/commands/key.ts
@@ -0,0 +1,108 @@
+import { getSecretHash, newId, newOk, newSecret } from '@anvilpaddle/common';
+import type { ConfigEntry, Key } from '@anvilpaddle/protocol';
+import { changeEntry, getEntriesOutput, readEntries, readEntry, sendChange } from '../entries';
+import { getText, type CommandGroup, type OperatorCommand, type Output } from '../operatorCommand';
+
+const id = { type: 'string', describe: 'Id of the key', demandOption: true } as const;
+const label = { type: 'string', describe: 'What the key is for' } as const;
+
+/** The hash stays out of what is shown; nobody needs it. */
+const getShown = ({ value, ...entry }: ConfigEntry) => {
+  const { team, label: text } = value as Key;
+  return { ...entry, value: { team, ...(text !== undefined && { label: text }) } };
+};
+
+const getOutput = (entries: readonly ConfigEntry[]): Output =>
+  getEntriesOutput(entries.map(getShown), ['team', 'label'], ({ value }) => {
+    const { team, label: text } = value as Key;
+    return [team, text ?? ''];
+  });
+
+const createKey: OperatorCommand = {
+  command: 'create <team>',
+  describe: 'Create a key; it is shown this once',
+  positionals: { team: { type: 'string', describe: 'Team of the key', demandOption: true } },
+  options: { label },
+  examples: [['create coaches --label "phone app"', 'prints the key; keep it, it is not stored']],
+  run: async (args, client) => {
+    const secret = newSecret('ap');
+    const key = newId('key');
+    const text = getText(args, 'label');
+    const value: Key = {
+      team: getText(args, 'team'),
+      hash: getSecretHash(secret),
+      ...(text !== '' && { label: text }),
+    };
+    const sent = await sendChange(client, [{ kind: 'key', id: key, value, basedOn: 0 }]);
+    if (!sent.ok) return sent;
+    return newOk({ json: { ...sent.value, id: key, key: secret }, text: `${key}\n${secret}` });
+  },
+};
+
+const showKey: OperatorCommand = {
+  command: 'show <id>',
+  describe: 'Show a key’s team and label, never the key',
+  positionals: { id },
+  examples: [['show key_5b…', 'whose key it is']],
+  run: async (args, client) => {
+    const entry = await readEntry(client, 'key', getText(args, 'id'));
+    if (!entry.ok) return entry;
+    return newOk({ json: getShown(entry.value), text: getOutput([entry.value]).text });
+  },
+};
+
+const listKeys: OperatorCommand = {
+  command: 'list',
+  describe: 'List keys',
+  options: { team: { type: 'string', describe: 'Only of this team' } },
+  examples: [['list --team coaches', 'keys of one team']],
+  run: async (args, client) => {
+    const entries = await readEntries(client, 'key');
+    if (!entries.ok) return entries;
+    const team = getText(args, 'team');
+    return newOk(
+      getOutput(entries.value.filter(({ value }) => team === '' || (value as Key).team === team)),
+    );
+  },
+};
+
+const changeKey: OperatorCommand = {
+  command: 'change <id>',
+  describe: 'Change a key’s label',
+  positionals: { id },
+  options: { label: { ...label, demandOption: true } },
+  examples: [['change key_5b… --label "old phone app"', 'a new label']],
+  run: async (args, client) => {
+    const entry = await readEntry(client, 'key', getText(args, 'id'));
+    if (!entry.ok) return entry;
+    const value = { ...(entry.value.value as Key), label: getText(args, 'label') };
+    const change = {
+      kind: 'key',
+      id: entry.value.id,
+      value,
+      basedOn: entry.value.revision,
+    } as const;
+    return changeEntry(client, change, `changed ${entry.value.id}`);
+  },
+};
+
+const removeKey: OperatorCommand = {
+  command: 'remove <id>',
+  describe: 'Withdraw a key; its open requests end within seconds',
+  positionals: { id },
+  examples: [['remove key_5b…', 'the key stops everywhere']],
+  run: async (args, client) => {
+    const entry = await readEntry(client, 'key', getText(args, 'id'));
+    if (!entry.ok) return entry;
+    const { id: key, revision } = entry.value;
+    const change = { kind: 'key', id: key, value: null, basedOn: revision } as const;
+    return changeEntry(client, change, `withdrew ${key}`);
+  },
+};
+
+/** Commands about keys. */
+export const KEY_GROUP: CommandGroup = {
+  name: 'key',
+  describe: 'Callers’ keys',
+  commands: [createKey, showKey, listKeys, changeKey, removeKey],
+};
--- /dev/null
+++ b/anvilpaddle-app/cli/commands/settings.ts
@@ -0,0 +1,186 @@
+import { newOk } from '@anvilpaddle/common';
+import type { Origin } from '@anvilpaddle/decisions';
+import type { Change, Level } from '@anvilpaddle/protocol';
+import {
+  changeEntry,
+  findEntry,
+  getChangeOutput,
+  getEntriesOutput,
+  readEntries,
+  readEntry,
+  sendChange,
+} from '../entries';
+import {
+  getText,
+  newCommandFailure,
+  newUsageFailure,
+  type CommandGroup,
+  type OperatorCommand,
+} from '../operatorCommand';
+import { getDifferenceLines, getSettingsChanges, readSettingsFile } from '../settingsFile';
+import { getTable } from '../table';
+
+const path = {
+  type: 'string',
+  describe: 'Level, such as fleet, team/coaches or failure-domain/kgn-a',
+  demandOption: true,
+} as const;
+
+const getIni = (id: string, level: Level): string =>
+  [`[${id}]`, ...Object.entries(level).map(([name, text]) => `${name} = ${text}`)].join('\n');
+
+const applySettings: OperatorCommand = {
+  command: 'apply <file>',
+  describe: 'Bring the levels of an INI file into force as one change',
+  positionals: { file: { type: 'string', describe: 'INI file', demandOption: true } },
+  options: {
+    'dry-run': { type: 'boolean', default: false, describe: 'Only show what would change' },
+    prune: { type: 'boolean', default: false, describe: 'Remove levels that the file lacks' },
+  },
+  examples: [
+    ['apply settings.ini --dry-run', 'what would change'],
+    ['apply settings.ini', 'all of it, or nothing when one line is wrong'],
+  ],
+  run: async (args, client) => {
+    const levels = readSettingsFile(getText(args, 'file'));
+    if (!levels.ok) return newUsageFailure(...levels.error);
+    const current = await readEntries(client, 'settings');
+    if (!current.ok) return current;
+    const changes = getSettingsChanges(current.value, levels.value, args.prune === true);
+    const lines = getDifferenceLines(current.value, changes);
+    if (changes.length === 0) return newOk({ json: { changes: [] }, text: 'nothing to change' });
+    if (args['dry-run'] === true) {
+      return newOk({ json: { dryRun: true, changes }, text: lines.join('\n') });
+    }
+    const sent = await sendChange(client, changes);
+    if (!sent.ok) return sent;
+    const done = [...lines, `applied ${changes.length} levels`].join('\n');
+    return newOk({ ...getChangeOutput(sent.value, done), json: { ...sent.value, changes } });
+  },
+};
+
+const showSettings: OperatorCommand = {
+  command: 'show <path>',
+  describe: 'Show what a level overrides, or with --effective what is in force there',
+  positionals: { path },
+  options: {
+    effective: { type: 'boolean', default: false, describe: 'All settings with their origin' },
+    team: { type: 'string', describe: 'With --effective: as seen by this team' },
+    route: { type: 'string', describe: 'With --effective: on this route' },
+    'failure-domain': { type: 'string', describe: 'With --effective: in this failure domain' },
+  },
+  examples: [
+    ['show team/coaches', 'what the level itself sets'],
+    ['show team/coaches --effective', 'every setting and the level that it comes from'],
+  ],
+  run: async (args, client) => {
+    const id = getText(args, 'path');
+    if (args.effective !== true) {
+      const entry = await readEntry(client, 'settings', id);
+      if (!entry.ok) return entry;
+      return newOk({ json: entry.value, text: getIni(id, entry.value.value as Level) });
+    }
+    const query = new URLSearchParams();
+    ['team', 'route', 'failure-domain'].forEach((name) => {
+      if (args[name] !== undefined) query.set(name, getText(args, name));
+    });
+    const [kind = '', name = ''] = id.split('/');
+    if (id !== 'fleet') query.set(kind, name);
+    const answer = await client.get(`/effective?${query}`);
+    if (!answer.ok) return newCommandFailure(answer.error);
+    const { settings } = answer.value as { settings: readonly Origin[] };
+    const rows = settings.map((origin) => [origin.name, origin.text, origin.level]);
+    return newOk({ json: answer.value, text: getTable(['setting', 'value', 'level'], rows) });
+  },
+};
+
+const listSettings: OperatorCommand = {
+  command: 'list',
+  describe: 'List the levels that override something',
+  examples: [['list', 'all levels']],
+  run: async (_, client) => {
+    const entries = await readEntries(client, 'settings');
+    if (!entries.ok) return entries;
+    return newOk(
+      getEntriesOutput(entries.value, ['settings'], ({ value }) => [
+        Object.keys(value as Level).join(', '),
+      ]),
+    );
+  },
+};
+
+const changeSettings: OperatorCommand = {
+  command: 'change <path> <values..>',
+  describe: 'Override settings of a level; NAME= takes an override away',
+  positionals: {
+    path,
+    values: { type: 'string', array: true, describe: 'NAME=VALUE', demandOption: true },
+  },
+  options: {
+    'based-on': { type: 'number', describe: 'Revision of the level that the change builds on' },
+  },
+  examples: [['change team/coaches limits.rate=40 limits.burst=80', 'two overrides together']],
+  run: async (args, client) => {
+    const id = getText(args, 'path');
+    const pairs = (args.values as string[]).map((pair) => pair.split(/=(.*)/s));
+    const wrong = pairs.filter((pair) => pair.length < 2).map(([name]) => `${name}: no "="`);
+    if (wrong.length > 0) return newUsageFailure(...wrong);
+    const entry = await findEntry(client, 'settings', id);
+    if (!entry.ok) return entry;
+    const given = pairs.map(([name = '', text = '']) => [name.trim(), text.trim()] as const);
+    const level = { ...(entry.value?.value as Level | undefined), ...Object.fromEntries(given) };
+    const value = Object.fromEntries(Object.entries(level).filter(([, text]) => text !== ''));
+    const basedOn = Number(args['based-on'] ?? entry.value?.revision ?? 0);
+    return changeEntry(client, { kind: 'settings', id, value, basedOn }, `changed [${id}]`);
+  },
+};
+
+const removeSettings: OperatorCommand = {
+  command: 'remove <path>',
+  describe: 'Remove all overrides of a level',
+  positionals: { path },
+  examples: [['remove team/coaches', 'the team inherits everything again']],
+  run: async (args, client) => {
+    const id = getText(args, 'path');
+    const entry = await readEntry(client, 'settings', id);
+    if (!entry.ok) return entry;
+    const basedOn = entry.value.revision;
+    return changeEntry(client, { kind: 'settings', id, value: null, basedOn }, `removed [${id}]`);
+  },
+};
+
+const showHistory: OperatorCommand = {
+  command: 'history',
+  describe: 'Show accepted changes of teams, keys, routes and settings',
+  options: { after: { type: 'number', default: 0, describe: 'Only after this revision' } },
+  examples: [['history --after 120', 'what has changed since']],
+  run: async (args, client) => {
+    const answer = await client.get(`/history?after=${getText(args, 'after')}`);
+    if (!answer.ok) return newCommandFailure(answer.error);
+    const { changes } = answer.value as { changes: readonly Change[] };
+    const rows = changes.map((change) => [
+      String(change.revision),
+      change.acceptedAt,
+      change.author,
+      change.changes
+        .map(({ kind, id, value }) => `${value === null ? '-' : '+'}${kind}/${id}`)
+        .join(' '),
+    ]);
+    const header = ['revision', 'accepted at', 'author', 'entries'];
+    return newOk({ json: answer.value, text: getTable(header, rows) });
+  },
+};
+
+/** Commands about settings. */
+export const SETTINGS_GROUP: CommandGroup = {
+  name: 'settings',
+  describe: 'The settings tree',
+  commands: [
+    applySettings,
+    showSettings,
+    listSettings,
+    changeSettings,
+    removeSettings,
+    showHistory,
+  ],
+};
--- /dev/null
+++ b/anvilpaddle-app/cli/commands/team.ts
@@ -0,0 +1,131 @@
+import { newOk } from '@anvilpaddle/common';
+import type { Key, Team } from '@anvilpaddle/protocol';
+import {
+  changeEntry,
+  findEntry,
+  getChangeOutput,
+  getEntriesOutput,
+  readEntries,
+  readEntry,
+  sendChange,
+} from '../entries';
+import {
+  getText,
+  getTexts,
+  type Arguments,
+  type CommandGroup,
+  type OperatorCommand,
+} from '../operatorCommand';
+
+const team = { type: 'string', describe: 'Name of the team', demandOption: true } as const;
+const permissions = {
+  models: { type: 'string', describe: 'Models it may use, separated by commas; all when missing' },
+  routes: { type: 'string', describe: 'Routes it may use, separated by commas; all when missing' },
+} as const;
+
+const getTeam = (args: Arguments, old: Team = {}): Team => {
+  const models = getTexts(args, 'models') ?? old.models;
+  const routes = getTexts(args, 'routes') ?? old.routes;
+  return { ...(models && { models }), ...(routes && { routes }) };
+};
+
+const getCells = ({ models, routes }: Team): string[] => [
+  models?.join(',') ?? 'all',
+  routes?.join(',') ?? 'all',
+];
+
+const createTeam: OperatorCommand = {
+  command: 'create <team>',
+  describe: 'Create a team',
+  positionals: { team },
+  options: permissions,
+  examples: [['create coaches --models sleep-chat', 'a team that may use one model']],
+  run: async (args, client) => {
+    const id = getText(args, 'team');
+    const value = getTeam(args);
+    return changeEntry(client, { kind: 'team', id, value, basedOn: 0 }, `created team ${id}`);
+  },
+};
+
+const showTeam: OperatorCommand = {
+  command: 'show <team>',
+  describe: 'Show a team',
+  positionals: { team },
+  examples: [['show coaches --json', 'with the revision that the next change builds on']],
+  run: async (args, client) => {
+    const entry = await readEntry(client, 'team', getText(args, 'team'));
+    if (!entry.ok) return entry;
+    const { text } = getEntriesOutput([entry.value], ['models', 'routes'], ({ value }) =>
+      getCells(value as Team),
+    );
+    return newOk({ json: entry.value, text });
+  },
+};
+
+const listTeams: OperatorCommand = {
+  command: 'list',
+  describe: 'List the teams',
+  examples: [['list', 'all teams']],
+  run: async (_, client) => {
+    const entries = await readEntries(client, 'team');
+    if (!entries.ok) return entries;
+    return newOk(
+      getEntriesOutput(entries.value, ['models', 'routes'], ({ value }) => getCells(value as Team)),
+    );
+  },
+};
+
+const changeTeam: OperatorCommand = {
+  command: 'change <team>',
+  describe: 'Change what a team may use',
+  positionals: { team },
+  options: {
+    ...permissions,
+    'based-on': { type: 'number', describe: 'Revision of the team that the change builds on' },
+  },
+  examples: [['change coaches --routes chat,checkin', 'allow two routes']],
+  run: async (args, client) => {
+    const id = getText(args, 'team');
+    const entry = await readEntry(client, 'team', id);
+    if (!entry.ok) return entry;
+    const value = getTeam(args, entry.value.value as Team);
+    const basedOn = Number(args['based-on'] ?? entry.value.revision);
+    return changeEntry(client, { kind: 'team', id, value, basedOn }, `changed team ${id}`);
+  },
+};
+
+const removeTeam: OperatorCommand = {
+  command: 'remove <team>',
+  describe: 'Remove a team with its keys and settings; its open requests end',
+  positionals: { team },
+  examples: [['remove coaches', 'the team, its keys and its settings, together']],
+  run: async (args, client) => {
+    const id = getText(args, 'team');
+    const entry = await readEntry(client, 'team', id);
+    if (!entry.ok) return entry;
+    const keys = await readEntries(client, 'key');
+    if (!keys.ok) return keys;
+    const level = await findEntry(client, 'settings', `team/${id}`);
+    if (!level.ok) return level;
+    const owned = keys.value.filter(({ value }) => (value as Key).team === id);
+    const levels = level.value === undefined ? [] : [level.value];
+    const sent = await sendChange(
+      client,
+      [entry.value, ...owned, ...levels].map((removed) => ({
+        kind: removed.kind,
+        id: removed.id,
+        value: null,
+        basedOn: removed.revision,
+      })),
+    );
+    if (!sent.ok) return sent;
+    return newOk(getChangeOutput(sent.value, `removed team ${id} and ${owned.length} keys`));
+  },
+};
+
+/** Commands about teams. */
+export const TEAM_GROUP: CommandGroup = {
+  name: 'team',
+  describe: 'Teams',
+  commands: [createTeam, showTeam, listTeams, changeTeam, removeTeam],
+};
--- a/anvilpaddle-app/cli/operatorClient.ts
+++ b/anvilpaddle-app/cli/operatorClient.ts
@@ -6,6 +6,10 @@
   readonly kind: 'refused' | 'unreachable';
   readonly code: string;
   readonly message: string;
+  /** Each fault by itself, when there are several. */
+  readonly details?: readonly string[] | undefined;
+  /** Whether a refused change took effect. */
+  readonly run?: string | undefined;
 }
 
 /** Client of the operators' API. */
@@ -30,14 +34,15 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
-      const json = (await answer.body.json()) as { error?: { code: string; message: string } };
-      if (json.error !== undefined) return newFailure({ kind: 'refused', ...json.error });
-      return newOk(json);
+      const json = (await answer.body.json()) as { error?: Omit<OperatorError, 'kind'> };
+      if (json.error === undefined) return newOk(json);
+      const { code, message, details, run } = json.error;
+      return newFailure({ kind: 'refused', code, message, details, run });
     } catch (fault) {
       return newFailure({
         kind: 'unreachable',
         code: 'unreachable',
-        message: getFaultMessage(fault),
+        message: `${baseUrl}: ${getFaultMessage(fault)}`,
       });
     }
   };
--- /dev/null
+++ b/anvilpaddle-app/cli/settingsFile.ts
@@ -0,0 +1,86 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'ini';
+import { getLevelFaults } from '@anvilpaddle/decisions';
+import { getFaultMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
+import type { ConfigEntry, EntryChange, Level } from '@anvilpaddle/protocol';
+
+/** Levels of a settings tree by name. */
+export type Levels = Readonly<Record<string, Level>>;
+
+/** Sections whose names hold dots come nested from the parser; this joins them again. */
+const flatten = (path: readonly string[], node: Readonly<Record<string, unknown>>): Levels => {
+  const values = Object.entries(node);
+  const settings = values.filter(([, value]) => typeof value !== 'object' || value === null);
+  const level = Object.fromEntries(settings.map(([name, value]) => [name, String(value)]));
+  const nested = values.flatMap(([name, value]) =>
+    typeof value === 'object' && value !== null
+      ? Object.entries(flatten([...path, name], value as Record<string, unknown>))
+      : [],
+  );
+  const isLevel = path.length > 0 && (settings.length > 0 || nested.length === 0);
+  return { ...(isLevel && { [path.join('.')]: level }), ...Object.fromEntries(nested) };
+};
+
+/** Reads a settings file; a failure lists every fault with file, level and setting. */
+export const readSettingsFile = (file: string): Result<Levels, readonly string[]> => {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (fault) {
+    return newFailure([`${file}: cannot be read: ${getFaultMessage(fault)}`]);
+  }
+  const parsed = JSON.parse(JSON.stringify(parse(text))) as Record<string, unknown>;
+  const levels = flatten([], parsed);
+  const faults = [
+    ...Object.entries(parsed).flatMap(([name, value]) =>
+      typeof value === 'object' ? [] : [`${name}: outside of a level`],
+    ),
+    ...Object.entries(levels).flatMap(([level, values]) => getLevelFaults(level, values)),
+  ];
+  return faults.length === 0 ? newOk(levels) : newFailure(faults.map((f) => `${file}: ${f}`));
+};
+
+/** Changes that bring the levels of a file into force; levels that it lacks go only with `prune`. */
+export const getSettingsChanges = (
+  current: readonly ConfigEntry[],
+  wanted: Levels,
+  prune: boolean,
+): EntryChange[] => {
+  const known = new Map(current.map((entry) => [entry.id, entry]));
+  const isSame = (a: Level, b: Level): boolean =>
+    Object.keys(a).length === Object.keys(b).length &&
+    Object.entries(a).every(([name, value]) => b[name] === value);
+  const changed = Object.entries(wanted).flatMap(([id, value]): EntryChange[] => {
+    const entry = known.get(id);
+    if (entry !== undefined && isSame(entry.value as Level, value)) return [];
+    return [{ kind: 'settings', id, value, basedOn: entry?.revision ?? 0 }];
+  });
+  const gone = current.filter(({ id }) => prune && wanted[id] === undefined);
+  return [
+    ...changed,
+    ...gone.map(({ id, revision }): EntryChange => ({
+      kind: 'settings',
+      id,
+      value: null,
+      basedOn: revision,
+    })),
+  ];
+};
+
+/** Lines that tell people what changes; `+` is new, `-` goes. */
+export const getDifferenceLines = (
+  current: readonly ConfigEntry[],
+  changes: readonly EntryChange[],
+): string[] =>
+  changes.flatMap(({ id, value }) => {
+    const old = (current.find((entry) => entry.id === id)?.value ?? {}) as Level;
+    const next = (value ?? {}) as Level;
+    const names = [...new Set([...Object.keys(old), ...Object.keys(next)])].sort();
+    return names.flatMap((name) => {
+      if (old[name] === next[name]) return [];
+      const lines = [];
+      if (old[name] !== undefined) lines.push(`- [${id}] ${name} = ${old[name]}`);
+      if (next[name] !== undefined) lines.push(`+ [${id}] ${name} = ${next[name]}`);
+      return lines;
+    });
+  });
--- /dev/null
+++ b/anvilpaddle-app/cli/table.ts
@@ -0,0 +1,19 @@
+const GAP = '  ';
+
+/** Plain table with aligned columns. */
+export const getTable = (
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string => {
+  const widths = header.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => (row[column] ?? '').length)),
+  );
+  return [header, ...rows]
+    .map((row) =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+        .join(GAP)
+        .trimEnd(),
+    )
+    .join('\n');
+};
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -1,7 +1,15 @@
-import { getOrigins } from '@anvilpaddle/decisions';
+import { getOrigins, type Config } from '@anvilpaddle/decisions';
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
+const getLimits = ({ teams, levels }: Config) =>
+  [...teams.keys()].sort().map((team) => {
+    const origins = getOrigins(levels, { team });
+    const getValue = (name: string): string =>
+      origins.find((origin) => origin.name === name)?.text ?? '';
+    return { team, rate: getValue('limits.rate'), burst: getValue('limits.burst') };
+  });
+
 /** GET /operator/v1/status: what this entry sees of the fleet and has measured. */
 export const readStatus: Action = {
   name: 'operator.status',
@@ -15,6 +23,7 @@
       configAgeMs: Math.round(services.config.ageMs()),
       stage: services.getStopStage(),
       members: services.members.live(),
+      limits: getLimits(exchange.config),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
     }),
--- a/anvilpaddle-app/index.ts
+++ b/anvilpaddle-app/index.ts
@@ -1,34 +1,46 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { GROUPS, SINGLES } from './cli/commands';
+import { addConfigCommand } from './cli/configCommand';
 import { EXIT_CODE } from './cli/exitCode';
+import { addGroup, addSingle } from './cli/operatorCommand';
 import { runEntry, runSidecar, stopOnSignal } from './cli/processCommand';
 import { runDev } from './dev/dev';
 
+const HELP_COLUMNS = 100;
+
 const getArguments = (): string[] => hideBin(process.argv);
 
 const main = async (): Promise<void> => {
-  await yargs(getArguments())
+  const args = yargs(getArguments())
     .scriptName('anvilpaddle')
     .command(
       'entry',
       'Run an entry: the callers’ and operators’ API',
-      (args) => args.option('config', { type: 'string', demandOption: true, describe: 'INI file' }),
+      (builder) =>
+        builder.option('config', { type: 'string', demandOption: true, describe: 'INI file' }),
       ({ config }) => runEntry(config),
     )
     .command(
       'sidecar',
       'Run a sidecar beside one upstream',
-      (args) => args.option('config', { type: 'string', demandOption: true, describe: 'INI file' }),
+      (builder) =>
+        builder.option('config', { type: 'string', demandOption: true, describe: 'INI file' }),
       ({ config }) => runSidecar(config),
     )
     .command(
       'dev',
       'Run everything with stand-ins in one process, for trying it out',
-      (args) => args.option('listen', { type: 'string', default: '127.0.0.1:8080' }),
+      (builder) => builder.option('listen', { type: 'string', default: '127.0.0.1:8080' }),
       async ({ listen }) => stopOnSignal(await runDev(listen)),
-    )
-    .demandCommand(1, 'name a command')
+    );
+  addConfigCommand(args);
+  GROUPS.forEach((group) => addGroup(args, group));
+  SINGLES.forEach((command) => addSingle(args, command));
+  await args
+    .demandCommand(1, 'name a command; see --help')
     .strict()
+    .wrap(HELP_COLUMNS)
     .help()
     .fail((message, fault) => {
       process.stderr.write(`${message ?? fault.message}\n`);
