An upload over the limit is answered

Cause: leaving the loop over the file's stream early destroyed it, busboy then waited for ever for it to take the rest, and the caller never got the 413. The stream is kept and drained.

--- a/anvilpaddle-app/entry/actions/partStore.ts
+++ b/anvilpaddle-app/entry/actions/partStore.ts
@@ -71,7 +71,9 @@
 
   const receive = async (): Promise<Result<void, ApiError>> => {
     try {
-      for await (const chunk of content as AsyncIterable<Buffer>) {
+      // The stream stays open after a failure: its rest has to be read and thrown away.
+      const chunks = content.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+      for await (const chunk of chunks) {
         bytes += chunk.length;
         if (bytes > limitBytes) return newFailure(newTooLarge(limitBytes));
         const added = await add(splitter.push(chunk));
