--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -13,7 +13,9 @@
 import { HEADER, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
+import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
+import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
@@ -78,8 +80,27 @@
   const secret = file.peers.secrets[0] ?? '';
   const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
   const attempts = newAttemptClient(secret, localAddress);
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'entry',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
+  const keyWatch = newKeyWatch(config, clock);
   const metrics = newMetrics(file.metrics.statsd);
   let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
@@ -102,18 +123,29 @@
     clock,
     log,
   );
-  const getEntryCount = (): number => {
-    const others = members
-      .live()
-      .filter(({ role, vm }) => role === 'entry' && vm !== file.process.vm);
-    return others.length + 1;
-  };
-  const limits = newLimitController(config, getEntryCount, clock);
+  const limits = newLimitController({
+    address,
+    lifeId: incarnation,
+    tables: platform.tables,
+    vms: platform.vms,
+    peers,
+    getRate: newTeamRates(config),
+    liveEntries: () =>
+      members
+        .live()
+        .filter((member) => member.role === 'entry' && member.address !== address)
+        .map((member) => member.address),
+    clock,
+    tickMs: file.peers.heartbeat,
+    log,
+  });
   const services: EntryServices = {
     vm: file.process.vm,
+    incarnation,
     failureDomain: file.process.failure_domain,
-    operatorKeyHash: file.operators.key_hash,
+    operatorKeyHashes: file.operators.key_hash,
     config,
+    keyWatch,
     members,
     limits,
     jobs: newJobController(platform.tables, platform.objects, clock),
@@ -159,14 +191,19 @@
     }
   };
 
-  await config.refresh();
   const peerServer = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
-    { 'member.heartbeat': ({ member }) => ({ member: members.hear(member) }) },
+    {
+      ...config.handlers,
+      'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+      ...limits.handlers,
+    },
     {},
     log,
   );
+  await config.refresh();
+  limits.start();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
       log.error({ err: fault }, 'request failed outside of the filters');
@@ -188,6 +225,7 @@
       server.closeIdleConnections();
       await members.close();
       await limits.close();
+      keyWatch.close();
       await config.close();
       await peerServer.close();
       metrics.close();
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,4 @@
-import { FirstComeScheduler, getEffectiveSettings } from '@anvilpaddle/decisions';
+import { newAttemptLedger, YieldingScheduler } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
@@ -9,14 +9,14 @@
 import { getMemberTiming } from '../process/memberTiming';
 import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
-import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
 import { newBatchWorker, type BatchWorker } from './batchWorker';
+import { newTeamSettings } from './teamSettings';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
 const MODELS_INTERVAL_MS = 1000;
-const ATTEMPT_RETENTION_MS = 10 * MS_PER_MINUTE;
+const LEDGER_BOUNDS = { retentionMs: MS_PER_MINUTE, maxNotes: 50_000, maxSenders: 10_000 } as const;
 
 /** Starts a sidecar; rejects when its port is taken, so that two never share an upstream. */
 export const newSidecar = async (
@@ -33,18 +33,39 @@
     clock,
     localAddress,
   );
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
-  const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'sidecar',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
+  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
+  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
+  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
+  const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const task = newUpstreamTask(scheduler, clock, log);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
   let isLeaving = false;
   let isRefusing = false;
 
-  const getWeight = (team: string): number =>
-    getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
+  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const getSelf = (): Member => ({
     vm: file.process.vm,
     address,
@@ -62,7 +83,7 @@
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
-    attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
+    ledger: newAttemptLedger(LEDGER_BOUNDS),
   });
   const members = newMemberController(
     platform.vms,
@@ -79,6 +100,7 @@
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
       'job.ended': ({ job }) => {
--- a/packages/protocol/errors.ts
+++ b/packages/protocol/errors.ts
@@ -8,12 +8,15 @@
   not_found: 404,
   method_not_allowed: 405,
   conflict: 409,
+  caller_gone: 499,
   too_large: 413,
   rate_limited: 429,
   overloaded: 503,
   stopping: 503,
   no_upstream: 503,
   platform_unavailable: 503,
+  /** The entry cannot tell whether keys are still valid. */
+  keys_unconfirmed: 503,
   upstream_failed: 502,
   deadline_exceeded: 504,
   internal: 500,
@@ -28,6 +31,8 @@
   readonly run: RunState;
   /** Name of the field that is wrong, when there is one. */
   readonly param?: string | undefined;
+  /** Each fault by itself, when there may be several. */
+  readonly details?: readonly string[] | undefined;
   /** When coming back helps, in milliseconds. */
   readonly retryAfterMs?: number | undefined;
 }
@@ -47,6 +52,7 @@
     code: error.code,
     param: error.param ?? null,
     run: error.run,
+    ...(error.details === undefined ? {} : { details: error.details }),
     ...(error.retryAfterMs === undefined ? {} : { retry_after_ms: Math.ceil(error.retryAfterMs) }),
   },
 });
