Expected waits by filling slots as they come free; corrections and headroom ruled out

Waits are worked out by letting the work ahead take each slot when it comes free. Answers that nobody has a record of are no longer refused for other teams' durations.

--- a/packages/decisions/scheduling/fairQueue.ts
+++ b/packages/decisions/scheduling/fairQueue.ts
@@ -11,8 +11,6 @@
   readonly work: Work;
   readonly estimate: Estimate;
   readonly arrivedMs: number;
-  /** Wait that was worked out at the arrival, before the team's correction. */
-  readonly rawWaitMs: number;
 }
 
 /** How a team stands in one queue. */
@@ -64,10 +62,11 @@
   const backlogged = new Map<string, Team>();
   const teamOfEntry = new Map<string, string>();
   let virtualNow = 0;
+  let weightSum = 0;
 
   const newTeam = (): Team => ({
     line: newTeamLine(),
-    weight: 1,
+    weight: 0,
     virtual: virtualNow,
     running: 0,
     seenMs: 0,
@@ -103,7 +102,9 @@
       teams.set(work.team, team);
       // Time without work earns no credit.
       if (team.line.size() === 0) team.virtual = Math.max(team.virtual, virtualNow);
-      team.weight = Math.max(MIN_WEIGHT, work.weight);
+      const weight = Math.max(MIN_WEIGHT, work.weight);
+      weightSum += weight - team.weight;
+      team.weight = weight;
       team.seenMs = arrivedMs;
       team.line.add(entry, place);
       backlogged.set(work.team, team);
@@ -154,9 +155,8 @@
     getStanding: (name) => {
       const team = teams.get(name);
       if (team === undefined) return { waiting: 0, running: 0, share: 1 / (teams.size + 1) };
-      let sum = 0;
-      for (const { weight } of teams.values()) sum += weight;
-      return { waiting: team.line.size(), running: team.running, share: team.weight / sum };
+      const { line, running, weight } = team;
+      return { waiting: line.size(), running, share: weight / weightSum };
     },
     waiting: () => teamOfEntry.size,
     teams: () => teams.size,
@@ -164,7 +164,9 @@
       for (const [name, team] of teams) {
         const keepMs = team.virtual <= virtualNow ? RETENTION_MS : DEBT_RETENTION_MS;
         const isIdle = team.line.size() === 0 && team.running === 0;
-        if (isIdle && nowMs - team.seenMs >= keepMs) teams.delete(name);
+        if (!isIdle || nowMs - team.seenMs < keepMs) continue;
+        weightSum -= team.weight;
+        teams.delete(name);
       }
     },
   };
--- a/packages/decisions/scheduling/serviceEstimates.ts
+++ b/packages/decisions/scheduling/serviceEstimates.ts
@@ -75,12 +75,14 @@
 
   return {
     get: (work) => {
-      const { tokens, durationMs, deviationMs } = means.get(getKey(work)) ?? overall;
+      const own = means.get(getKey(work));
+      const { tokens, durationMs, deviationMs } = own ?? overall;
       // The allowance only ever lowers the estimate: asking for much must not cost others anything.
       return {
         tokens: Math.max(1, Math.min(tokens, work.maxTokens ?? tokens)),
         durationMs,
-        longMs: durationMs + LONG_DEVIATIONS * deviationMs,
+        // Nobody is refused for what other teams' requests take.
+        longMs: own === undefined ? 0 : durationMs + LONG_DEVIATIONS * deviationMs,
       };
     },
     learn: (work, usedTokens, durationMs) => {
--- a/packages/decisions/scheduling/yieldingScheduler.ts
+++ b/packages/decisions/scheduling/yieldingScheduler.ts
@@ -1,14 +1,16 @@
 import { SERVICE_CLASS } from '@anvilpaddle/common';
 import type { Load } from '@anvilpaddle/protocol';
+import { getExpectedWaitMs } from './expectedWait';
 import { newFairQueue, type Entry, type FairQueue } from './fairQueue';
 import type { Effect, Scheduler, Work } from './scheduler';
 import { newServiceEstimates } from './serviceEstimates';
-import { newWaitCorrection } from './waitCorrection';
 
 const REFILL_HOLD_MS = 20;
 const PREEMPT_PATIENCE_MS = 100;
 const MIN_RETRY_AFTER_MS = 50;
 const LONGEST_WAIT_FACTOR = 2;
+/** Part of its expected duration that running work is thought to have left at least. */
+const LEAST_LEFT = 0.1;
 const KEPT_PREEMPTED = 10_000;
 
 /** What bounds the work at one upstream. */
@@ -46,13 +48,11 @@
 
   private readonly running = new Map<string, Running>();
 
-  /** How often each item was preempted that has not finished since; the oldest are dropped. */
-  private readonly preemptions = new Map<string, number>();
+  /** Items that were preempted and have not finished since; the oldest are dropped. */
+  private readonly preempted = new Set<string>();
 
   private readonly estimates = newServiceEstimates();
 
-  private readonly correction = newWaitCorrection();
-
   private onlineRunning = 0;
 
   private refillFromMs = -Infinity;
@@ -63,11 +63,10 @@
     if (this.isKnown(work.id)) return [];
     const estimate = this.estimates.get(work);
     const isOnline = work.serviceClass === SERVICE_CLASS.online;
-    const rawWaitMs = isOnline ? this.getRawWaitMs(work.team) : 0;
-    const entry: Entry = { work, estimate, arrivedMs: nowMs, rawWaitMs };
+    const entry: Entry = { work, estimate, arrivedMs: nowMs };
     const refusal = isOnline ? this.getRefusal(entry, nowMs) : undefined;
     if (refusal !== undefined) return [refusal];
-    const place = this.preemptions.has(work.id) ? 'front' : 'back';
+    const place = this.preempted.has(work.id) ? 'front' : 'back';
     this.queues[work.serviceClass].add(entry, place);
     return this.fill(nowMs);
   }
@@ -83,7 +82,7 @@
 
   withdraw(id: string): boolean {
     const taken = this.queues.online.remove(id) ?? this.queues.batch.remove(id);
-    this.preemptions.delete(id);
+    this.preempted.delete(id);
     return taken !== undefined;
   }
 
@@ -126,22 +125,25 @@
     return Math.min(slots - reserve - this.running.size, batchSlots - batchRunning);
   }
 
-  private getRawWaitMs(team: string): number {
+  private getWaitMs(team: string, nowMs: number): number {
     const { slots } = this.bounds;
     const { online } = this.queues;
     if (online.waiting() === 0 && this.onlineRunning < slots) return 0;
-    let runningMs = 0;
-    this.running.forEach(({ entry }) => {
-      if (!isBatch(entry)) runningMs += entry.estimate.durationMs;
+    const freeAtMs: number[] = [];
+    this.running.forEach(({ entry, startedMs }) => {
+      const { durationMs } = entry.estimate;
+      const leftMs = Math.max(durationMs * LEAST_LEFT, durationMs - (nowMs - startedMs));
+      if (!isBatch(entry)) freeAtMs.push(leftMs);
     });
-    const turnoverMs = runningMs / Math.max(1, this.onlineRunning);
-    return (online.getWorkAheadMs(team) + turnoverMs) / slots;
+    // Batch work yields, so that its slots count as free.
+    while (freeAtMs.length < slots) freeAtMs.push(0);
+    return getExpectedWaitMs(freeAtMs, online.getWorkAheadMs(team));
   }
 
   private getRefusal(entry: Entry, nowMs: number): Effect | undefined {
     const { id, team, deadlineMs } = entry.work;
     const timeLeftMs = deadlineMs - nowMs;
-    const waitMs = this.correction.apply(team, entry.rawWaitMs);
+    const waitMs = this.getWaitMs(team, nowMs);
     const overdueMs = waitMs + entry.estimate.longMs - timeLeftMs;
     if (entry.estimate.longMs >= timeLeftMs) this.estimates.decay(entry.work);
     // An upstream with a free slot loses nothing by trying.
@@ -170,12 +172,10 @@
     return nowMs + estimate.durationMs >= work.deadlineMs || nowMs - arrivedMs >= longestMs;
   }
 
-  private refuseLate({ work, arrivedMs, estimate, rawWaitMs }: Entry, nowMs: number): Effect {
+  private refuseLate({ work, estimate }: Entry, nowMs: number): Effect {
     const isDeadline = nowMs + estimate.durationMs >= work.deadlineMs;
-    this.preemptions.delete(work.id);
-    // The wait was longer than expected; the next arrivals of the team must expect that.
-    this.correction.learn(work.team, rawWaitMs, nowMs - arrivedMs);
-    const waitMs = this.correction.apply(work.team, this.getRawWaitMs(work.team));
+    this.preempted.delete(work.id);
+    const waitMs = this.getWaitMs(work.team, nowMs);
     return {
       kind: 'refuse',
       id: work.id,
@@ -195,18 +195,16 @@
       this.rememberPreemption(work.id);
       return;
     }
-    this.preemptions.delete(work.id);
+    this.preempted.delete(work.id);
     queue.settle(entry, usedTokens || this.estimates.getTokensOf(durationMs), nowMs);
     this.estimates.learn(work, usedTokens, durationMs);
   }
 
   private rememberPreemption(id: string): void {
-    const count = (this.preemptions.get(id) ?? 0) + 1;
-    this.preemptions.delete(id);
-    this.preemptions.set(id, count);
-    if (this.preemptions.size <= KEPT_PREEMPTED) return;
-    const [oldest] = this.preemptions.keys();
-    if (oldest !== undefined) this.preemptions.delete(oldest);
+    this.preempted.add(id);
+    if (this.preempted.size <= KEPT_PREEMPTED) return;
+    const [oldest] = this.preempted;
+    if (oldest !== undefined) this.preempted.delete(oldest);
   }
 
   private fill(nowMs: number): Effect[] {
@@ -218,11 +216,7 @@
     while (this.running.size < this.bounds.slots) {
       const entry = this.queues.online.take(nowMs);
       if (entry === undefined) break;
-      const effect = this.start(entry, nowMs);
-      if (effect.kind === 'start') {
-        this.correction.learn(entry.work.team, entry.rawWaitMs, nowMs - entry.arrivedMs);
-      }
-      effects.push(effect);
+      effects.push(this.start(entry, nowMs));
     }
     return effects;
   }
@@ -254,6 +248,7 @@
     const { slots, reserve } = this.bounds;
     const wanted = this.queues.online.waiting() + reserve;
     if (this.running.size === this.onlineRunning || this.running.size + wanted <= slots) return [];
+    // The youngest first: it loses the least work.
     const items = [...this.running].filter(([, { entry }]) => isBatch(entry)).reverse();
     const isLeaving = ({ preemptedMs }: Running): boolean =>
       preemptedMs !== undefined && nowMs - preemptedMs < PREEMPT_PATIENCE_MS;
@@ -263,7 +258,6 @@
     if (missing <= 0) return [];
     const victims = items
       .filter(([, { preemptedMs }]) => preemptedMs === undefined)
-      .sort(([idA, a], [idB, b]) => this.compareVictims(idA, a, idB, b))
       .slice(0, missing);
     if (victims.length > 0) this.refillFromMs = nowMs + this.getRefillHoldMs();
     return victims.map(([id, item]) => {
@@ -275,10 +269,4 @@
   private getRefillHoldMs(): number {
     return this.bounds.refillHoldMs ?? REFILL_HOLD_MS;
   }
-
-  /** The youngest first: it loses the least work; then the least often preempted. */
-  private compareVictims(idA: string, a: Running, idB: string, b: Running): number {
-    const count = (id: string): number => this.preemptions.get(id) ?? 0;
-    return b.startedMs - a.startedMs || count(idA) - count(idB);
-  }
 }
