--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,22 +1,22 @@
-import { YieldingScheduler } from '@anvilpaddle/decisions';
+import { newAttemptLedger, YieldingScheduler } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
-import { newPlatform } from '@anvilpaddle/platform';
+import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
-import { waitUntil, type Program } from '../process/program';
+import { getMemberTiming } from '../process/memberTiming';
+import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
-import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
-import { newBatchWorker } from './batchWorker';
+import { newBatchWorker, type BatchWorker } from './batchWorker';
 import { newTeamSettings } from './teamSettings';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
 const MODELS_INTERVAL_MS = 1000;
-const ATTEMPT_RETENTION_MS = 10 * MS_PER_MINUTE;
+const LEDGER_BOUNDS = { retentionMs: MS_PER_MINUTE, maxNotes: 50_000, maxSenders: 10_000 } as const;
 
 /** Starts a sidecar; rejects when its port is taken, so that two never share an upstream. */
 export const newSidecar = async (
@@ -33,18 +33,37 @@
     clock,
     localAddress,
   );
-  const config = newConfigController(platform.tables, clock, file.platform.refresh, log);
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
+  const address = getAddressText(file.peers.advertise ?? file.peers.listen);
+  const config = newConfigController({
+    self: {
+      vm: file.process.vm,
+      failureDomain: file.process.failure_domain,
+      role: 'sidecar',
+      address,
+    },
+    peers,
+    seeds: file.peers.seeds,
+    tables: platform.tables,
+    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
+    getVms: () => members.listed(),
+    getLive: () => members.live(),
+    /* eslint-enable @typescript-eslint/no-use-before-define */
+    intervalMs: file.platform.refresh,
+    clock,
+    random: Math.random,
+    log,
+  });
   const getSettings = newTeamSettings(config.current, file.process.failure_domain);
   const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
   const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
   const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
   const task = newUpstreamTask(scheduler, clock, log);
-  const address = getAddressText(file.peers.advertise ?? file.peers.listen);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
-  let isStopping = false;
+  let isLeaving = false;
+  let isRefusing = false;
 
   const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const getSelf = (): Member => ({
@@ -53,41 +72,55 @@
     role: 'sidecar',
     failureDomain: file.process.failure_domain,
     incarnation,
-    leaving: isStopping,
+    leaving: isLeaving,
     group: file.upstream.group,
     models: [...models],
     load: task.load(),
     revision: config.current().revision,
   });
 
-  const shared = { task, client, clock, log, getWeight, isStopping: () => isStopping };
+  const shared = { task, client, clock, log, getWeight, isStopping: () => isRefusing };
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
-    attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
+    ledger: newAttemptLedger(LEDGER_BOUNDS),
   });
   const members = newMemberController(
     platform.vms,
     peers,
     getSelf,
-    { heartbeatMs: file.peers.heartbeat, silenceMs: file.peers.silence },
+    getMemberTiming(file),
     clock,
     log,
   );
+  const isOfGroup = ({ role, group }: Vm): boolean =>
+    role === 'sidecar' && (group === undefined || group === file.upstream.group);
+  let worker: BatchWorker | undefined;
   const server = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
     {
+      ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
+      'job.ended': ({ job }) => {
+        worker?.hearJobEnded(job);
+        return {};
+      },
     },
     { [PEER_PATH.attempts]: attemptServer.serve },
     log,
   );
-  const worker = newBatchWorker({
+  worker = newBatchWorker({
     ...shared,
+    isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
+    slots: file.upstream.slots,
+    random: Math.random,
+    getConfig: config.current,
+    getModels: () => models,
+    getSidecarCount: () => Math.max(1, members.listed().filter(isOfGroup).length),
     tables: platform.tables,
     objects: platform.objects,
   });
@@ -101,11 +134,13 @@
 
   return {
     stop: async () => {
-      isStopping = true;
-      await members.announce();
+      isLeaving = true;
+      // An entry that has not heard yet is served, since its request may be on the way.
+      await Promise.all([members.announce(), waitMs(clock, file.process.stop_grace)]);
+      isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
-      await worker.close();
+      await worker?.close();
       await members.close();
       await config.close();
       await task.close();
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -15,7 +15,7 @@
 import { waitFor } from './waitFor';
 
 export const FLEET_SECRET = 'secret-of-the-test-fleet';
-const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
+export const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
 
 /** One VM with its process; the process can be ended and started again. */
 export interface Node {
@@ -110,8 +110,8 @@
       : {};
   const ini = mergeIni(
     {
-      process: { vm, failure_domain: `fd-${index % 3}` },
-      platform: { url: platformUrl, timeout: '1s', refresh: '100ms' },
+      process: { vm, failure_domain: `fd-${index % 3}`, stop_grace: '1s' },
+      platform: { url: platformUrl, timeout: '1s', refresh: '100ms', list_refresh: '100ms' },
       peers: {
         listen: `${host}:${peer.port}`,
         secrets: FLEET_SECRET,
