--- a/anvilpaddle-app/processSettings/loadSettings.ts
+++ b/anvilpaddle-app/processSettings/loadSettings.ts
@@ -11,6 +11,12 @@
 
 const newFault = (faults: readonly string[]): SettingsFault => ({ kind: 'settings', faults });
 
+/** Sections with every value as text: the parser turns `true` and the like into other types. */
+const getSections = (text: string): unknown =>
+  JSON.parse(JSON.stringify(parse(text)), (_, value: unknown) =>
+    typeof value === 'object' && value !== null ? value : String(value),
+  );
+
 const getIssueLines = (file: string, issue: z.core.$ZodIssue): string[] => {
   const [section, name] = issue.path.map(String);
   const place = `${file}: [${section ?? ''}]${name === undefined ? '' : ` ${name}`}`;
@@ -38,7 +44,7 @@
   } catch (fault) {
     return newFailure(newFault([`${file}: cannot be read: ${getFaultMessage(fault)}`]));
   }
-  const parsed = schema.safeParse(JSON.parse(JSON.stringify(parse(text))));
+  const parsed = schema.safeParse(getSections(text));
   if (parsed.success) return newOk(parsed.data);
   return newFailure(newFault(parsed.error.issues.flatMap((issue) => getIssueLines(file, issue))));
 };
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -3,14 +3,17 @@
   countSchema,
   durationSchema,
   getAddress,
+  getAddressText,
   listSchema,
   LOG_LEVELS,
   type Address,
 } from '@anvilpaddle/common';
 
+const MAX_PORT = 65_535;
+
 const addressSchema = z.string().transform((text, context): Address => {
   const address = getAddress(text);
-  if (address !== undefined) return address;
+  if (address !== undefined && address.port <= MAX_PORT) return address;
   context.addIssue({ code: 'custom', message: `expected HOST:PORT, got "${text}"` });
   return z.NEVER;
 });
@@ -45,37 +48,47 @@
     /** Time between two reads of the VM list. */
     list_refresh: durationSchema.default(1000),
   }),
-  peers: z.strictObject({
-    /** Address for messages between processes. */
-    listen: addressSchema,
-    /** Address told to other processes, when it differs from `listen`. */
-    advertise: addressSchema.optional(),
-    /** Fleet secrets; the first is sent, each is accepted. */
-    secrets: secretsSchema,
-    /** Addresses of other processes to ask when the platform's list cannot be read. */
-    seeds: listSchema
-      .refine((list) => list.every(isAddressText), 'expected HOST:PORT, separated by commas')
-      .default([]),
-    heartbeat: durationSchema.default(500),
-    /** Silence after which a member is given no more work. */
-    silence: durationSchema.default(2000),
-  }),
+  peers: z
+    .strictObject({
+      /** Address for messages between processes. */
+      listen: addressSchema,
+      /** Address told to other processes, when it differs from `listen`. */
+      advertise: addressSchema.optional(),
+      /** Fleet secrets; the first is sent, each is accepted. */
+      secrets: secretsSchema,
+      /** Addresses of other processes to ask when the platform's list cannot be read. */
+      seeds: listSchema
+        .refine((list) => list.every(isAddressText), 'expected HOST:PORT, separated by commas')
+        .default([]),
+      heartbeat: durationSchema.default(500),
+      /** Silence after which a member is given no more work. */
+      silence: durationSchema.default(2000),
+    })
+    .refine(({ heartbeat, silence }) => silence > heartbeat, {
+      path: ['silence'],
+      message: 'expected longer than heartbeat',
+    }),
   metrics: z.strictObject({ statsd: addressSchema.optional() }).default({}),
 };
 
 /** Settings of an entry process. */
-export const entryFileSchema = z.strictObject({
-  ...commonSections,
-  callers: z.strictObject({ listen: addressSchema }),
-  operators: z.strictObject({
-    /** SHA-256 of the operators' key in hex; two during a rotation. */
-    key_hash: listSchema.refine(
-      (hashes) =>
-        hashes.length >= 1 && hashes.length <= 2 && hashes.every((hash) => KEY_HASH.test(hash)),
-      'expected one hash, or two during a rotation, of 64 hexadecimal digits each',
-    ),
-  }),
-});
+export const entryFileSchema = z
+  .strictObject({
+    ...commonSections,
+    callers: z.strictObject({ listen: addressSchema }),
+    operators: z.strictObject({
+      /** SHA-256 of the operators' key in hex; two during a rotation. */
+      key_hash: listSchema.refine(
+        (hashes) =>
+          hashes.length >= 1 && hashes.length <= 2 && hashes.every((hash) => KEY_HASH.test(hash)),
+        'expected one hash, or two during a rotation, of 64 hexadecimal digits each',
+      ),
+    }),
+  })
+  .refine(({ callers, peers }) => getAddressText(callers.listen) !== getAddressText(peers.listen), {
+    path: ['callers', 'listen'],
+    message: 'expected another address than [peers] listen',
+  });
 export type EntryFile = z.output<typeof entryFileSchema>;
 
 export const UPSTREAM_KIND = { engine: 'engine', plain: 'plain' } as const;
@@ -83,15 +96,20 @@
 /** Settings of a sidecar process. */
 export const sidecarFileSchema = z.strictObject({
   ...commonSections,
-  upstream: z.strictObject({
-    url: z.url(),
-    kind: z.enum(UPSTREAM_KIND),
-    /** Group that routes name. */
-    group: nameSchema,
-    /** Requests that the upstream works on together. */
-    slots: countSchema.pipe(z.number().positive()),
-    /** Slots that batch work leaves free. */
-    reserve: countSchema.default(0),
-  }),
+  upstream: z
+    .strictObject({
+      url: z.url(),
+      kind: z.enum(UPSTREAM_KIND),
+      /** Group that routes name. */
+      group: nameSchema,
+      /** Requests that the upstream works on together. */
+      slots: countSchema.pipe(z.number().positive()),
+      /** Slots that batch work leaves free. */
+      reserve: countSchema.default(0),
+    })
+    .refine(({ slots, reserve }) => reserve < slots, {
+      path: ['reserve'],
+      message: 'expected fewer than slots',
+    }),
 });
 export type SidecarFile = z.output<typeof sidecarFileSchema>;
--- /dev/null
+++ b/anvilpaddle-app/tests/cli.test.ts
@@ -0,0 +1,169 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { GROUPS, SINGLES } from '../cli/commands';
+import { runCli, type CliResult } from './kit/cli';
+import { newFleet, OPERATOR_KEY, type Fleet } from './kit/fleet';
+
+const HELPS_TOGETHER = 6;
+
+/** Output without what differs from run to run. */
+const getShown = ({ code, out, err }: CliResult): string =>
+  `exit ${code}\n${out}${err}`
+    .replaceAll(/(key|op)_[0-9a-f]{24}/g, '$1_ID')
+    .replaceAll(/ap-[\w-]{32}/g, 'ap-SECRET')
+    .replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/g, 'TIME');
+
+describe('the operators’ command line', () => {
+  let fleet: Fleet;
+  let folder: string;
+
+  beforeAll(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'anvilpaddle-cli-'));
+    fleet = await newFleet({ entries: 2, engines: 1, plains: 0 });
+  });
+
+  afterAll(async () => {
+    await fleet.close();
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  const run = (line: string, entry = 0): Promise<CliResult> =>
+    runCli(line.split(' '), fleet.entries[entry]?.url, OPERATOR_KEY, folder);
+  const show = async (line: string): Promise<string> => getShown(await run(line));
+
+  it('helps with every command', async () => {
+    const lines = [
+      '--help',
+      ...GROUPS.map(({ name }) => `${name} --help`),
+      ...GROUPS.flatMap(({ name, commands }) =>
+        commands.map(({ command }) => `${name} ${command.split(' ')[0]} --help`),
+      ),
+      ...SINGLES.map(({ command }) => `${command} --help`),
+      'config check --help',
+    ];
+    const helps: string[] = [];
+    for (let start = 0; start < lines.length; start += HELPS_TOGETHER) {
+      const part = lines.slice(start, start + HELPS_TOGETHER);
+      helps.push(
+        ...(await Promise.all(part.map(async (line) => `$ ${line}\n${await show(line)}`))),
+      );
+    }
+
+    expect(helps.join('\n')).toMatchSnapshot();
+  });
+
+  it('creates, shows, lists, changes and removes a team', async () => {
+    const lines = [
+      'team create coaches --models small-chat',
+      'team create coaches',
+      'team show coaches',
+      'team change coaches --routes chat,checkin',
+      'team change coaches --based-on 1 --models any',
+      'team change coaches --routes nowhere',
+      'team list',
+      'team show nobody',
+    ];
+    const shown: string[] = [];
+    for (const line of lines) shown.push(`$ ${line}\n${await show(line)}`);
+    expect(shown.join('\n')).toMatchSnapshot();
+  });
+
+  it('shows a key once, and it works until it is removed', async () => {
+    const created = await run('key create coaches --label phone --json');
+    const { id, key } = JSON.parse(created.out) as { id: string; key: string };
+    const call = async (): Promise<number> =>
+      (
+        await fetch(`${fleet.entries[0]?.url}/v1/models`, {
+          headers: { 'x-a': 'b', authorization: `Bearer ${key}` },
+        })
+      ).status;
+    const before = await call();
+    const listed = await run('key list --team coaches --json');
+    const shown = await show(`key show ${id}`);
+    const changed = await show(`key change ${id} --label watch`);
+    const removed = await show(`key remove ${id}`);
+
+    expect(before).toBe(200);
+    expect(await call()).toBe(401);
+    expect(listed.out).not.toContain(key);
+    expect(listed.out).not.toContain('hash');
+    expect([shown, changed, removed].join('\n')).toMatchSnapshot();
+    expect(
+      JSON.stringify(fleet.platform.tables.scan('config_changes', { prefix: '', limit: 500 })),
+    ).not.toContain(key);
+  });
+
+  it('applies settings as one change and shows where each comes from', async () => {
+    writeFileSync(
+      join(folder, 'good.ini'),
+      '[fleet]\nlimits.rate = 50\n[team/coaches]\nlimits.rate = 20\nkeys.max_age = 2s\n',
+    );
+    writeFileSync(
+      join(folder, 'bad.ini'),
+      'stray = 1\n[fleet]\nlimits.rat = 50\nrequest.timeout = 5\n[teams/coaches]\nlimits.rate = x\n',
+    );
+    writeFileSync(
+      join(folder, 'unfit.ini'),
+      '[team/nobody]\nlimits.rate = 5\n[route/a.b]\nlimits.burst = 2\n',
+    );
+    const lines = [
+      'settings apply bad.ini',
+      'settings apply unfit.ini',
+      'settings apply good.ini --dry-run',
+      'settings apply good.ini',
+      'settings apply good.ini',
+      'settings show team/coaches',
+      'settings show team/coaches --effective',
+      'settings change team/coaches limits.burst=9 keys.max_age=',
+      'settings change team/coaches limits.burst',
+      'settings list',
+      'settings remove team/coaches',
+      'settings apply good.ini --prune',
+      'settings history --after 1',
+    ];
+    const shown: string[] = [];
+    for (const line of lines) shown.push(`$ ${line}\n${await show(line)}`);
+    expect(shown.join('\n')).toMatchSnapshot();
+  });
+
+  it('shows the status and the jobs', async () => {
+    const status = JSON.parse((await run('status --json')).out) as Record<string, unknown>;
+
+    expect(Object.keys(status).sort()).toMatchSnapshot();
+    expect((await run('status')).out).toContain('llm-1');
+    expect(await show('job list --team coaches')).toMatchSnapshot();
+    expect(await show('job show batch_none')).toMatchSnapshot();
+    expect(await show('job cancel batch_none')).toMatchSnapshot();
+    expect(await show('operation show op_none_such')).toMatchSnapshot();
+  });
+
+  it('ends with a code for each kind of failure', async () => {
+    const url = fleet.entries[0]?.url;
+    const wrongKey = await runCli(['team', 'list'], url, 'wrong');
+    const noEntry = await runCli(
+      ['team', 'list'],
+      `http://${fleet.entries[0]?.host}:1`,
+      OPERATOR_KEY,
+    );
+    const noUrl = await runCli(['team', 'list']);
+    const unknown = await runCli(['team', 'list', '--nonsense'], url, OPERATOR_KEY);
+    fleet.platform.faults.add({ path: '/tables/', kind: 'refuse' });
+    const storeDown = await run('team create late');
+    fleet.platform.faults.clear();
+
+    expect([wrongKey, noEntry, noUrl, unknown, storeDown].map(({ code }) => code)).toEqual([
+      1, 4, 2, 2, 4,
+    ]);
+    expect(wrongKey.err).not.toContain('wrong');
+  });
+
+  it('resends a change whose answer was lost, and it takes effect once', async () => {
+    fleet.platform.faults.add({ path: '/tables/transact', kind: 'drop_after', times: 1 });
+    const created = await run('team create lost');
+    fleet.platform.faults.clear();
+
+    expect(created.code).toBe(0);
+    expect((await run('team remove lost')).code).toBe(0);
+  });
+});
