--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -96,20 +96,6 @@
 /** Settings of a sidecar process. */
 export const sidecarFileSchema = z.strictObject({
   ...commonSections,
-<<<<<<< HEAD
-  upstream: z.strictObject({
-    url: z.url(),
-    kind: z.enum(UPSTREAM_KIND),
-    /** Group that routes name. */
-    group: nameSchema,
-    /** Requests that the upstream works on together. */
-    slots: countSchema.pipe(z.number().positive()),
-    /** Slots that batch work leaves free. */
-    reserve: countSchema.default(0),
-    /** Batch items at the upstream together; all of `slots` when missing. */
-    batch_slots: countSchema.optional(),
-  }),
-=======
   upstream: z
     .strictObject({
       url: z.url(),
@@ -120,11 +106,12 @@
       slots: countSchema.pipe(z.number().positive()),
       /** Slots that batch work leaves free. */
       reserve: countSchema.default(0),
+      /** Batch items at the upstream together; all of `slots` when missing. */
+      batch_slots: countSchema.optional(),
     })
     .refine(({ slots, reserve }) => reserve < slots, {
       path: ['reserve'],
       message: 'expected fewer than slots',
     }),
->>>>>>> config
 });
 export type SidecarFile = z.output<typeof sidecarFileSchema>;
