Test fleets wait for the holders of tokens, and put links in front of processes

The status showed why: an outage that began while two entries were still joining left one holder, which the test then killed; and a VM list that names other addresses than the processes advertise makes their entries gone. Both are true of the design (docs/design/limits.md states what an outage does to a fleet that is still starting); the tests meant neither. The kit now waits until every entry holds tokens, and links are advertised. No assertion was changed.

--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -1,12 +1,14 @@
-import { getSecretHash, newId, newSecret, type Address } from '@anvilpaddle/common';
+import { getAddressText, getSecretHash, newId, newSecret, type Address } from '@anvilpaddle/common';
 import type { Vm } from '@anvilpaddle/platform';
 import type { EntryChange, Level, Route, Team } from '@anvilpaddle/protocol';
 import {
   newEngineStandIn,
+  newLink,
   newPlainStandIn,
   newPlatformStandIn,
   type EngineShape,
   type EngineStandIn,
+  type Link,
   type PlainStandIn,
   type PlatformStandIn,
 } from '@anvilpaddle/standins';
@@ -23,6 +25,8 @@
   readonly host: string;
   /** Address for messages between processes. */
   readonly peer: Address;
+  /** Cuts and slows messages to this process, when the fleet has links. */
+  readonly link: Link | undefined;
   /** Base URL for callers; empty for a sidecar. */
   readonly url: string;
   child: Child;
@@ -39,6 +43,8 @@
   /** Settings added to every process's file. */
   readonly ini?: Ini;
   readonly levels?: Readonly<Record<string, Level>>;
+  /** Puts a link in front of each process's address for messages between processes. */
+  readonly links?: boolean;
 }
 
 /** A running fleet: real processes for entries and sidecars, stand-ins in the test's process. */
@@ -67,6 +73,7 @@
 };
 
 const PEER_PORT = 9000;
+const LINK_PORT = 9001;
 const CALLER_PORT = 8000;
 const FIRST_HOST = 10;
 const HOSTS = 240;
@@ -96,9 +103,11 @@
   index: number,
   platformUrl: string,
   extra: Ini,
+  hasLink: boolean,
 ): Promise<Node> => {
   const host = getNextHost();
-  const peer = { host, port: PEER_PORT };
+  const listen = { host, port: PEER_PORT };
+  const peer = hasLink ? { host, port: LINK_PORT } : listen;
   const callers = { host, port: CALLER_PORT };
   const role = vm.startsWith('entry') ? 'entry' : 'sidecar';
   const own: Ini =
@@ -113,7 +122,8 @@
       process: { vm, failure_domain: `fd-${index % 3}`, stop_grace: '1s' },
       platform: { url: platformUrl, timeout: '1s', refresh: '100ms', list_refresh: '100ms' },
       peers: {
-        listen: `${host}:${peer.port}`,
+        listen: getAddressText(listen),
+        ...(hasLink && { advertise: getAddressText(peer) }),
         secrets: FLEET_SECRET,
         heartbeat: '100ms',
         silence: '1s',
@@ -126,6 +136,7 @@
     vm,
     host,
     peer,
+    link: hasLink ? await newLink(peer, listen) : undefined,
     url: role === 'entry' ? `http://${host}:${callers.port}` : '',
     child: await startChild(role, ini),
     restart: async () => {
@@ -137,12 +148,17 @@
 
 const getVm = (node: Node, index: number): Vm => ({
   vm: node.vm,
-  address: `${node.peer.host}:${node.peer.port}`,
+  address: getAddressText(node.peer),
   role: node.vm.startsWith('entry') ? 'entry' : 'sidecar',
   failureDomain: `fd-${index % 3}`,
   state: 'live',
 });
 
+interface Status {
+  readonly members: readonly { readonly vm: string }[];
+  readonly tokens: { readonly view?: { readonly members: readonly string[] } };
+}
+
 /** Starts a fleet with teams and routes; closing it ends every process. */
 export const newFleet = async (shape: FleetShape): Promise<Fleet> => {
   const any: Address = { host: '127.0.0.1', port: 0 };
@@ -164,9 +180,10 @@
     ...engines.map(({ url }, index) => ({ vm: `llm-${index + 1}`, kind: 'engine', url })),
     ...plains.map(({ url }, index) => ({ vm: `plain-${index + 1}`, kind: 'plain', url })),
   ];
+  const hasLinks = shape.links ?? false;
   const entries = await Promise.all(
     Array.from({ length: shape.entries }, (_, index) =>
-      startNode(`entry-${index + 1}`, index, platform.url, shape.ini ?? {}),
+      startNode(`entry-${index + 1}`, index, platform.url, shape.ini ?? {}, hasLinks),
     ),
   );
   const sidecars = await Promise.all(
@@ -175,7 +192,7 @@
       const slots = String(kind === 'engine' ? engineShape.slots : 16);
       const upstream = { upstream: { url, kind, group, slots } };
       const ini = mergeIni(upstream, shape.ini ?? {});
-      return startNode(vm, shape.entries + index, platform.url, ini);
+      return startNode(vm, shape.entries + index, platform.url, ini, hasLinks);
     }),
   );
   const nodes = [...entries, ...sidecars];
@@ -216,11 +233,13 @@
   );
   await Promise.all(
     entries.map((entry) =>
-      waitFor(`all members at ${entry.vm}`, async () => {
+      waitFor(`all members and holders of tokens at ${entry.vm}`, async () => {
         const status = await newOperatorClient(entry.url, OPERATOR_KEY).get('/status');
         if (!status.ok) return false;
-        const { members } = status.value as { members: { vm: string }[] };
-        return sidecars.every(({ vm }) => members.some((member) => member.vm === vm));
+        const { members, tokens } = status.value as Status;
+        const isSettled = tokens.view?.members.length === shape.entries;
+        const isSeen = (vm: string): boolean => members.some((member) => member.vm === vm);
+        return isSettled && sidecars.every(({ vm }) => isSeen(vm));
       }),
     ),
   );
@@ -247,6 +266,7 @@
     waitForRevision,
     close: async () => {
       await Promise.all(nodes.map((node) => node.child.kill()));
+      await Promise.all(nodes.map((node) => node.link?.close()));
       await Promise.all([...engines, ...plains, platform].map((standIn) => standIn.close()));
     },
   };
--- a/anvilpaddle-app/tests/withdrawal.test.ts
+++ b/anvilpaddle-app/tests/withdrawal.test.ts
@@ -1,5 +1,4 @@
 import { createHash } from 'node:crypto';
-import { newLink, type Link } from '@anvilpaddle/standins';
 import { newFleet, type Fleet, type Node } from './kit/fleet';
 import { waitFor } from './kit/waitFor';
 
@@ -64,8 +63,8 @@
   return performance.now();
 };
 
-const newSlowFleet = (): Promise<Fleet> =>
-  newFleet({ entries: 3, engines: 1, plains: 0, engine: { tokenMs: 20, slots: 16 } });
+const newSlowFleet = (links = false): Promise<Fleet> =>
+  newFleet({ entries: 3, engines: 1, plains: 0, engine: { tokenMs: 20, slots: 16 }, links });
 
 const refuseStore = (fleet: Fleet, from?: string): void =>
   fleet.platform.faults.add({ path: '/tables/', kind: 'refuse', ...(from && { from }) });
@@ -125,26 +124,12 @@
 
 describe('an entry that alone is cut off', () => {
   let fleet: Fleet;
-  const links: Link[] = [];
 
   beforeAll(async () => {
-    fleet = await newSlowFleet();
-    const addresses = await Promise.all(
-      fleet.entries.map(async ({ host, peer }) => {
-        const address = { host, port: peer.port + 1 };
-        links.push(await newLink(address, peer));
-        return `${address.host}:${address.port}`;
-      }),
-    );
-    fleet.platform.setVms(
-      fleet.vms.map((vm, index) => ({ ...vm, address: addresses[index] ?? vm.address })),
-    );
+    fleet = await newSlowFleet(true);
   });
 
-  afterAll(async () => {
-    await fleet.close();
-    await Promise.all(links.map((link) => link.close()));
-  });
+  afterAll(() => fleet.close());
 
   it('stops honouring keys, and honours them again when it is back', async () => {
     const key = await fleet.newTeam('acme');
@@ -152,8 +137,8 @@
     const stream = await openStream(lone, key);
     const cutMs = performance.now();
     refuseStore(fleet, lone?.host);
-    links.forEach((link) => link.cut(lone?.host));
-    links[2]?.cut();
+    fleet.entries.forEach(({ link }) => link?.cut(lone?.host));
+    lone?.link?.cut();
     const { text, atMs } = await stream.ended;
 
     expect(atMs - cutMs).toBeLessThan(PROMISE_MS);
