--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -15,6 +15,7 @@
 import { newJobController } from '../controllers/jobController';
 import { newKeyWatch } from '../controllers/keyWatch';
 import { newLimitController } from '../controllers/limitController';
+import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
@@ -122,27 +123,45 @@
     clock,
     log,
   );
-  const getEntryCount = (): number => {
-    const others = members
-      .live()
-      .filter(({ role, vm }) => role === 'entry' && vm !== file.process.vm);
-    return others.length + 1;
-  };
-  const limits = newLimitController(config, getEntryCount, clock);
+  const limits = newLimitController({
+    address,
+    lifeId: incarnation,
+    tables: platform.tables,
+    vms: platform.vms,
+    peers,
+    getRate: newTeamRates(config),
+    liveEntries: () =>
+      members
+        .live()
+        .filter((member) => member.role === 'entry' && member.address !== address)
+        .map((member) => member.address),
+    clock,
+    tickMs: file.peers.heartbeat,
+    log,
+  });
   const services: EntryServices = {
     vm: file.process.vm,
+    incarnation,
     failureDomain: file.process.failure_domain,
     operatorKeyHashes: file.operators.key_hash,
     config,
     keyWatch,
     members,
     limits,
-    jobs: newJobController(platform.tables, platform.objects),
+    jobs: newJobController(platform.tables, platform.objects, clock),
     attempts,
     revoke: async (sidecar, revocation) => {
       const revoked = await peers.call(sidecar, 'attempt.revoke', revocation);
       return revoked.ok ? revoked.value.state : undefined;
     },
+    tellJobEnded: ({ id, group }) => {
+      members
+        .listed()
+        .filter((vm) => vm.role === 'sidecar' && (vm.group === undefined || vm.group === group))
+        .forEach((vm) => {
+          void peers.call(vm.address, 'job.ended', { job: id });
+        });
+    },
     router: new AffinityRouter(Math.random, () => clock.monotonic()),
     metrics,
     clock,
@@ -178,11 +197,13 @@
     {
       ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+      ...limits.handlers,
     },
     {},
     log,
   );
   await config.refresh();
+  limits.start();
   const server = createServer((request, response) => {
     serve(request, response).catch((fault: unknown) => {
       log.error({ err: fault }, 'request failed outside of the filters');
--- a/anvilpaddle-app/entry/exchange.ts
+++ b/anvilpaddle-app/entry/exchange.ts
@@ -3,6 +3,7 @@
 import type {
   Config,
   EffectiveSettings,
+  Job,
   NamedKey,
   NamedRoute,
   Router,
@@ -20,6 +21,7 @@
 /** Parts of the entry that filters and actions work with. */
 export interface EntryServices {
   readonly vm: string;
+  readonly incarnation: string;
   readonly failureDomain: string;
   /** Accepted operators' keys as SHA-256 in hex. */
   readonly operatorKeyHashes: readonly string[];
@@ -34,6 +36,8 @@
     address: string,
     revocation: Revocation,
   ) => Promise<Revoked['state'] | undefined>;
+  /** Tells the sidecars of the job's group, which would see it by themselves a little later. */
+  readonly tellJobEnded: (job: Job) => void;
   readonly router: Router;
   readonly metrics: Metrics;
   readonly clock: Clock;
--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -2,7 +2,8 @@
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
-const getLimits = ({ teams, levels }: Config) =>
+/** Rate and burst of each team over the whole fleet. */
+const getTeamSettings = ({ teams, levels }: Config) =>
   [...teams.keys()].sort().map((team) => {
     const origins = getOrigins(levels, { team });
     const getValue = (name: string): string =>
@@ -23,7 +24,8 @@
       configAgeMs: Math.round(services.config.ageMs()),
       stage: services.getStopStage(),
       members: services.members.live(),
-      limits: getLimits(exchange.config),
+      settings: getTeamSettings(exchange.config),
+      limits: services.limits.status(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
     }),
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,6 +1,6 @@
-import { FirstComeScheduler, getEffectiveSettings } from '@anvilpaddle/decisions';
+import { newAttemptLedger, YieldingScheduler } from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
-import { newPlatform } from '@anvilpaddle/platform';
+import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newConfigController } from '../controllers/configController';
 import { newMemberController } from '../controllers/memberController';
@@ -9,14 +9,14 @@
 import { getMemberTiming } from '../process/memberTiming';
 import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
-import { newAttemptLog } from './attemptLog';
 import { newAttemptServer } from './attemptServer';
-import { newBatchWorker } from './batchWorker';
+import { newBatchWorker, type BatchWorker } from './batchWorker';
+import { newTeamSettings } from './teamSettings';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
 const MODELS_INTERVAL_MS = 1000;
-const ATTEMPT_RETENTION_MS = 10 * MS_PER_MINUTE;
+const LEDGER_BOUNDS = { retentionMs: MS_PER_MINUTE, maxNotes: 50_000, maxSenders: 10_000 } as const;
 
 /** Starts a sidecar; rejects when its port is taken, so that two never share an upstream. */
 export const newSidecar = async (
@@ -34,7 +34,6 @@
     localAddress,
   );
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
-  const task = newUpstreamTask(new FirstComeScheduler(file.upstream.slots), clock, log);
   const address = getAddressText(file.peers.advertise ?? file.peers.listen);
   const config = newConfigController({
     self: {
@@ -55,14 +54,18 @@
     random: Math.random,
     log,
   });
+  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
+  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
+  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
+  const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const task = newUpstreamTask(scheduler, clock, log);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
   let models = await readModels();
   let isLeaving = false;
   let isRefusing = false;
 
-  const getWeight = (team: string): number =>
-    getEffectiveSettings(config.current().levels, { team })['scheduling.weight'];
+  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const getSelf = (): Member => ({
     vm: file.process.vm,
     address,
@@ -80,7 +83,7 @@
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
-    attempts: newAttemptLog(ATTEMPT_RETENTION_MS),
+    ledger: newAttemptLedger(LEDGER_BOUNDS),
   });
   const members = newMemberController(
     platform.vms,
@@ -90,6 +93,9 @@
     clock,
     log,
   );
+  const isOfGroup = ({ role, group }: Vm): boolean =>
+    role === 'sidecar' && (group === undefined || group === file.upstream.group);
+  let worker: BatchWorker | undefined;
   const server = await newPeerServer(
     file.peers.listen,
     file.peers.secrets,
@@ -97,15 +103,24 @@
       ...config.handlers,
       'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
+      'job.ended': ({ job }) => {
+        worker?.hearJobEnded(job);
+        return {};
+      },
     },
     { [PEER_PATH.attempts]: attemptServer.serve },
     log,
   );
-  const worker = newBatchWorker({
+  worker = newBatchWorker({
     ...shared,
     isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
+    slots: file.upstream.slots,
+    random: Math.random,
+    getConfig: config.current,
+    getModels: () => models,
+    getSidecarCount: () => Math.max(1, members.listed().filter(isOfGroup).length),
     tables: platform.tables,
     objects: platform.objects,
   });
@@ -125,7 +140,7 @@
       isRefusing = true;
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
-      await worker.close();
+      await worker?.close();
       await members.close();
       await config.close();
       await task.close();
