Messages between processes: replays and malformed exchanges refused and counted, calls always end

The client took every failed exchange for `no_answer`: the RPC library replaces the cause by a text. The cause now comes beside it. A call that the answer left out waited for ever; it ends at the timeout. A message of the wrong shape destroyed the connection uncounted; it is a 400.

Exchanges carry a sender and a sequence number for each receiver (about 60 bytes); a receiver keeps 256 bytes a sender. Before, a copy of an old heartbeat was taken as new.

--- a/anvilpaddle-app/peers/peerClient.ts
+++ b/anvilpaddle-app/peers/peerClient.ts
@@ -1,7 +1,27 @@
-import { JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0';
+import {
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
 import { Agent, request } from 'undici';
-import { getFaultMessage, newFailure, newOk, type Clock, type Result } from '@anvilpaddle/common';
-import { METHODS, PEER_PATH, type Answer, type Method, type Params } from '@anvilpaddle/protocol';
+import {
+  getFaultMessage,
+  newFailure,
+  newId,
+  newOk,
+  type Clock,
+  type Result,
+} from '@anvilpaddle/common';
+import {
+  HEADER,
+  METHODS,
+  PEER_PATH,
+  type Answer,
+  type Method,
+  type Params,
+} from '@anvilpaddle/protocol';
+import { isNeverSent } from './connectFault';
 import type { PeerError } from './errors';
 
 /** Sends messages to other processes of the fleet. */
@@ -15,19 +35,30 @@
   close(): Promise<void>;
 }
 
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const RPC_REFUSED = 'refused';
+const REFUSED_CODES = new Set<unknown>([
+  RPC_REFUSED,
+  JSONRPCErrorCode.InvalidRequest,
+  JSONRPCErrorCode.MethodNotFound,
+  JSONRPCErrorCode.InvalidParams,
+]);
 
 const getErrorKind = (fault: unknown): PeerError['kind'] => {
+  if (isNeverSent(fault)) return 'unreachable';
   if (typeof fault !== 'object' || fault === null || !('code' in fault)) return 'no_answer';
-  if (fault.code === RPC_REFUSED) return 'refused';
-  return NOT_SENT_CODES.has(String(fault.code)) ? 'unreachable' : 'no_answer';
+  return REFUSED_CODES.has(fault.code) ? 'refused' : 'no_answer';
 };
 
+/** What the library's error leaves out: why a message could not be sent. */
+interface Sending {
+  fault: unknown;
+}
+
 interface Message {
   readonly payload: JSONRPCRequest;
   readonly resolve: () => void;
   readonly reject: (fault: unknown) => void;
+  readonly sending: Sending;
 }
 
 /** Error that keeps the code of its cause, so that the caller can tell what was sent. */
@@ -46,13 +77,22 @@
     localAddress,
     bodyTimeout: timeoutMs,
   });
-  const links = new Map<string, JSONRPCClient>();
+  const links = new Map<string, JSONRPCClient<Sending>>();
+  // Names this client at every receiver; a restarted process is another sender.
+  const sender = newId('peer');
+  const sequences = new Map<string, number>();
 
   const post = async (address: string, payload: unknown): Promise<unknown> => {
+    const sequence = (sequences.get(address) ?? 0) + 1;
+    sequences.set(address, sequence);
     const answer = await request(`http://${address}${PEER_PATH.rpc}`, {
       method: 'POST',
       body: JSON.stringify(payload),
-      headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
+      headers: {
+        authorization: `Bearer ${secret}`,
+        'content-type': 'application/json',
+        [HEADER.exchange]: `${sender}.${sequence}`,
+      },
       dispatcher: agent,
       signal: AbortSignal.timeout(timeoutMs),
     });
@@ -61,12 +101,12 @@
     return JSON.parse(body);
   };
 
-  const newLink = (address: string): JSONRPCClient => {
+  const newLink = (address: string): JSONRPCClient<Sending> => {
     let waiting: Message[] = [];
-    const client = new JSONRPCClient(
-      (payload: JSONRPCRequest) =>
+    const client = new JSONRPCClient<Sending>(
+      (payload: JSONRPCRequest, sending: Sending) =>
         new Promise<void>((resolve, reject) => {
-          waiting.push({ payload, resolve, reject });
+          waiting.push({ payload, resolve, reject, sending });
           // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
           if (waiting.length === 1) clock.after(0, flush);
         }),
@@ -83,13 +123,17 @@
       waiting = [];
       sendAll(messages).then(
         () => messages.forEach(({ resolve }) => resolve()),
-        (fault: unknown) => messages.forEach(({ reject }) => reject(fault)),
+        (fault: unknown) =>
+          messages.forEach(({ reject, sending }) => {
+            Object.assign(sending, { fault });
+            reject(fault);
+          }),
       );
     };
     return client;
   };
 
-  const getLink = (address: string): JSONRPCClient => {
+  const getLink = (address: string): JSONRPCClient<Sending> => {
     const known = links.get(address);
     if (known !== undefined) return known;
     const link = newLink(address);
@@ -99,12 +143,16 @@
 
   return {
     call: async (address, method, params) => {
+      const sending: Sending = { fault: undefined };
       try {
-        const result: unknown = await getLink(address).request(method, params);
+        const result: unknown = await getLink(address)
+          // An answer that leaves a call out must not leave its caller waiting.
+          .timeout(timeoutMs)
+          .request(method, params, sending);
         return newOk(METHODS[method].result.parse(result) as Answer<typeof method>);
       } catch (fault) {
         return newFailure({
-          kind: getErrorKind(fault),
+          kind: getErrorKind(sending.fault ?? fault),
           detail: `${method} at ${address}: ${getFaultMessage(fault)}`,
         });
       }
--- a/anvilpaddle-app/peers/peerServer.ts
+++ b/anvilpaddle-app/peers/peerServer.ts
@@ -1,17 +1,36 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
+import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
+import { z } from 'zod';
 import {
+  BYTES_PER_KIB,
   BYTES_PER_MIB,
   listen,
+  newFailure,
+  newOk,
   readBody,
   sendJson,
   type Address,
   type Logger,
+  type Result,
 } from '@anvilpaddle/common';
-import { METHODS, PEER_PATH, type Answer, type Method, type Params } from '@anvilpaddle/protocol';
+import {
+  HEADER,
+  METHODS,
+  PEER_PATH,
+  type Answer,
+  type Method,
+  type Params,
+} from '@anvilpaddle/protocol';
+import { newRefusalCount, type RefusalCount } from './refusalCount';
+import { newReplayWindow } from './replayWindow';
 
 const MAX_MESSAGE_BYTES = 4 * BYTES_PER_MIB;
+// An attempt's header holds the caller's path and headers, and is longer than they are.
+const MAX_HEADER_BYTES = 64 * BYTES_PER_KIB;
+const MAX_MESSAGES = 10_000;
+const REPLAY_BOUNDS = { width: 256, maxSenders: 10_000 } as const;
+const EXCHANGE_PATTERN = /^([\w-]{1,80})\.(\d{1,15})$/;
 
 /** Handlers of the methods that a process answers. */
 export type Handlers = {
@@ -29,21 +48,57 @@
   close(): Promise<void>;
 }
 
+/** Why an exchange was refused as a whole. */
+interface ExchangeRefusal {
+  readonly status: number;
+  readonly reason: 'body_too_large' | 'body_cut' | 'malformed' | 'replayed';
+}
+
+const messageSchema = z.looseObject({
+  jsonrpc: z.literal('2.0'),
+  id: z.union([z.string(), z.number()]),
+  method: z.string(),
+});
+const messagesSchema = z.union([
+  messageSchema.transform((message) => [message]),
+  z.array(messageSchema).min(1).max(MAX_MESSAGES),
+]);
+type Messages = z.infer<typeof messagesSchema>;
+
 const getDigest = (text: string): Buffer => createHash('sha256').update(text).digest();
 
 const getSecretCheck = (secrets: readonly string[]) => {
   const digests = secrets.map((secret) => getDigest(`Bearer ${secret}`));
   return (header: string | undefined): boolean => {
     const digest = getDigest(header ?? '');
-    return digests.some((known) => timingSafeEqual(known, digest));
+    // Compares with each, so that the time does not tell which one was near.
+    return digests.filter((known) => timingSafeEqual(known, digest)).length > 0;
   };
 };
 
-const newRpcServer = (handlers: Handlers): JSONRPCServer => {
-  const server = new JSONRPCServer();
+const parseMessages = (body: Buffer): Messages | undefined => {
+  try {
+    const parsed = messagesSchema.safeParse(JSON.parse(String(body)));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+const newRpcServer = (handlers: Handlers, count: RefusalCount, log: Logger): JSONRPCServer => {
+  const server = new JSONRPCServer({
+    errorListener: (_message: string, fault: unknown) => {
+      if (!(fault instanceof JSONRPCErrorException)) log.warn({ err: fault }, 'message failed');
+    },
+  });
   (Object.keys(handlers) as Method[]).forEach((method) => {
     const handler = handlers[method] as (params: unknown) => unknown;
-    server.addMethod(method, async (params) => handler(METHODS[method].params.parse(params)));
+    server.addMethod(method, async (params) => {
+      const parsed = METHODS[method].params.safeParse(params);
+      if (parsed.success) return handler(parsed.data);
+      count.add('params');
+      throw new JSONRPCErrorException('invalid params', JSONRPCErrorCode.InvalidParams);
+    });
   });
   return server;
 };
@@ -57,32 +112,51 @@
   log: Logger,
 ): Promise<PeerServer> => {
   const isTrusted = getSecretCheck(secrets);
-  const rpc = newRpcServer(handlers);
-  const refusals: Record<string, number> = {};
+  const refusals = newRefusalCount('message between processes', log);
+  const rpc = newRpcServer(handlers, refusals, log);
+  const replays = newReplayWindow(REPLAY_BOUNDS);
 
   const refuse = (response: ServerResponse, status: number, reason: string): void => {
-    refusals[reason] = (refusals[reason] ?? 0) + 1;
+    refusals.add(reason);
+    if (response.destroyed) return;
     sendJson(response, status, { error: reason }, { connection: 'close' });
   };
 
-  const handleRpc = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const isNew = (request: IncomingMessage): boolean | undefined => {
+    const match = EXCHANGE_PATTERN.exec(String(request.headers[HEADER.exchange]));
+    if (match?.[1] === undefined) return undefined;
+    return replays.accept(match[1], Number(match[2]));
+  };
+
+  const readMessages = async (
+    request: IncomingMessage,
+  ): Promise<Result<Messages, ExchangeRefusal>> => {
     const body = await readBody(request, MAX_MESSAGE_BYTES);
     if (!body.ok) {
-      refuse(response, 413, body.error.kind);
-      return;
+      const { kind } = body.error;
+      return newFailure({ status: kind === 'body_too_large' ? 413 : 400, reason: kind });
+    }
+    const messages = parseMessages(body.value);
+    const accepted = isNew(request);
+    if (messages === undefined || accepted === undefined) {
+      return newFailure({ status: 400, reason: 'malformed' });
     }
-    let message: JSONRPCRequest | JSONRPCRequest[];
-    try {
-      message = JSON.parse(String(body.value)) as JSONRPCRequest | JSONRPCRequest[];
-    } catch {
-      refuse(response, 400, 'malformed');
+    return accepted ? newOk(messages) : newFailure({ status: 409, reason: 'replayed' });
+  };
+
+  const handleRpc = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const messages = await readMessages(request);
+    if (!messages.ok) {
+      refuse(response, messages.error.status, messages.error.reason);
       return;
     }
-    const answer = await (Array.isArray(message) ? rpc.receive(message) : rpc.receive(message));
-    sendJson(response, 200, answer);
+    messages.value
+      .filter(({ method }) => !rpc.hasMethod(method))
+      .forEach(() => refusals.add('method'));
+    sendJson(response, 200, await rpc.receive(messages.value));
   };
 
-  const server = createServer((request, response) => {
+  const serve = (request: IncomingMessage, response: ServerResponse): void => {
     if (!isTrusted(request.headers.authorization)) {
       refuse(response, 401, 'secret');
       return;
@@ -99,11 +173,13 @@
     } else {
       refuse(response, 404, 'path');
     }
-  });
+  };
+
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, serve);
   const bound = await listen(server, address);
   return {
     address: bound,
-    refusals,
+    refusals: refusals.counts,
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- /dev/null
+++ b/anvilpaddle-app/peers/refusalCount.ts
@@ -0,0 +1,23 @@
+import type { Logger } from '@anvilpaddle/common';
+
+/** Counts refused messages by reason. */
+export interface RefusalCount {
+  add(reason: string): void;
+  /** Refusals so far, by reason. */
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+const isPowerOfTwo = (count: number): boolean => Math.log2(count) % 1 === 0;
+
+/** New count; it is logged at each doubling, so that a flood of refusals writes few lines. */
+export const newRefusalCount = (what: string, log: Logger): RefusalCount => {
+  const counts: Record<string, number> = {};
+  return {
+    counts,
+    add: (reason) => {
+      const count = (counts[reason] ?? 0) + 1;
+      counts[reason] = count;
+      if (isPowerOfTwo(count)) log.warn({ reason, count }, `${what} refused`);
+    },
+  };
+};
--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -11,6 +11,7 @@
   type Revocation,
   type Revoked,
 } from '@anvilpaddle/protocol';
+import { newRefusalCount } from '../peers/refusalCount';
 import { newTokenCounter } from './tokenCounter';
 import type { UpstreamAnswer, UpstreamClient } from './upstreamClient';
 import type { UpstreamTask } from './upstreamTask';
@@ -39,6 +40,8 @@
   revoke(revocation: Revocation): Revoked;
   /** Attempts that wait or run. */
   open(): number;
+  /** Attempts refused so far, by reason. */
+  readonly refusals: Readonly<Record<string, number>>;
 }
 
 /** An attempt that was accepted, with what its answer needs. */
@@ -57,13 +60,6 @@
   full: { reason: 'overloaded', run: 'not_run', retryAfterMs: FULL_RETRY_MS },
 };
 
-/** A refusal names its attempt, so that no other can take it for its own. */
-const sendRefusal = (response: ServerResponse, refusal: Refusal, attempt?: Attempt): void => {
-  if (response.headersSent || response.destroyed) return;
-  if (attempt !== undefined) response.setHeader(HEADER.attemptId, attempt.attempt);
-  sendJson(response, STATUS_REFUSED, refusal, { [HEADER.refusal]: refusal.reason });
-};
-
 const hasBody = (method: string, status: number): boolean =>
   method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
 
@@ -93,6 +89,15 @@
   const { task, client, ledger, clock, incarnation } = services;
 
   const waiting = new Map<string, Job>();
+  const refusals = newRefusalCount('attempt', services.log);
+
+  /** A refusal names its attempt, so that no other can take it for its own. */
+  const sendRefusal = (response: ServerResponse, refusal: Refusal, attempt?: Attempt): void => {
+    refusals.add(refusal.reason);
+    if (response.headersSent || response.destroyed) return;
+    if (attempt !== undefined) response.setHeader(HEADER.attemptId, attempt.attempt);
+    sendJson(response, STATUS_REFUSED, refusal, { [HEADER.refusal]: refusal.reason });
+  };
 
   const relay = async (job: Job, answer: UpstreamAnswer, waitedMs: number): Promise<number> => {
     const counter = newTokenCounter(String(answer.headers['content-type'] ?? ''));
@@ -238,5 +243,6 @@
     },
     revoke,
     open: () => ledger.open(),
+    refusals: refusals.counts,
   };
 };
--- a/anvilpaddle-app/tests/wholeAnswers.test.ts
+++ b/anvilpaddle-app/tests/wholeAnswers.test.ts
@@ -62,11 +62,12 @@
     let left = 1;
     engines.forEach(({ faults }) => {
       const { take } = faults;
-      faults.take = (path, from) => {
+      const takeOnce: typeof take = (path, from) => {
         if (left === 0 || path !== PATH) return take(path, from);
         left -= 1;
         return { path: PATH, ...fault };
       };
+      Object.assign(faults, { take: takeOnce });
     });
   };
 
