--- a/anvilpaddle-app/batch/itemRunner.ts
+++ b/anvilpaddle-app/batch/itemRunner.ts
@@ -87,9 +87,8 @@
       : { kind: 'answer', answer: read, id };
   };
 
-  const runOnce = (item: Item, terms: RunTerms): Promise<Outcome> =>
+  const runOnce = (id: string, item: Item, terms: RunTerms): Promise<Outcome> =>
     new Promise((resolve) => {
-      const id = newId('item');
       const abort = new AbortController();
       let isStarted = false;
       let isPreempted = false;
@@ -119,16 +118,13 @@
         isStarted = true;
         terms.onStart();
         const timer = clock.after(terms.timeoutMs, () => abort.abort());
-        let usedTokens = 0;
         call(id, item, terms, abort.signal)
           .catch((): Outcome => ({ kind: 'cut', detail: 'the call failed' }))
           .then((outcome) => {
-            if (outcome.kind === 'answer') usedTokens = outcome.answer.tokens;
-            finish(getWhenAborted(outcome));
-          })
-          .finally(() => {
             timer.cancel();
-            task.finish(id, usedTokens);
+            // The slot is given back before the item may be submitted again under the same id.
+            task.finish(id, outcome.kind === 'answer' ? outcome.answer.tokens : 0);
+            finish(getWhenAborted(outcome));
           });
       };
       task.submit(
@@ -157,8 +153,8 @@
     });
 
   /** Items that were running when an answer was cut go one at a time: one may crash the engine. */
-  const runSuspect = (item: Item, terms: RunTerms): Promise<Outcome> => {
-    const run = suspects.then(() => runOnce(item, terms));
+  const runSuspect = (id: string, item: Item, terms: RunTerms): Promise<Outcome> => {
+    const run = suspects.then(() => runOnce(id, item, terms));
     suspects = run;
     return run;
   };
@@ -191,9 +187,12 @@
     run: async (item, terms) => {
       if (!item.isRepeatable && !(await terms.markStarted())) return undefined;
       let failures = 0;
+      let id = newId('item');
       let isSuspect = false;
       while (!terms.signal.aborted && !terms.drainSignal.aborted) {
-        const outcome: Outcome = await (isSuspect ? runSuspect(item, terms) : runOnce(item, terms));
+        const outcome: Outcome = await (isSuspect
+          ? runSuspect(id, item, terms)
+          : runOnce(id, item, terms));
         if (outcome.kind === 'abandoned') {
           return outcome.wasSent && !item.isRepeatable ? newOutcomeUnknown(item) : undefined;
         }
@@ -205,6 +204,8 @@
         if (freeMs === undefined) failures += 1;
         if (failures >= terms.maxAttempts) return getFinal(item, outcome);
         isSuspect ||= outcome.kind === 'cut';
+        // A preempted item keeps its id, and by it its place in line.
+        if (outcome.kind !== 'preempted') id = newId('item');
         await wait(clock, freeMs ?? FAILURE_DELAY_MS * 4 ** (failures - 1), terms.drainSignal);
       }
       return undefined;
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -116,7 +116,7 @@
     isStopping: () => isLeaving,
     owner: incarnation,
     group: file.upstream.group,
-    slots: file.upstream.slots,
+    slots: batchSlots,
     random: Math.random,
     getConfig: config.current,
     getModels: () => models,
