--- a/anvilpaddle-app/tests/batchFaults.test.ts
+++ b/anvilpaddle-app/tests/batchFaults.test.ts
@@ -185,7 +185,11 @@
     expect(Math.max(...current.runs.values())).toBe(1);
   });
 
-  it('holds finished results through an outage and commits them afterwards', async () => {
+  it.each([
+    ['the table service', { tables: true, objects: false }],
+    ['the object store', { tables: false, objects: true }],
+    ['both stores', { tables: true, objects: true }],
+  ])('holds finished results through an outage of %s', async (_what, down) => {
     const current = newBatchFleet({
       random: newSeededRandom(6),
       slots: 16,
@@ -197,15 +201,13 @@
     const job = await current.submit(lines);
     current.addWorker();
     await waitFor('items run', () => current.runs.size > 0);
-    current.shared.isDown.tables = true;
-    current.shared.isDown.objects = true;
+    current.shared.isDown = { ...down };
     await waitFor(
       'all items have run',
       () => current.runs.size === 64 && current.active.size === 0,
     );
     await sleep(300);
-    current.shared.isDown.tables = false;
-    current.shared.isDown.objects = false;
+    current.shared.isDown = { tables: false, objects: false };
     await waitFor('the job completed', () => current.getState(job) === 'completed');
 
     expect(Math.max(...current.runs.values())).toBe(1);
