Fair queue against a naive one; work that must not be cancelled, and place after a preemption

Batch items now run under a new id after a preemption, so that the place in line comes from the work itself (wasPreempted) and the scheduler remembers no ids.

--- a/packages/decisions/scheduling/scheduler.ts
+++ b/packages/decisions/scheduling/scheduler.ts
@@ -13,6 +13,10 @@
   readonly maxTokens: number | undefined;
   /** Monotonic milliseconds by which it must have finished. */
   readonly deadlineMs: number;
+  /** `false` for batch work that cannot be cancelled without losing its outcome. */
+  readonly isPreemptible?: boolean;
+  /** Batch work that yielded before; it goes to the front of its team's line. */
+  readonly wasPreempted?: boolean;
 }
 
 /** What the owner of the upstream has to do after a decision. */
--- a/packages/decisions/scheduling/yieldingScheduler.ts
+++ b/packages/decisions/scheduling/yieldingScheduler.ts
@@ -11,7 +11,6 @@
 const LONGEST_WAIT_FACTOR = 2;
 /** Part of its expected duration that running work is thought to have left at least. */
 const LEAST_LEFT = 0.1;
-const KEPT_PREEMPTED = 10_000;
 
 /** What bounds the work at one upstream. */
 export interface Bounds {
@@ -35,6 +34,8 @@
 
 const isBatch = ({ work }: Entry): boolean => work.serviceClass === SERVICE_CLASS.batch;
 
+const canYield = (entry: Entry): boolean => isBatch(entry) && entry.work.isPreemptible !== false;
+
 /**
  * Online before batch, teams by weighted service within each class, and refusals at the arrival
  * when the wait would be too long. Batch work runs in spare slots and is preempted at once when
@@ -48,9 +49,6 @@
 
   private readonly running = new Map<string, Running>();
 
-  /** Items that were preempted and have not finished since; the oldest are dropped. */
-  private readonly preempted = new Set<string>();
-
   private readonly estimates = newServiceEstimates();
 
   private onlineRunning = 0;
@@ -66,7 +64,7 @@
     const entry: Entry = { work, estimate, arrivedMs: nowMs };
     const refusal = isOnline ? this.getRefusal(entry, nowMs) : undefined;
     if (refusal !== undefined) return [refusal];
-    const place = this.preempted.has(work.id) ? 'front' : 'back';
+    const place = work.wasPreempted === true ? 'front' : 'back';
     this.queues[work.serviceClass].add(entry, place);
     return this.fill(nowMs);
   }
@@ -82,7 +80,6 @@
 
   withdraw(id: string): boolean {
     const taken = this.queues.online.remove(id) ?? this.queues.batch.remove(id);
-    this.preempted.delete(id);
     return taken !== undefined;
   }
 
@@ -174,7 +171,6 @@
 
   private refuseLate({ work, estimate }: Entry, nowMs: number): Effect {
     const isDeadline = nowMs + estimate.durationMs >= work.deadlineMs;
-    this.preempted.delete(work.id);
     const waitMs = this.getWaitMs(work.team, nowMs);
     return {
       kind: 'refuse',
@@ -192,21 +188,12 @@
     if (preemptedMs !== undefined && usedTokens === 0) {
       // Work lost to a preemption is not the team's use.
       queue.settle(entry, 0, nowMs);
-      this.rememberPreemption(work.id);
       return;
     }
-    this.preempted.delete(work.id);
     queue.settle(entry, usedTokens || this.estimates.getTokensOf(durationMs), nowMs);
     this.estimates.learn(work, usedTokens, durationMs);
   }
 
-  private rememberPreemption(id: string): void {
-    this.preempted.add(id);
-    if (this.preempted.size <= KEPT_PREEMPTED) return;
-    const [oldest] = this.preempted;
-    if (oldest !== undefined) this.preempted.delete(oldest);
-  }
-
   private fill(nowMs: number): Effect[] {
     return [...this.startOnline(nowMs), ...this.yieldBatch(nowMs), ...this.startBatch(nowMs)];
   }
@@ -249,7 +236,7 @@
     const wanted = this.queues.online.waiting() + reserve;
     if (this.running.size === this.onlineRunning || this.running.size + wanted <= slots) return [];
     // The youngest first: it loses the least work.
-    const items = [...this.running].filter(([, { entry }]) => isBatch(entry)).reverse();
+    const items = [...this.running].filter(([, { entry }]) => canYield(entry)).reverse();
     const isLeaving = ({ preemptedMs }: Running): boolean =>
       preemptedMs !== undefined && nowMs - preemptedMs < PREEMPT_PATIENCE_MS;
     const leaving = items.filter(([, item]) => isLeaving(item)).length;
--- /dev/null
+++ b/packages/decisions/tests/fairQueue.test.ts
@@ -0,0 +1,193 @@
+import fc from 'fast-check';
+import { newFairQueue, type Entry } from '../scheduling/fairQueue';
+import { newWork } from './schedulingKit';
+
+const MAX_TOKENS = 1000;
+const TEAMS = ['a', 'b', 'c', 'd'];
+const WEIGHTS: Readonly<Record<string, number>> = { a: 1, b: 1, c: 2, d: 5 };
+
+const newEntry = (id: string, team: string, tokens: number): Entry => ({
+  work: newWork(id, { team, weight: WEIGHTS[team] ?? 1 }),
+  estimate: { tokens, durationMs: tokens, longMs: tokens },
+  arrivedMs: 0,
+});
+
+interface NaiveTeam {
+  waiting: Entry[];
+  /** When its line was last empty; the longest backlogged goes first among equals. */
+  since: number;
+  /** Each charge and correction since the team was first seen, with the jumps over idle time. */
+  charges: number[];
+}
+
+/** The same rules with plain lists; every number is worked out anew from the whole history. */
+class NaiveFairQueue {
+  private readonly teams = new Map<string, NaiveTeam>();
+
+  /** Virtual times at which work was taken. */
+  private readonly starts: number[] = [0];
+
+  private added = 0;
+
+  add(entry: Entry): void {
+    const team = this.teams.get(entry.work.team) ?? {
+      waiting: [],
+      since: 0,
+      charges: [],
+    };
+    this.teams.set(entry.work.team, team);
+    this.added += 1;
+    if (team.waiting.length === 0) team.since = this.added;
+    const behind = Math.max(...this.starts) - this.getVirtual(team);
+    if (team.waiting.length === 0 && behind > 0) team.charges.push(behind);
+    team.waiting.push(entry);
+  }
+
+  take(): Entry | undefined {
+    const backlogged = [...this.teams.values()].filter(({ waiting }) => waiting.length > 0);
+    const lowest = Math.min(...backlogged.map((team) => this.getVirtual(team)));
+    const next = backlogged
+      .filter((team) => this.getVirtual(team) === lowest)
+      .sort((a, b) => a.since - b.since)[0];
+    const entry = next?.waiting.shift();
+    if (next === undefined || entry === undefined) return undefined;
+    this.starts.push(lowest);
+    next.charges.push(entry.estimate.tokens / entry.work.weight);
+    return entry;
+  }
+
+  remove(id: string): Entry | undefined {
+    const team = [...this.teams.values()].find(({ waiting }) =>
+      waiting.some(({ work }) => work.id === id),
+    );
+    const entry = team?.waiting.find(({ work }) => work.id === id);
+    if (team !== undefined) team.waiting = team.waiting.filter(({ work }) => work.id !== id);
+    return entry;
+  }
+
+  settle(entry: Entry, usedTokens: number): void {
+    const difference = usedTokens - entry.estimate.tokens;
+    this.teams.get(entry.work.team)?.charges.push(difference / entry.work.weight);
+  }
+
+  private getVirtual({ charges }: NaiveTeam): number {
+    return charges.reduce((sum, charge) => sum + charge, 0);
+  }
+}
+
+describe('newFairQueue', () => {
+  it('takes the same work as the naive queue', () => {
+    // Powers of two, so that no order hangs on the rounding of a sum.
+    const tokens = fc.integer({ min: 0, max: 9 }).map((power) => 2 ** power * 5);
+    const action = fc.record({
+      kind: fc.constantFrom('add', 'add', 'add', 'take', 'take', 'settle', 'remove'),
+      team: fc.constantFrom('a', 'b', 'c', 'd'),
+      tokens,
+      pick: fc.nat(1000),
+    });
+    fc.assert(
+      fc.property(fc.array(action, { maxLength: 200 }), (actions) => {
+        const ours = newFairQueue();
+        const naive = new NaiveFairQueue();
+        const taken: Entry[] = [];
+        actions.forEach(({ kind, team, tokens: amount, pick }, index) => {
+          if (kind === 'add') {
+            const entry = newEntry(`w${index}`, team, amount);
+            ours.add(entry, 'back');
+            naive.add(entry);
+          }
+          if (kind === 'take') {
+            const entry = ours.take(index);
+            expect(entry?.work.id).toBe(naive.take()?.work.id);
+            if (entry !== undefined) taken.push(entry);
+          }
+          if (kind === 'remove') {
+            const id = `w${pick % (index + 1)}`;
+            expect(ours.remove(id)?.work.id).toBe(naive.remove(id)?.work.id);
+          }
+          const [settled] = kind === 'settle' ? taken.splice(pick % taken.length || 0, 1) : [];
+          if (settled === undefined) return;
+          ours.settle(settled, amount, index);
+          naive.settle(settled, amount);
+        });
+      }),
+      { seed: 30, numRuns: 500 },
+    );
+  });
+
+  it('holds backlogged teams together, by weight, however wrong the estimates are', () => {
+    const item = fc.record({
+      estimate: fc.integer({ min: 1, max: MAX_TOKENS }),
+      used: fc.integer({ min: 1, max: MAX_TOKENS }),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(item, { minLength: 40, maxLength: 300 }),
+        fc.integer({ min: 1, max: 6 }),
+        (items, slots) => {
+          const queue = newFairQueue();
+          const used = new Map<string, number>();
+          const running: Entry[] = [];
+          const served = new Map(TEAMS.map((team) => [team, 0]));
+          let nextItem = 0;
+          const addItem = (team: string): void => {
+            const { estimate, used: tokens } = items[nextItem % items.length] ?? items[0]!;
+            used.set(`w${nextItem}`, tokens);
+            queue.add(newEntry(`w${nextItem}`, team, estimate), 'back');
+            nextItem += 1;
+          };
+          // Two in line for each team at all times: every team is backlogged.
+          TEAMS.forEach((team) => [1, 2].forEach(() => addItem(team)));
+          items.forEach(() => {
+            while (running.length < slots) {
+              const entry = queue.take(0)!;
+              running.push(entry);
+              addItem(entry.work.team);
+            }
+            const ended = running.shift()!;
+            const tokens = used.get(ended.work.id) ?? 0;
+            queue.settle(ended, tokens, 0);
+            const { team } = ended.work;
+            served.set(team, (served.get(team) ?? 0) + tokens);
+          });
+          const normalised = TEAMS.map((team) => (served.get(team) ?? 0) / (WEIGHTS[team] ?? 1));
+
+          // Each team may be off by its running work and one item more.
+          const bound = 2 * (slots + 1) * MAX_TOKENS;
+          expect(Math.max(...normalised) - Math.min(...normalised)).toBeLessThanOrEqual(bound);
+        },
+      ),
+      { seed: 31, numRuns: 300 },
+    );
+  });
+
+  it('gives no credit for idle time', () => {
+    const queue = newFairQueue();
+    for (let index = 0; index < 100; index += 1) {
+      queue.add(newEntry(`a${index}`, 'a', 100), 'back');
+      queue.settle(queue.take(index)!, 100, index);
+    }
+    for (let index = 0; index < 10; index += 1) {
+      queue.add(newEntry(`late${index}`, 'b', 100), 'back');
+      queue.add(newEntry(`more${index}`, 'a', 100), 'back');
+    }
+    const order = Array.from({ length: 10 }, () => queue.take(200)?.work.team);
+
+    // One item of the newcomer may go first, no more.
+    expect(order.filter((team) => team === 'a').length).toBeGreaterThanOrEqual(4);
+  });
+
+  it('forgets idle teams, and teams that owe after a minute', () => {
+    const queue = newFairQueue();
+    for (let index = 0; index < 500; index += 1) {
+      queue.add(newEntry(`w${index}`, `team-${index}`, 100), 'back');
+      queue.settle(queue.take(0)!, 100, 0);
+    }
+    const before = queue.teams();
+    queue.forget(59_999);
+    const owing = queue.teams();
+    queue.forget(60_000);
+
+    expect([before, owing, queue.teams()]).toEqual([500, 500, 0]);
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/serviceEstimates.test.ts
@@ -0,0 +1,43 @@
+import { newServiceEstimates } from '../scheduling/serviceEstimates';
+import { newWork } from './schedulingKit';
+
+describe('newServiceEstimates', () => {
+  it('learns from use and not from the allowance', () => {
+    const estimates = newServiceEstimates();
+    const work = newWork('w', { maxTokens: 100_000 });
+    for (let index = 0; index < 50; index += 1) estimates.learn(work, 40, 400);
+
+    expect(estimates.get(work)).toEqual({ tokens: 40, durationMs: 400, longMs: 400 });
+  });
+
+  it('charges time when nobody counts tokens', () => {
+    const estimates = newServiceEstimates();
+    estimates.learn(newWork('w'), 0, 250);
+
+    expect(estimates.get(newWork('x'))).toMatchObject({ tokens: 250, durationMs: 250 });
+  });
+
+  it('does not take calls that fail at once for fast ones', () => {
+    const estimates = newServiceEstimates();
+    estimates.learn(newWork('w'), 40, 400);
+    for (let index = 0; index < 50; index += 1) estimates.learn(newWork('w'), 0, 1);
+
+    expect(estimates.get(newWork('w')).durationMs).toBe(400);
+  });
+
+  it('expects no duration of a team without a record', () => {
+    const estimates = newServiceEstimates();
+    estimates.learn(newWork('w', { team: 'slow' }), 9000, 90_000);
+
+    expect(estimates.get(newWork('x', { team: 'new' })).longMs).toBe(0);
+  });
+
+  it('keeps a bounded number of keys', () => {
+    const estimates = newServiceEstimates(10);
+    for (let index = 0; index < 100; index += 1) {
+      estimates.learn(newWork('w', { team: `t${index}` }), 40, 400);
+    }
+
+    expect(estimates.size()).toBe(10);
+  });
+});
--- a/packages/decisions/tests/yieldingScheduler.test.ts
+++ b/packages/decisions/tests/yieldingScheduler.test.ts
@@ -43,11 +43,21 @@
       enqueue('i3', 0, BATCH),
       enqueue('online', 1),
       finish('i2', 2, 0),
-      enqueue('i2', 2, BATCH),
+      enqueue('i2', 2, { ...BATCH, wasPreempted: true }),
       finish('online', 10),
       tick(50),
     ],
   ],
+  [
+    'an item that must not be cancelled is left alone',
+    {},
+    [
+      enqueue('i1', 0, BATCH),
+      enqueue('once', 1, { ...BATCH, isPreemptible: false }),
+      enqueue('x', 2),
+      enqueue('y', 3),
+    ],
+  ],
   [
     'the reserve stays free and is restored by a preemption',
     { slots: 3, reserve: 1 },
