--- a/measurements/scheduling.ts
+++ b/measurements/scheduling.ts
@@ -127,10 +127,12 @@
     const first = [50, 95, 99].map((percent) => getRatios(getFirstTokens, percent));
     const gaps = [50, 95, 99].map((percent) => getRatios(({ gapsMs }) => gapsMs, percent));
     const shares = runs.map((run) => {
-      const tokens = sum(run.with.batchTokens.values());
-      // The spare, as if the whole batch of the engine were decoding.
       const stepMs = shape.stepMs + shape.stepMsPerRequest * shape.slots;
-      return (tokens * stepMs) / run.without.spareMs;
+      const usedMs = BATCH_TEAMS.map(
+        ({ team, tokens }) =>
+          (run.with.batchTokens.get(team) ?? 0) * (stepMs + shape.prefillMs / tokens),
+      );
+      return sum(usedMs) / run.without.spareMs;
     });
     const waste = runs.map((run) => run.with.wastedTokens / sum(run.with.batchTokens.values()));
     const rate = runs.map((run) => (run.with.preemptions * 1000) / durationMs);
--- /dev/null
+++ b/measurements/tests/scheduling.test.ts
@@ -0,0 +1,141 @@
+import { FirstComeScheduler, YieldingScheduler, type Scheduler } from '@anvilpaddle/decisions';
+import { drive, getPercentile, type Drive, type FakeEngine, type Source } from '../schedulingDrive';
+
+const SLOTS = 16;
+const ANSWER_TOKENS = 60;
+const ITEM_TOKENS = 200;
+const ENGINE: FakeEngine = {
+  slots: SLOTS,
+  prefillMs: 60,
+  cachedPrefillMs: 10,
+  stepMs: 10,
+  stepMsPerRequest: 0,
+  cancelMs: 2,
+  resumes: true,
+};
+const CAPACITY = (SLOTS * 1000) / (ENGINE.prefillMs + ANSWER_TOKENS * ENGINE.stepMs);
+const DURATION_MS = 60_000;
+const SEEDS = [1, 2];
+const OTHERS = ['t1', 't2', 't3', 't4', 't5', 't6', 't7'];
+
+const newOurs = (): Scheduler =>
+  new YieldingScheduler({ slots: SLOTS, reserve: 0, getMaxWaitMs: () => 5000 });
+const newNaive = (): Scheduler => new FirstComeScheduler(SLOTS);
+
+const newSource = (team: string, rate: number, part: Partial<Source> = {}): Source => ({
+  team,
+  serviceClass: 'online',
+  getRate: () => rate,
+  peakRate: rate,
+  getTokens: (random) => Math.round(ANSWER_TOKENS * (0.5 + random())),
+  timeoutMs: 10_000,
+  ...part,
+});
+
+const run = (part: {
+  newScheduler: () => Scheduler;
+  sources: readonly Source[];
+  seed: number;
+  withBatch?: boolean;
+}): Drive =>
+  drive({
+    engine: ENGINE,
+    durationMs: DURATION_MS,
+    batchTeams: part.withBatch === true ? [{ team: 'nightly', tokens: ITEM_TOKENS }] : [],
+    ...part,
+  });
+
+const getMean = (numbers: readonly number[]): number =>
+  numbers.reduce((sum, number) => sum + number, 0) / numbers.length;
+
+const getFirstTokenP99 = ({ samples }: Drive): number =>
+  getPercentile(
+    samples.flatMap(({ firstTokenMs, arrivedMs }) =>
+      firstTokenMs === undefined ? [] : [firstTokenMs - arrivedMs],
+    ),
+    99,
+  );
+
+const getOnlineFirst = (newScheduler: () => Scheduler) => {
+  const sources = OTHERS.map((team) => newSource(team, (CAPACITY * 0.5) / OTHERS.length));
+  const runs = SEEDS.map((seed) => ({
+    without: run({ newScheduler, sources, seed }),
+    with: run({ newScheduler, sources, seed, withBatch: true }),
+  }));
+  return {
+    harm: getMean(runs.map((pair) => getFirstTokenP99(pair.with) / getFirstTokenP99(pair.without))),
+    share: getMean(
+      runs.map((pair) => {
+        const tokens = pair.with.batchTokens.get('nightly') ?? 0;
+        const items = tokens / ITEM_TOKENS;
+        return (tokens * ENGINE.stepMs + items * ENGINE.prefillMs) / pair.without.spareMs;
+      }),
+    ),
+  };
+};
+
+const getServed = ({ samples }: Drive, team: string): number =>
+  samples
+    .filter((sample) => sample.team === team && sample.isInTime)
+    .reduce((sum, { tokens }) => sum + tokens, 0);
+
+const getWorstServed = (newScheduler: () => Scheduler, heavy: Source): number =>
+  getMean(
+    SEEDS.map((seed) => {
+      const sources = OTHERS.map((team) => newSource(team, (CAPACITY / 8) * 0.8));
+      const without = run({ newScheduler, sources, seed });
+      const withHeavy = run({ newScheduler, sources: [...sources, heavy], seed });
+      return Math.min(...OTHERS.map((t) => getServed(withHeavy, t) / getServed(without, t)));
+    }),
+  );
+
+const getGoodput = (newScheduler: () => Scheduler, load: number): number =>
+  getMean(
+    SEEDS.map((seed) => {
+      const rate = (CAPACITY * load) / OTHERS.length;
+      const sources = OTHERS.map((team) => newSource(team, rate, { timeoutMs: 2000 }));
+      const { samples } = run({ newScheduler, sources, seed });
+      return samples.filter((s) => s.isInTime && (s.finishedMs ?? 0) <= DURATION_MS).length;
+    }),
+  );
+
+const RATE = CAPACITY / 8;
+const HEAVY: readonly (readonly [string, Source])[] = [
+  ['sends 10 times its rate', newSource('heavy', RATE * 10)],
+  ['asks for huge answers', newSource('heavy', RATE * 10, { maxTokens: 100_000 })],
+  [
+    'sends wide bursts',
+    newSource('heavy', RATE * 40, { getRate: (ms) => (ms % 10_000 < 3000 ? RATE * 40 : 0) }),
+  ],
+  [
+    'has answers ten times as long',
+    newSource('heavy', RATE * 3, { getTokens: (random) => Math.round(600 * (0.5 + random())) }),
+  ],
+];
+
+describe('scheduling before a model of an engine', () => {
+  it('keeps the first token of online requests and gives the spare slots to batch work', () => {
+    const { harm, share } = getOnlineFirst(newOurs);
+
+    expect(harm).toBeLessThanOrEqual(1.05);
+    expect(share).toBeGreaterThanOrEqual(0.9);
+  });
+
+  it('shows the harm of the version that does not yield', () => {
+    expect(getOnlineFirst(newNaive).harm).toBeGreaterThan(1.05);
+  });
+
+  it.each(HEAVY)('serves the other teams when one %s', (_name, heavy) => {
+    expect(getWorstServed(newOurs, heavy)).toBeGreaterThanOrEqual(0.95);
+    expect(getWorstServed(newNaive, heavy)).toBeLessThan(0.95);
+  });
+
+  it('keeps the goodput of its peak at three times the capacity', () => {
+    const getShare = (newScheduler: () => Scheduler): number =>
+      getGoodput(newScheduler, 3) /
+      Math.max(...[1, 1.5, 2].map((load) => getGoodput(newScheduler, load)));
+
+    expect(getShare(newOurs)).toBeGreaterThanOrEqual(0.95);
+    expect(getShare(newNaive)).toBeLessThan(0.95);
+  });
+});
