--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -11,6 +11,7 @@
   type Revocation,
   type Revoked,
 } from '@anvilpaddle/protocol';
+import { newRefusalCount } from '../peers/refusalCount';
 import { newTokenCounter } from './tokenCounter';
 import type { UpstreamAnswer, UpstreamClient } from './upstreamClient';
 import type { UpstreamTask } from './upstreamTask';
@@ -39,6 +40,8 @@
   revoke(revocation: Revocation): Revoked;
   /** Attempts that wait or run. */
   open(): number;
+  /** Attempts refused so far, by reason. */
+  readonly refusals: Readonly<Record<string, number>>;
 }
 
 /** An attempt that was accepted, with what its answer needs. */
@@ -57,13 +60,6 @@
   full: { reason: 'overloaded', run: 'not_run', retryAfterMs: FULL_RETRY_MS },
 };
 
-/** A refusal names its attempt, so that no other can take it for its own. */
-const sendRefusal = (response: ServerResponse, refusal: Refusal, attempt?: Attempt): void => {
-  if (response.headersSent || response.destroyed) return;
-  if (attempt !== undefined) response.setHeader(HEADER.attemptId, attempt.attempt);
-  sendJson(response, STATUS_REFUSED, refusal, { [HEADER.refusal]: refusal.reason });
-};
-
 const hasBody = (method: string, status: number): boolean =>
   method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
 
@@ -92,6 +88,17 @@
 export const newAttemptServer = (services: AttemptServices): AttemptServer => {
   const { task, client, ledger, clock, incarnation } = services;
 
+  const waiting = new Map<string, Job>();
+  const refusals = newRefusalCount('attempt', services.log);
+
+  /** A refusal names its attempt, so that no other can take it for its own. */
+  const sendRefusal = (response: ServerResponse, refusal: Refusal, attempt?: Attempt): void => {
+    refusals.add(refusal.reason);
+    if (response.headersSent || response.destroyed) return;
+    if (attempt !== undefined) response.setHeader(HEADER.attemptId, attempt.attempt);
+    sendJson(response, STATUS_REFUSED, refusal, { [HEADER.refusal]: refusal.reason });
+  };
+
   const relay = async (job: Job, answer: UpstreamAnswer, waitedMs: number): Promise<number> => {
     const counter = newTokenCounter(String(answer.headers['content-type'] ?? ''));
     job.response.writeHead(answer.status, {
@@ -135,6 +142,7 @@
   const start = (job: Job): void => {
     const id = job.attempt.attempt;
     let tokens = 0;
+    waiting.delete(id);
     const leave = (): void => {
       ledger.finish(id, true, clock.monotonic());
       task.finish(id, tokens);
@@ -158,7 +166,9 @@
   const submit = (job: Job): void => {
     const { attempt, response } = job;
     const id = attempt.attempt;
+    waiting.set(id, job);
     response.on('close', () => {
+      waiting.delete(id);
       job.abort.abort();
       if (ledger.giveUp(id, clock.monotonic())) void task.withdraw(id);
     });
@@ -215,9 +225,12 @@
 
   const revoke = (revocation: Revocation): Revoked => {
     if (revocation.incarnation !== incarnation) return { state: 'other_incarnation' };
-    const waited = ledger.state(revocation.attempt) === 'queued';
     const state = ledger.revoke(revocation, clock.monotonic());
-    if (waited) void task.withdraw(revocation.attempt);
+    const job = waiting.get(revocation.attempt);
+    if (state === 'not_sent' && job !== undefined) {
+      void task.withdraw(revocation.attempt);
+      sendRefusal(job.response, ARRIVAL_REFUSALS.revoked, job.attempt);
+    }
     return { state };
   };
 
@@ -230,5 +243,6 @@
     },
     revoke,
     open: () => ledger.open(),
+    refusals: refusals.counts,
   };
 };
