--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -2,7 +2,6 @@
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
-/** Rate and burst of each team over the whole fleet. */
 const getTeamSettings = ({ teams, levels }: Config) =>
   [...teams.keys()].sort().map((team) => {
     const origins = getOrigins(levels, { team });
