--- a/anvilpaddle-app/entry/operatorActions/status.ts
+++ b/anvilpaddle-app/entry/operatorActions/status.ts
@@ -2,7 +2,7 @@
 import { ACTION_ACCESS, type Action } from '../action';
 import { answerJson } from '../apiResult';
 
-const getTeamSettings = ({ teams, levels }: Config) =>
+const getTeamLimits = ({ teams, levels }: Config) =>
   [...teams.keys()].sort().map((team) => {
     const origins = getOrigins(levels, { team });
     const getValue = (name: string): string =>
@@ -23,8 +23,8 @@
       configAgeMs: Math.round(services.config.ageMs()),
       stage: services.getStopStage(),
       members: services.members.live(),
-      settings: getTeamSettings(exchange.config),
-      limits: services.limits.status(),
+      limits: getTeamLimits(exchange.config),
+      tokens: services.limits.status(),
       histograms: services.metrics.summaries(),
       counts: services.metrics.counts(),
     }),
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -156,7 +156,7 @@
 
 interface Status {
   readonly members: readonly { readonly vm: string }[];
-  readonly limits: { readonly view?: { readonly members: readonly string[] } };
+  readonly tokens: { readonly view?: { readonly members: readonly string[] } };
 }
 
 /** Starts a fleet with teams and routes; closing it ends every process. */
@@ -236,8 +236,8 @@
       waitFor(`all members and holders of tokens at ${entry.vm}`, async () => {
         const status = await newOperatorClient(entry.url, OPERATOR_KEY).get('/status');
         if (!status.ok) return false;
-        const { members, limits } = status.value as Status;
-        const isSettled = limits.view?.members.length === shape.entries;
+        const { members, tokens } = status.value as Status;
+        const isSettled = tokens.view?.members.length === shape.entries;
         const isSeen = (vm: string): boolean => members.some((member) => member.vm === vm);
         return isSettled && sidecars.every(({ vm }) => isSeen(vm));
       }),
