--- a/anvilpaddle-app/cli/processCommand.ts
+++ b/anvilpaddle-app/cli/processCommand.ts
@@ -1,6 +1,6 @@
 import type { z } from 'zod';
 import { loadHashing, newLogger, SystemClock, type Clock, type Logger } from '@anvilpaddle/common';
-import { newEntry } from '../entry/entry';
+import { newEntry, type EntryParts } from '../entry/entry';
 import type { Program } from '../process/program';
 import { loadSettings } from '../processSettings/loadSettings';
 import {
@@ -9,7 +9,7 @@
   type EntryFile,
   type SidecarFile,
 } from '../processSettings/schema';
-import { newSidecar } from '../sidecar/sidecar';
+import { newSidecar, type SchedulerFactory } from '../sidecar/sidecar';
 import { EXIT_CODE } from './exitCode';
 
 /** Stops the program at SIGTERM or SIGINT and ends the process when it has stopped. */
@@ -51,9 +51,13 @@
 };
 
 /** Runs an entry until it is told to stop. */
-export const runEntry = (file: string): Promise<void> =>
-  runProgram('entry', file, entryFileSchema, newEntry);
+export const runEntry = (file: string, parts?: EntryParts): Promise<void> =>
+  runProgram('entry', file, entryFileSchema, (settings, clock, log) =>
+    newEntry(settings, clock, log, parts),
+  );
 
 /** Runs a sidecar until it is told to stop. */
-export const runSidecar = (file: string): Promise<void> =>
-  runProgram('sidecar', file, sidecarFileSchema, newSidecar);
+export const runSidecar = (file: string, newScheduler?: SchedulerFactory): Promise<void> =>
+  runProgram('sidecar', file, sidecarFileSchema, (settings, clock, log) =>
+    newSidecar(settings, clock, log, newScheduler),
+  );
--- a/anvilpaddle-app/tests/kit/child.ts
+++ b/anvilpaddle-app/tests/kit/child.ts
@@ -31,11 +31,15 @@
 };
 
 /** Starts `anvilpaddle COMMAND` with a settings file and waits until it is ready. */
-export const startChild = async (command: 'entry' | 'sidecar', ini: Ini): Promise<Child> => {
+export const startChild = async (
+  command: 'entry' | 'sidecar',
+  ini: Ini,
+  bundle: string = BUNDLE,
+): Promise<Child> => {
   const folder = mkdtempSync(join(tmpdir(), 'anvilpaddle-'));
   const file = join(folder, `${command}.ini`);
   writeFileSync(file, stringify(ini));
-  const child = spawn(process.execPath, [BUNDLE, command, '--config', file], {
+  const child = spawn(process.execPath, [bundle, command, '--config', file], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   let logs = '';
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -45,6 +45,8 @@
   readonly levels?: Readonly<Record<string, Level>>;
   /** Puts a link in front of each process's address for messages between processes. */
   readonly links?: boolean;
+  /** Program to run in place of the product's, for measurements. */
+  readonly bundle?: string;
 }
 
 /** A running fleet: real processes for entries and sidecars, stand-ins in the test's process. */
@@ -103,7 +105,7 @@
   index: number,
   platformUrl: string,
   extra: Ini,
-  hasLink: boolean,
+  { links: hasLink = false, bundle }: FleetShape,
 ): Promise<Node> => {
   const host = getNextHost();
   const listen = { host, port: PEER_PORT };
@@ -138,9 +140,9 @@
     peer,
     link: hasLink ? await newLink(peer, listen) : undefined,
     url: role === 'entry' ? `http://${host}:${callers.port}` : '',
-    child: await startChild(role, ini),
+    child: await startChild(role, ini, bundle),
     restart: async () => {
-      node.child = await startChild(role, ini);
+      node.child = await startChild(role, ini, bundle);
     },
   };
   return node;
@@ -180,10 +182,9 @@
     ...engines.map(({ url }, index) => ({ vm: `llm-${index + 1}`, kind: 'engine', url })),
     ...plains.map(({ url }, index) => ({ vm: `plain-${index + 1}`, kind: 'plain', url })),
   ];
-  const hasLinks = shape.links ?? false;
   const entries = await Promise.all(
     Array.from({ length: shape.entries }, (_, index) =>
-      startNode(`entry-${index + 1}`, index, platform.url, shape.ini ?? {}, hasLinks),
+      startNode(`entry-${index + 1}`, index, platform.url, shape.ini ?? {}, shape),
     ),
   );
   const sidecars = await Promise.all(
@@ -192,7 +193,7 @@
       const slots = String(kind === 'engine' ? engineShape.slots : 16);
       const upstream = { upstream: { url, kind, group, slots } };
       const ini = mergeIni(upstream, shape.ini ?? {});
-      return startNode(vm, shape.entries + index, platform.url, ini, hasLinks);
+      return startNode(vm, shape.entries + index, platform.url, ini, shape);
     }),
   );
   const nodes = [...entries, ...sidecars];
@@ -237,7 +238,8 @@
         const status = await newOperatorClient(entry.url, OPERATOR_KEY).get('/status');
         if (!status.ok) return false;
         const { members, tokens } = status.value as Status;
-        const isSettled = tokens.view?.members.length === shape.entries;
+        const isSettled =
+          shape.bundle !== undefined || tokens.view?.members.length === shape.entries;
         const isSeen = (vm: string): boolean => members.some((member) => member.vm === vm);
         return isSettled && sidecars.every(({ vm }) => isSeen(vm));
       }),
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -1,9 +1,11 @@
 import { loadHashing } from '@anvilpaddle/common';
 import { measureCapacity } from './capacity';
+import { measureFour } from './fourMeasures';
 import { measureRouting } from './routing';
 
 /** Measurements by name; `npm run measure -- NAME` runs one, no name runs all. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
+  four: measureFour,
   capacity: measureCapacity,
   routing: measureRouting,
 };
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -61,5 +61,6 @@
 await bundle('anvilpaddle-app/index.ts', 'anvilpaddle.cjs');
 if (existsSync(join(root, 'measurements/index.ts'))) {
   await bundle('measurements/index.ts', 'measure.cjs');
+  await bundle('measurements/naive.ts', 'naive.cjs');
 }
 if (!bundleOnly) buildBinary();
