--- a/packages/standins/faults.ts
+++ b/packages/standins/faults.ts
@@ -41,20 +41,23 @@
 export interface Faults {
   add(fault: Fault): void;
   clear(): void;
+  /** Whether a fault on the path has struck a call. */
+  hasStruck(path: string): boolean;
   /** Fault that strikes this call, if any; counts it down. */
   take(path: string, from?: string): Fault | undefined;
 }
 
 /** Switchboard of faults for one stand-in. */
 export const newFaults = (): Faults => {
-  let active: { fault: Fault; left: number }[] = [];
+  let active: { fault: Fault; left: number; struck: number }[] = [];
   return {
     add: (fault) => {
-      active.push({ fault, left: fault.times ?? Infinity });
+      active.push({ fault, left: fault.times ?? Infinity, struck: 0 });
     },
     clear: () => {
       active = [];
     },
+    hasStruck: (path) => active.some(({ fault, struck }) => fault.path === path && struck > 0),
     take: (path, from) => {
       const hit = active.find(
         ({ fault, left }) =>
@@ -64,6 +67,7 @@
       );
       if (hit === undefined) return undefined;
       hit.left -= 1;
+      hit.struck += 1;
       return hit.fault;
     },
   };
