--- a/anvilpaddle-app/tests/kit/attemptBench.ts
+++ b/anvilpaddle-app/tests/kit/attemptBench.ts
@@ -27,7 +27,7 @@
 import { newUpstreamClient } from '../../sidecar/upstreamClient';
 import { newUpstreamTask } from '../../sidecar/upstreamTask';
 
-const SECRET = 'secret-of-the-attempt-bench';
+export const BENCH_SECRET = 'secret-of-the-attempt-bench';
 const ANY = { host: '127.0.0.1', port: 0 } as const;
 const PEER_TIMEOUT_MS = 1000;
 const clock = new SystemClock();
@@ -52,19 +52,25 @@
 /** Sidecar in the test's process; it can be replaced as by a kill and a new start. */
 export interface BenchSidecar {
   member(): Member;
+  /** Tokens that the scheduler was told of, by attempt. */
+  readonly usedTokens: ReadonlyMap<string, number>;
   /** Ends the incarnation with all of its connections and begins another. */
   restart(): Promise<void>;
   close(): Promise<void>;
 }
 
-const newIncarnation = (url: string, slots: number) => {
+const newIncarnation = (url: string, slots: number, usedTokens: Map<string, number>) => {
   const incarnation = newId('inc');
   const client = newUpstreamClient(url, slots);
   const task = newUpstreamTask(new FirstComeScheduler(slots), clock, log);
+  const finish: typeof task.finish = (id, tokens) => {
+    usedTokens.set(id, tokens);
+    task.finish(id, tokens);
+  };
   const server = newAttemptServer({
     incarnation,
     client,
-    task,
+    task: { ...task, finish },
     ledger: newAttemptLedger({ retentionMs: 60_000, maxNotes: 10_000, maxSenders: 10 }),
     clock,
     log,
@@ -81,10 +87,11 @@
   slots: number,
   models: readonly string[] = [],
 ): Promise<BenchSidecar> => {
-  let current = newIncarnation(url, slots);
+  const usedTokens = new Map<string, number>();
+  let current = newIncarnation(url, slots, usedTokens);
   const peers = await newPeerServer(
     ANY,
-    [SECRET],
+    [BENCH_SECRET],
     { 'attempt.revoke': (revocation) => current.server.revoke(revocation) },
     {
       '/attempts': (request, response) => {
@@ -102,6 +109,7 @@
     await ended.task.close();
   };
   return {
+    usedTokens,
     member: () => ({
       vm,
       address: getAddressText(peers.address),
@@ -116,7 +124,7 @@
     }),
     restart: async () => {
       const ended = current;
-      current = newIncarnation(url, slots);
+      current = newIncarnation(url, slots, usedTokens);
       await end(ended);
     },
     close: async () => {
@@ -148,8 +156,8 @@
   sidecars: readonly BenchSidecar[],
   shape: EntryShape,
 ): Promise<BenchEntry> => {
-  const client = newAttemptClient(SECRET);
-  const peers = newPeerClient(SECRET, PEER_TIMEOUT_MS, clock);
+  const client = newAttemptClient(BENCH_SECRET);
+  const peers = newPeerClient(BENCH_SECRET, PEER_TIMEOUT_MS, clock);
   const weathers = new Map<string, Weather>();
   const lateCopies: Promise<unknown>[] = [];
   const getWeather = (path: string): Weather => shape.getWeather?.(path) ?? FAIR_WEATHER;
--- a/anvilpaddle-app/tests/refusals.test.ts
+++ b/anvilpaddle-app/tests/refusals.test.ts
@@ -19,6 +19,7 @@
 const MAX_LATE_MS = 40;
 // Longer than any delay that a fault brings.
 const SETTLED_MS = 500;
+const FIRST_SECOND_MS = 1000;
 
 const FAULTS = [
   'none',
@@ -191,4 +192,25 @@
       expect([...seen].sort()).toEqual(['answer', 'gone', 'not_run', 'unknown', 'upstream_error']);
     },
   );
+
+  it('bring at most 1.1 attempts a request after the first second when all upstreams fail', async () => {
+    entry = await newBenchEntry(sidecars, {
+      route: { kind: 'plain' },
+      random: newSeededRandom(1),
+    });
+    upstreams.forEach(({ faults }) => faults.add({ path: '/', kind: 'fail' }));
+    const countAll = (): number => upstreams.reduce((sum, { calls }) => sum + calls.length, 0);
+    const sendMany = (count: number): Promise<unknown> =>
+      Promise.all(Array.from({ length: count }, () => fetch(`${entry.url}/intake/all/`)));
+    await sendMany(5);
+    await sleep(FIRST_SECOND_MS / 2);
+    await sendMany(5);
+    await sleep(FIRST_SECOND_MS / 2);
+    const before = countAll();
+    for (let round = 0; round < 10; round += 1) await sendMany(20);
+    await entry.close();
+
+    expect((countAll() - before) / 200).toBeLessThanOrEqual(1.1);
+    expect(countAll() - before).toBeGreaterThan(200);
+  });
 });
