--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { getEffectiveSettings, AffinityRouter } from '@anvilpaddle/decisions';
+import { AffinityRouter, getEffectiveSettings, type Router } from '@anvilpaddle/decisions';
 import {
   getAddressText,
   listen,
@@ -14,7 +14,11 @@
 import { newConfigController } from '../controllers/configController';
 import { newJobController } from '../controllers/jobController';
 import { newKeyWatch } from '../controllers/keyWatch';
-import { newLimitController } from '../controllers/limitController';
+import {
+  newLimitController,
+  type LimitController,
+  type LimitControllerParts,
+} from '../controllers/limitController';
 import { newTeamRates } from '../controllers/teamRates';
 import { newMemberController } from '../controllers/memberController';
 import { newPeerClient } from '../peers/peerClient';
@@ -72,8 +76,24 @@
   };
 };
 
+/** Parts of an entry that a measurement replaces by a naive version. */
+export interface EntryParts {
+  newLimits(parts: LimitControllerParts): LimitController;
+  newRouter(clock: Clock): Router;
+}
+
+const ENTRY_PARTS: EntryParts = {
+  newLimits: newLimitController,
+  newRouter: (clock) => new AffinityRouter(Math.random, () => clock.monotonic()),
+};
+
 /** Starts an entry. */
-export const newEntry = async (file: EntryFile, clock: Clock, log: Logger): Promise<Entry> => {
+export const newEntry = async (
+  file: EntryFile,
+  clock: Clock,
+  log: Logger,
+  entryParts: EntryParts = ENTRY_PARTS,
+): Promise<Entry> => {
   const incarnation = newId('inc');
   const localAddress = file.peers.listen.host;
   const platform = newPlatform(file.platform.url, file.platform.timeout, localAddress);
@@ -123,7 +143,7 @@
     clock,
     log,
   );
-  const limits = newLimitController({
+  const limits = entryParts.newLimits({
     address,
     lifeId: incarnation,
     tables: platform.tables,
@@ -162,7 +182,7 @@
           void peers.call(vm.address, 'job.ended', { job: id });
         });
     },
-    router: new AffinityRouter(Math.random, () => clock.monotonic()),
+    router: entryParts.newRouter(clock),
     metrics,
     clock,
     log,
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,9 @@
-import { newAttemptLedger, YieldingScheduler } from '@anvilpaddle/decisions';
+import {
+  newAttemptLedger,
+  YieldingScheduler,
+  type Bounds,
+  type Scheduler,
+} from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
@@ -18,11 +23,15 @@
 const MODELS_INTERVAL_MS = 1000;
 const LEDGER_BOUNDS = { retentionMs: MS_PER_MINUTE, maxNotes: 50_000, maxSenders: 10_000 } as const;
 
+/** Makes the scheduler; a measurement replaces it by a naive version. */
+export type SchedulerFactory = (bounds: Bounds) => Scheduler;
+
 /** Starts a sidecar; rejects when its port is taken, so that two never share an upstream. */
 export const newSidecar = async (
   file: SidecarFile,
   clock: Clock,
   log: Logger,
+  newScheduler: SchedulerFactory = (bounds) => new YieldingScheduler(bounds),
 ): Promise<Program> => {
   const incarnation = newId('inc');
   const localAddress = file.peers.listen.host;
@@ -57,7 +66,7 @@
   const getSettings = newTeamSettings(config.current, file.process.failure_domain);
   const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
   const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
-  const scheduler = new YieldingScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const scheduler = newScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
   const task = newUpstreamTask(scheduler, clock, log);
   const readModels = async (): Promise<readonly string[]> =>
     file.upstream.kind === 'engine' ? client.listModels() : [];
