--- a/anvilpaddle-app/controllers/configRelay.ts
+++ b/anvilpaddle-app/controllers/configRelay.ts
@@ -26,6 +26,12 @@
   readonly random: Random;
 }
 
+interface Topology {
+  readonly vms: readonly Vm[];
+  readonly voters: readonly Vm[];
+  readonly source: string | undefined;
+}
+
 /** Exchanges the configuration with other processes. */
 export interface ConfigRelay {
   /** Whether this process reads the store and holds accepted changes. */
@@ -44,7 +50,17 @@
 export const newConfigRelay = (local: LocalConfig, services: RelayServices): ConfigRelay => {
   const { self, peers, clock } = services;
 
-  const getAllVoters = (): Vm[] => getVoters(services.getVms());
+  let topology: Topology | undefined;
+
+  /** Worked out anew only when the list has been read again. */
+  const getTopology = (): Topology => {
+    const vms = services.getVms();
+    if (topology?.vms !== vms) {
+      topology = { vms, voters: getVoters(vms), source: getSource(self, vms) };
+    }
+    return topology;
+  };
+  const getAllVoters = (): readonly Vm[] => getTopology().voters;
 
   const ask = async (
     address: string,
@@ -60,7 +76,7 @@
   /** Its own source, or, when that does not help, any process that may know more. */
   const pickSource = (isLate: boolean): string | undefined => {
     const voters = getAllVoters();
-    const known = getSource(self, voters, services.getLive());
+    const known = getTopology().source;
     if (known !== undefined && !isLate) return known;
     const addresses = [
       ...voters.map(({ address }) => address),
--- a/anvilpaddle-app/tests/kit/configFleet.ts
+++ b/anvilpaddle-app/tests/kit/configFleet.ts
@@ -44,6 +44,8 @@
   readonly clock: ManualClock;
   readonly tables: Tables;
   readonly nodes: readonly ConfigNode[];
+  /** Messages between processes so far, with both directions' bytes. */
+  readonly traffic: { messages: number; bytes: number };
   setCut(a: string, b: string, isCut: boolean): void;
   setList(vms: readonly Vm[]): void;
   restart(node: ConfigNode): void;
@@ -75,18 +77,23 @@
 };
 
 /** Starts a controller for each VM; time moves only by the clock. */
-export const newConfigFleet = async (list: readonly Vm[]): Promise<ConfigFleet> => {
+export const newConfigFleet = async (
+  list: readonly Vm[],
+  intervalMs = INTERVAL_MS,
+): Promise<ConfigFleet> => {
   await loadHashing();
   const clock = new StepClock();
   const tables = newTables();
   const cuts = new Set<string>();
+  const traffic = { messages: 0, bytes: 0 };
   const nodes: ConfigNode[] = [];
+  const byName = new Map<string, ConfigNode>();
   let vms = list;
 
   const newPeers = (from: string): Pick<PeerClient, 'call'> => ({
     call: async (address: string, method: Method, params: unknown) => {
       await Promise.resolve();
-      const target = nodes.find(({ vm }) => vm === address);
+      const target = byName.get(address);
       if (target?.isAlive !== true || cuts.has(`${from} ${address}`)) {
         return newFailure({ kind: 'unreachable', detail: address } as const);
       }
@@ -95,7 +102,10 @@
         method === 'config.read'
           ? await handlers['config.read'](params as Params<'config.read'>)
           : await handlers['config.push'](params as Params<'config.push'>);
-      return newOk(JSON.parse(JSON.stringify(answer)) as never);
+      const text = JSON.stringify(answer);
+      traffic.messages += 1;
+      traffic.bytes += text.length + JSON.stringify(params).length;
+      return newOk(JSON.parse(text) as never);
     },
   });
   const newController = (vm: Vm, store: StoreFault): ConfigController =>
@@ -106,20 +116,23 @@
       tables: newStoreClient(tables, store),
       getVms: () => vms,
       getLive: () => [],
-      intervalMs: INTERVAL_MS,
+      intervalMs,
       clock,
       random: newSeededRandom(getHash(vm.vm)),
       log: newSilentLogger(),
     });
   list.forEach((vm) => {
     const store: StoreFault = { isDown: false, lostAnswers: 0 };
-    nodes.push({ vm: vm.vm, store, controller: newController(vm, store), isAlive: true });
+    const node = { vm: vm.vm, store, controller: newController(vm, store), isAlive: true };
+    nodes.push(node);
+    byName.set(node.vm, node);
   });
 
   return {
     clock,
     tables,
     nodes,
+    traffic,
     setCut: (a, b, isCut) =>
       [`${a} ${b}`, `${b} ${a}`].forEach((link) => (isCut ? cuts.add(link) : cuts.delete(link))),
     setList: (next) => {
--- a/packages/decisions/settings/relay.ts
+++ b/packages/decisions/settings/relay.ts
@@ -1,6 +1,5 @@
 import { getRendezvousOrder, getRendezvousOwner } from '@anvilpaddle/common';
 import type { Vm } from '@anvilpaddle/platform';
-import type { Member } from '@anvilpaddle/protocol';
 
 const VOTERS_PER_DOMAIN = 3;
 const DIRECT_READERS = 64;
@@ -59,29 +58,21 @@
 
 /**
  * Address that a node asks for news: a voter of its failure domain, or, in a large domain, one of
- * the relays that ask the voters; undefined when none is known.
+ * the relays that ask the voters; undefined when none is known. Worked out from the platform's list
+ * alone, so that the nodes spread over the relays without a word between them.
  */
-export const getSource = (
-  self: Place,
-  voters: readonly Vm[],
-  live: readonly Member[],
-): string | undefined => {
-  const others = voters.filter(({ vm }) => vm !== self.vm);
-  const near = others.filter(({ failureDomain }) => failureDomain === self.failureDomain);
-  const addresses = new Map((near.length > 0 ? near : others).map((vm) => [vm.vm, vm.address]));
-  const domain = live.filter(({ failureDomain }) => failureDomain === self.failureDomain);
-  if (domain.length > DIRECT_READERS) {
-    const entries = domain.filter(({ role, vm }) => role === 'entry' && !addresses.has(vm));
-    const relays = getRendezvousOrder(
-      'relay',
-      entries.map(({ vm }) => vm),
-    ).slice(0, Math.ceil(Math.sqrt(domain.length)));
-    if (relays.length > 0 && !relays.includes(self.vm)) {
-      const relay = getRendezvousOwner(self.vm, relays);
-      return entries.find(({ vm }) => vm === relay)?.address;
-    }
-  }
-  const alive = [...addresses.keys()].filter((vm) => live.some((member) => member.vm === vm));
-  const voter = getRendezvousOwner(self.vm, alive.length > 0 ? alive : [...addresses.keys()]);
-  return voter === undefined ? undefined : addresses.get(voter);
+export const getSource = (self: Place, vms: readonly Vm[]): string | undefined => {
+  const voters = getVoters(vms).filter(({ vm }) => vm !== self.vm);
+  const near = voters.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+  const domain = vms.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+  const isVoter = (name: string): boolean => near.some(({ vm }) => vm === name);
+  const entries = domain.filter(({ role, vm }) => role === 'entry' && !isVoter(vm));
+  const relays = getRendezvousOrder(
+    'relay',
+    entries.map(({ vm }) => vm),
+  ).slice(0, domain.length > DIRECT_READERS ? Math.ceil(Math.sqrt(domain.length)) : 0);
+  const isRelayed = relays.length > 0 && !relays.includes(self.vm);
+  const direct = (near.length > 0 ? near : voters).map(({ vm }) => vm);
+  const source = getRendezvousOwner(self.vm, isRelayed ? relays : direct);
+  return vms.find(({ vm }) => vm === source)?.address;
 };
--- a/packages/decisions/settings/tree.ts
+++ b/packages/decisions/settings/tree.ts
@@ -47,14 +47,31 @@
   });
 };
 
+/** Settings parsed already, by the levels they come from; each change brings new levels. */
+const parsedSettings = new WeakMap<ReadonlyMap<string, Level>, Map<string, EffectiveSettings>>();
+const MAX_PARSED = 5_000;
+
+const parseSettings = (levels: ReadonlyMap<string, Level>, subject: Subject): EffectiveSettings =>
+  Object.fromEntries(
+    getOrigins(levels, subject).map(({ name, text }) => [name, SETTINGS[name].schema.parse(text)]),
+  ) as EffectiveSettings;
+
 /** Parsed settings for a subject. The levels must have passed `getLevelFaults`. */
 export const getEffectiveSettings = (
   levels: ReadonlyMap<string, Level>,
   subject: Subject,
-): EffectiveSettings =>
-  Object.fromEntries(
-    getOrigins(levels, subject).map(({ name, text }) => [name, SETTINGS[name].schema.parse(text)]),
-  ) as EffectiveSettings;
+): EffectiveSettings => {
+  const known = parsedSettings.get(levels) ?? new Map<string, EffectiveSettings>();
+  parsedSettings.set(levels, known);
+  // Only levels that override something tell subjects apart.
+  const path = getLevels(subject)
+    .filter((level) => levels.has(level))
+    .join('\n');
+  const settings = known.get(path) ?? parseSettings(levels, subject);
+  if (known.size >= MAX_PARSED) known.clear();
+  known.set(path, settings);
+  return settings;
+};
 
 /** Everything that is wrong with one level; each fault names the level and the setting. */
 export const getLevelFaults = (level: string, values: Level): string[] => {
