A look for work goes through at most eight jobs; mixed models; batch measurement

Cause: a look went through all open jobs, 2,000 scans in a row when none had a free chunk. Jobs without one are passed over for a quarter of the lease, at most 10 s.

--- a/anvilpaddle-app/batch/chunkFinder.ts
+++ b/anvilpaddle-app/batch/chunkFinder.ts
@@ -22,6 +22,11 @@
 
 const WINDOW_ROWS = 64;
 const CLAIMS_PER_JOB = 4;
+/** Jobs that one look goes through. */
+const JOBS_PER_LOOK = 8;
+/** Part of a lease for which a job without a free chunk is passed over. */
+const DRY_LEASES = 0.25;
+const MAX_DRY_MS = 10_000;
 
 /** What a sidecar looks for. */
 export interface Wanted extends ClaimTerms {
@@ -46,6 +51,8 @@
 export interface ChunkFinder {
   /** One look; undefined when there is nothing to do now. Ends jobs whose chunks are all done. */
   find(wanted: Wanted): Promise<Claim | undefined>;
+  /** A chunk of the job was committed or given back here: the next look is not put off. */
+  refresh(job: string): void;
   readonly counts: FinderCounts;
 }
 
@@ -59,6 +66,7 @@
   const claims = newChunkClaims(tables, clock);
   const watch = newLeaseWatch();
   const counts: FinderCounts = { claims: 0, conflicts: 0 };
+  const dryUntilMs = new Map<string, number>();
   let remaining = new Map<string, number>();
 
   const getVacancy = (chunk: Chunk, row: Row, wanted: Wanted): Vacancy | undefined => {
@@ -134,11 +142,15 @@
     const jobs = rows.value.map(({ value }) => jobSchema.parse(value));
     const open = new Map(jobs.map((job) => [job.id, job]));
     remaining = new Map([...remaining].filter(([id]) => open.has(id)));
+    [...dryUntilMs.keys()].filter((id) => !open.has(id)).forEach((id) => dryUntilMs.delete(id));
     return open;
   };
 
   return {
     counts,
+    refresh: (job) => {
+      dryUntilMs.delete(job);
+    },
     find: async (wanted) => {
       const jobs = await getOpenJobs(wanted.group);
       const known = [...jobs.values()].filter((job) => job.revision <= wanted.revision);
@@ -149,10 +161,14 @@
         dueAt: job.dueAt,
         remaining: remaining.get(job.id) ?? job.items,
       }));
-      for (const { id } of getJobOrder(open, wanted.itemsPerSecond, clock.wall(), random)) {
+      const order = getJobOrder(open, wanted.itemsPerSecond, clock.wall(), random);
+      const dryMs = Math.min(MAX_DRY_MS, wanted.leaseMs * DRY_LEASES);
+      const isDry = (id: string): boolean => (dryUntilMs.get(id) ?? 0) > clock.monotonic();
+      for (const { id } of order.filter((job) => !isDry(job.id)).slice(0, JOBS_PER_LOOK)) {
         const job = jobs.get(id);
         const claim = job && (await claimOne(job, await look(job, wanted), wanted));
         if (claim !== undefined) return claim;
+        dryUntilMs.set(id, clock.monotonic() + dryMs);
       }
       return undefined;
     },
--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -147,6 +147,7 @@
       .catch((fault: unknown) => log.error({ err: fault }, 'chunk failed'))
       .then(() => {
         drop(run);
+        finder.refresh(run.job.id);
         ending.delete(done);
         wake();
       });
--- a/anvilpaddle-app/tests/batchFaults.test.ts
+++ b/anvilpaddle-app/tests/batchFaults.test.ts
@@ -213,4 +213,28 @@
     expect(Math.max(...current.runs.values())).toBe(1);
     expect(current.getResults(job)).toHaveLength(64);
   });
+
+  it('runs chunks of mixed models together, and ends items of a model that nobody serves', async () => {
+    const current = newBatchFleet({
+      random: newSeededRandom(8),
+      slots: 8,
+      itemMs: 2,
+      levels: { 'batch.model_wait': '200ms' },
+    });
+    fleet = current;
+    const models = ['small-chat', 'large-chat', 'ghost'];
+    const lines = Array.from({ length: 192 }, (_, index) => {
+      const id = `item-${index}`;
+      return getItemLine(id, { body: { model: models[index % 3], messages: [id] } });
+    });
+    const job = await current.submit(lines);
+    current.addWorker(['small-chat']);
+    current.addWorker(['large-chat']);
+    await waitFor('the job completed', () => current.getState(job) === 'completed', 20_000);
+    const results = current.getResults(job);
+
+    expect(countByOutcome(results)).toEqual({ 200: 128, model_not_found: 64 });
+    expect(new Set(getIds(results)).size).toBe(192);
+    expect(Math.max(...current.runs.values())).toBe(1);
+  });
 });
--- a/anvilpaddle-app/tests/kit/batchFleet.ts
+++ b/anvilpaddle-app/tests/kit/batchFleet.ts
@@ -57,7 +57,7 @@
   /** Rules that were broken, such as a result that changed. */
   readonly violations: string[];
   setRates(rates: FaultRates): void;
-  addWorker(): WorkerNode;
+  addWorker(models?: readonly string[]): WorkerNode;
   /** Stores a file of lines and creates its job. */
   submit(lines: readonly string[], more?: Partial<Job>): Promise<Job>;
   getState(job: Job): string;
@@ -204,7 +204,7 @@
     setRates: (next) => {
       rates = next;
     },
-    addWorker: () => {
+    addWorker: (models = [MODEL]) => {
       const gate = newGate(shared, clock, shape.random, () => rates);
       const worker = newBatchWorker({
         owner: newId('inc'),
@@ -220,7 +220,7 @@
         isStopping: () => false,
         getWeight: () => 1,
         getConfig: () => config,
-        getModels: () => [MODEL],
+        getModels: () => models,
         getSidecarCount: () => nodes.length,
       });
       const node = { gate, worker };
--- /dev/null
+++ b/measurements/batch.ts
@@ -0,0 +1,215 @@
+import { setMaxListeners } from 'node:events';
+import { readFileSync } from 'node:fs';
+import { JOB_STATE, type Job } from '@anvilpaddle/decisions';
+import { newId, newSeededRandom, newSilentLogger, type Random } from '@anvilpaddle/common';
+import { FirstComeScheduler } from '@anvilpaddle/decisions';
+import { newChunkFinder } from 'anvilpaddle-app/batch/chunkFinder';
+import { newChunkRun } from 'anvilpaddle-app/batch/chunkRun';
+import { newItemRunner } from 'anvilpaddle-app/batch/itemRunner';
+import { newUpstreamTask } from 'anvilpaddle-app/sidecar/upstreamTask';
+import { newFleet } from 'anvilpaddle-app/tests/kit/fleet';
+import { measureContention } from './batchContention';
+import {
+  clock,
+  config,
+  ITEM_MS,
+  newClient,
+  newStore,
+  ROUND_TRIP_MS,
+  SLOTS,
+  startWorker,
+  submit,
+  waitForEnd,
+  type Store,
+} from './kit/batchStore';
+import { printTable } from './kit/table';
+
+const WORKERS = 8;
+const JOB_ITEMS = [2_560, 10_240, 40_960];
+const ITEMS_PER_DAY = 150_000_000;
+const SECONDS_PER_DAY = 86_400;
+const UPLOADS = [100_000, 300_000, 890_000];
+const BYTES_PER_MB = 1_000_000;
+
+/** One chunk at a time without anything ready behind it, for comparison. */
+const runOneByOne = async (store: Store, job: Job, random: Random): Promise<void> => {
+  const finder = newChunkFinder(store.service, clock, random);
+  const task = newUpstreamTask(new FirstComeScheduler(SLOTS), clock, newSilentLogger());
+  const runner = newItemRunner({ task, client: newClient(), clock, getWeight: () => 1 });
+  const services = { tables: store.service, objects: store.objects, clock };
+  const drainSignal = new AbortController().signal;
+  setMaxListeners(0, drainSignal);
+  while ((store.tables.get('jobs', job.id)?.value as Job).state === JOB_STATE.inProgress) {
+    const claim = await finder.find({
+      owner: newId('inc'),
+      leaseMs: 60_000,
+      maxAttempts: 3,
+      group: 'llm',
+      revision: 1,
+      itemsPerSecond: 0,
+      getWeight: () => 1,
+      canRun: () => true,
+      isHeld: () => false,
+    });
+    if (claim === undefined) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 20);
+      });
+      continue;
+    }
+    const run = newChunkRun(services, claim, () => true);
+    const route = config.routes[0];
+    await run.load({ endpoint: job.endpoint, route, routeName: 'chat', team: {} });
+    const items: Promise<void>[] = [];
+    for (let placed = run.next(); placed !== undefined; placed = run.next()) {
+      const { item, place } = placed;
+      const terms = {
+        job,
+        maxAttempts: 3,
+        timeoutMs: 60_000,
+        maxAnswerBytes: 1_000_000,
+        signal: run.signal,
+        drainSignal,
+        markStarted: () => Promise.resolve(true),
+        onStart: () => undefined,
+      };
+      items.push(runner.run(item, terms).then((result) => run.settle(place, result)));
+    }
+    await Promise.all(items);
+    await run.finish();
+  }
+  await task.close();
+};
+
+const getShare = (items: number, tookMs: number): string =>
+  ((items * ITEM_MS) / (WORKERS * SLOTS) / tookMs).toFixed(3);
+
+const measureOneByOne = async (items: number): Promise<string> => {
+  const store = newStore(ROUND_TRIP_MS);
+  const job = await submit(store, items);
+  const random = newSeededRandom(items);
+  const startedMs = performance.now();
+  await Promise.all(Array.from({ length: WORKERS }, () => runOneByOne(store, job, random)));
+  return getShare(items, performance.now() - startedMs);
+};
+
+/** Store calls and share of the ideal throughput, by size of the job. */
+const measureRuns = async (): Promise<void> => {
+  const rows: Record<string, string | number>[] = [];
+  for (const items of JOB_ITEMS) {
+    const store = newStore(ROUND_TRIP_MS);
+    const job = await submit(store, items);
+    const creation = { ...store.tables.calls };
+    const startedMs = performance.now();
+    const random = newSeededRandom(items);
+    const started = Array.from({ length: WORKERS }, () => startWorker(store, WORKERS, random));
+    await waitForEnd(store, job);
+    const tookMs = performance.now() - startedMs;
+    const { reads, writes } = store.tables.calls;
+    const thousands = items / 1000;
+    rows.push({
+      items,
+      chunks: job.chunks,
+      'creation writes': creation.writes,
+      'table writes/1000': ((writes - creation.writes) / thousands).toFixed(2),
+      'table reads/1000': ((reads - creation.reads) / thousands).toFixed(2),
+      'object writes/1000': (store.objectCalls.writes / thousands).toFixed(2),
+      'object reads/1000': (store.objectCalls.reads / thousands).toFixed(2),
+      'share of ideal': getShare(items, tookMs),
+      'one by one': await measureOneByOne(items),
+    });
+    await Promise.all(started.map((worker) => worker.close()));
+  }
+  printTable(`batch: one job over ${WORKERS} workers of ${SLOTS} slots`, rows);
+  const last = rows.at(-1) ?? {};
+  const perSecond = ITEMS_PER_DAY / SECONDS_PER_DAY / 1000;
+  const renewals = 100;
+  const writes = Number(last['table writes/1000']) * perSecond;
+  process.stdout.write(
+    `at 150 million items a day: table writes ${writes.toFixed(1)}/s for chunks, ` +
+      `up to ${renewals}/s for leases of one chunk a sidecar; object writes ` +
+      `${(Number(last['object writes/1000']) * perSecond).toFixed(1)}/s\n`,
+  );
+};
+
+const getResidentMb = (pid: number, field: 'VmRSS' | 'VmHWM'): number => {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return (Number(new RegExp(`${field}:\\s+(\\d+)`).exec(status)?.[1]) * 1024) / BYTES_PER_MB;
+};
+
+const getUpload = (items: number, boundary: string): ReadableStream<Uint8Array> => {
+  const head = 'content-disposition: form-data; name="file"; filename="large.jsonl"';
+  const body = JSON.stringify({ model: 'small-chat', messages: ['x'.repeat(120)] });
+  let sent = -1;
+  const getPiece = (): string => {
+    if (sent < 0) return `--${boundary}\r\n${head}\r\n\r\n`;
+    if (sent >= items) return `\r\n--${boundary}--\r\n`;
+    const count = Math.min(500, items - sent);
+    return Array.from(
+      { length: count },
+      (_, index) =>
+        `{"custom_id":"d-${sent + index}","method":"POST","url":"/v1/chat/completions","body":${body}}\n`,
+    ).join('');
+  };
+  return new ReadableStream({
+    pull: (controller) => {
+      controller.enqueue(Buffer.from(getPiece()));
+      if (sent >= items) controller.close();
+      sent = sent < 0 ? 0 : Math.min(items + 1, sent + 500);
+      if (sent > items) sent = items;
+    },
+  });
+};
+
+/** Resident memory of an entry before and at the peak of an upload and the job's creation. */
+const measureUpload = async (): Promise<void> => {
+  const rows: Record<string, string | number>[] = [];
+  for (const items of UPLOADS) {
+    const level = {
+      'limits.rate': '1000',
+      'limits.burst': '1000',
+      'batch.completion_window': '24h',
+    };
+    const levels = { fleet: level };
+    const fleet = await newFleet({ entries: 1, engines: 0, plains: 0, levels });
+    const key = await fleet.newTeam('association');
+    const pid = fleet.entries[0]?.child.pid ?? 0;
+    const idleMb = getResidentMb(pid, 'VmRSS');
+    const boundary = newId('form');
+    const send = async (
+      path: string,
+      type: string,
+      body: string | ReadableStream<Uint8Array>,
+    ): Promise<{ id: string }> => {
+      const answer = await fetch(`${fleet.entries[0]?.url}${path}`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${key}`, 'content-type': type },
+        body,
+        duplex: 'half',
+      });
+      return (await answer.json()) as { id: string };
+    };
+    const form = `multipart/form-data; boundary=${boundary}`;
+    const file = await send('/v1/files', form, getUpload(items, boundary));
+    const uploadMb = getResidentMb(pid, 'VmHWM');
+    const request = { input_file_id: file.id, endpoint: '/v1/chat/completions' };
+    const job = await send('/v1/batches', 'application/json', JSON.stringify(request));
+    const kept = fleet.platform.tables.get('jobs', job.id)?.value as Job | undefined;
+    rows.push({
+      items,
+      accepted: kept?.items ?? 0,
+      'idle MB': idleMb.toFixed(1),
+      'peak of the upload MB': uploadMb.toFixed(1),
+      'peak with the creation MB': getResidentMb(pid, 'VmHWM').toFixed(1),
+    });
+    await fleet.close();
+  }
+  printTable('batch: resident memory of an entry that takes a large file', rows);
+};
+
+/** Prints store calls, throughput, memory and contention of batch jobs. */
+export const measureBatch = async (): Promise<void> => {
+  await measureRuns();
+  await measureUpload();
+  await measureContention();
+};
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -1,9 +1,11 @@
 import { loadHashing } from '@anvilpaddle/common';
+import { measureBatch } from './batch';
 import { measureCapacity } from './capacity';
 import { measureRouting } from './routing';
 
 /** Measurements by name; `npm run measure -- NAME` runs one, no name runs all. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
+  batch: measureBatch,
   capacity: measureCapacity,
   routing: measureRouting,
 };
--- /dev/null
+++ b/measurements/kit/batchStore.ts
@@ -0,0 +1,178 @@
+import { Readable } from 'node:stream';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  FirstComeScheduler,
+  getPartKey,
+  JOB_STATE,
+  newConfig,
+  type File,
+  type Job,
+} from '@anvilpaddle/decisions';
+import { newId, newOk, newSilentLogger, SystemClock, type Random } from '@anvilpaddle/common';
+import type { ObjectStore, TableService } from '@anvilpaddle/platform';
+import { newTables, type Tables } from '@anvilpaddle/standins';
+import { newJobController } from 'anvilpaddle-app/controllers/jobController';
+import { TABLE } from 'anvilpaddle-app/batch/tables';
+import { newBatchWorker, type BatchWorker } from 'anvilpaddle-app/sidecar/batchWorker';
+import type { UpstreamClient } from 'anvilpaddle-app/sidecar/upstreamClient';
+import { newUpstreamTask } from 'anvilpaddle-app/sidecar/upstreamTask';
+
+export const ITEMS_PER_CHUNK = 256;
+/** Time of one call to a store. */
+export const ROUND_TRIP_MS = 2;
+/** Time of one item at the upstream. */
+export const ITEM_MS = 40;
+/** Items that an upstream works on together. */
+export const SLOTS = 16;
+
+/** Platform in memory whose calls take a round trip. */
+export interface Store {
+  readonly tables: Tables;
+  readonly service: TableService;
+  readonly objects: ObjectStore;
+  readonly content: Map<string, Buffer>;
+  objectCalls: { reads: number; writes: number };
+}
+
+/** Store with a round trip in milliseconds. */
+export const newStore = (roundTripMs: number): Store => {
+  const tables = newTables();
+  const content = new Map<string, Buffer>();
+  const objectCalls = { reads: 0, writes: 0 };
+  const call = async <T>(action: () => T) => {
+    await sleep(roundTripMs / 2);
+    const value = structuredClone(action());
+    await sleep(roundTripMs / 2);
+    return newOk(value);
+  };
+  return {
+    tables,
+    content,
+    objectCalls,
+    service: {
+      get: (table, key) => call(() => tables.get(table, key)),
+      scan: (table, range) => call(() => tables.scan(table, range)),
+      transact: (transaction) => call(() => tables.transact(transaction)),
+    },
+    objects: {
+      put: (key, body) => {
+        objectCalls.writes += 1;
+        content.set(key, body);
+        return call(() => undefined);
+      },
+      get: async (key) => {
+        objectCalls.reads += 1;
+        await sleep(roundTripMs);
+        return newOk(content.get(key));
+      },
+      remove: (key) => {
+        content.delete(key);
+        return call(() => undefined);
+      },
+    },
+  };
+};
+
+export const clock = new SystemClock();
+
+/** Stores an input file and creates its job. */
+export const submit = async (store: Store, items: number): Promise<Job> => {
+  const id = newId('file');
+  const parts = Array.from({ length: Math.ceil(items / ITEMS_PER_CHUNK) }, (_, index) =>
+    Math.min(ITEMS_PER_CHUNK, items - index * ITEMS_PER_CHUNK),
+  );
+  parts.forEach((count, part) => {
+    const lines = Array.from({ length: count }, (_, index) =>
+      JSON.stringify({
+        custom_id: `${part}-${index}`,
+        method: 'POST',
+        url: '/v1/chat/completions',
+        body: { model: 'm', messages: [] },
+      }),
+    );
+    store.content.set(getPartKey(id, part), Buffer.from(`${lines.join('\n')}\n`));
+  });
+  const file: File = {
+    id,
+    team: 'team',
+    name: '',
+    purpose: 'batch',
+    bytes: 0,
+    createdAt: 0,
+    parts,
+    models: [],
+  };
+  store.tables.transact({ checks: [], writes: [{ table: TABLE.files, key: id, value: file }] });
+  const job: Job = {
+    id: newId('batch'),
+    team: 'team',
+    state: JOB_STATE.inProgress,
+    file: id,
+    endpoint: '/v1/chat/completions',
+    route: 'chat',
+    group: 'llm',
+    revision: 1,
+    chunks: parts.length,
+    items,
+    createdAt: clock.wall(),
+    dueAt: clock.wall() + 86_400_000,
+  };
+  const created = await newJobController(store.service, store.objects, clock).createJob(job, file);
+  if (!created.ok) throw new Error('job not created');
+  return job;
+};
+
+/** Configuration with one team and one route. */
+export const config = newConfig(1, [
+  { kind: 'team', id: 'team', value: {}, revision: 1 },
+  {
+    kind: 'route',
+    id: 'chat',
+    revision: 1,
+    value: {
+      kind: 'model',
+      path: '/v1/chat/completions',
+      access: 'keyed',
+      group: 'llm',
+      idempotentMethods: [],
+    },
+  },
+]);
+
+/** Upstream that answers each item after a fixed time. */
+export const newClient = (): UpstreamClient => ({
+  call: async () => {
+    await sleep(ITEM_MS);
+    return newOk({ status: 200, headers: {}, body: Readable.from([Buffer.from('{"usage":{}}')]) });
+  },
+  listModels: () => Promise.resolve(['m']),
+  close: () => Promise.resolve(),
+});
+
+/** Starts one of so many batch workers. */
+export const startWorker = (store: Store, workers: number, random: Random): BatchWorker =>
+  newBatchWorker({
+    owner: newId('inc'),
+    group: 'llm',
+    slots: SLOTS,
+    tables: store.service,
+    objects: store.objects,
+    task: newUpstreamTask(new FirstComeScheduler(SLOTS), clock, newSilentLogger()),
+    client: newClient(),
+    clock,
+    random,
+    log: newSilentLogger(),
+    isStopping: () => false,
+    getWeight: () => 1,
+    getConfig: () => config,
+    getModels: () => ['m'],
+    getSidecarCount: () => workers,
+  });
+
+const isOpen = (store: Store, job: Job): boolean =>
+  (store.tables.get(TABLE.jobs, job.id)?.value as Job).state === JOB_STATE.inProgress;
+
+/** Waits until the job has ended. */
+export const waitForEnd = async (store: Store, job: Job): Promise<void> => {
+  while (isOpen(store, job)) await sleep(5);
+};
