--- a/anvilpaddle-app/entry/streamRelay.ts
+++ b/anvilpaddle-app/entry/streamRelay.ts
@@ -1,11 +1,14 @@
 import { once } from 'node:events';
 import { createParser } from 'eventsource-parser';
-import { HISTOGRAM, SERVICE_CLASS } from '@anvilpaddle/common';
+import { BYTES_PER_MIB, HISTOGRAM, SERVICE_CLASS } from '@anvilpaddle/common';
 import { getErrorBody, type ApiError } from '@anvilpaddle/protocol';
 import { getCallerHeaders, isCrossed, type Answer } from './answer';
 import type { EntryServices, Exchange } from './exchange';
 import { newStreamPosition, type StreamEvent } from './streamPosition';
 
+const MAX_EVENT_BYTES = BYTES_PER_MIB;
+const FLUSH_MS = 1000;
+
 /** How an upstream's part of a stream ended; `cut` means that the rest is missing. */
 export type StreamEnd = 'ended' | 'cut';
 
@@ -62,6 +65,7 @@
   const newReader = (answer: Answer) => {
     const texts: string[] = [];
     let state: 'open' | 'ended' | 'bad' = 'open';
+    let sinceEventBytes = 0;
     const decoder = new TextDecoder();
     const onModelEvent = (event: StreamEvent): void => {
       const step = position.accept(event, (json) => isCrossed(json, answer.attempt));
@@ -73,6 +77,7 @@
     };
     const parser = createParser({
       onEvent: (event) => {
+        sinceEventBytes = 0;
         if (state !== 'open') return;
         if (isModel) onModelEvent(event);
         else texts.push(getEventText(event));
@@ -80,7 +85,9 @@
     });
     return {
       feed: (chunk: Buffer): string => {
-        parser.feed(decoder.decode(chunk, { stream: true }));
+        sinceEventBytes += chunk.length;
+        if (sinceEventBytes > MAX_EVENT_BYTES) state = 'bad';
+        else parser.feed(decoder.decode(chunk, { stream: true }));
         return texts.splice(0).join('');
       },
       state: () => state,
@@ -116,16 +123,19 @@
     getResumedBody: () => (isModel ? position.getResumedBody() : undefined),
     fail: (error) =>
       new Promise((resolve) => {
-        const close = (): void => {
-          response.destroy();
-          resolve();
-        };
         if (response.destroyed) {
           resolve();
           return;
         }
-        response.once('close', resolve);
-        response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`, close);
+        // A caller that has stopped reading must not hold the request open.
+        const timer = services.clock.after(FLUSH_MS, () => response.destroy());
+        response.once('close', () => {
+          timer.cancel();
+          resolve();
+        });
+        response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`, () =>
+          response.destroy(),
+        );
       }),
   };
 };
