--- a/anvilpaddle-app/cli/commands/status.ts
+++ b/anvilpaddle-app/cli/commands/status.ts
@@ -11,7 +11,7 @@
   readonly members: readonly Member[];
   readonly histograms: readonly Summary[];
   readonly counts: Readonly<Record<string, number>>;
-  readonly limits: readonly TeamLimit[];
+  readonly settings: readonly TeamLimit[];
 }
 
 interface TeamLimit {
@@ -41,7 +41,7 @@
     ),
     getTable(
       ['team', 'rate /s', 'burst'],
-      status.limits
+      status.settings
         .filter((limit) => isShown(limit.team))
         .map(({ team: name, rate, burst }) => [name, rate, burst]),
     ),
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -1,4 +1,9 @@
-import { newAttemptLedger, YieldingScheduler, type Bounds, type Scheduler } from '@anvilpaddle/decisions';
+import {
+  newAttemptLedger,
+  YieldingScheduler,
+  type Bounds,
+  type Scheduler,
+} from '@anvilpaddle/decisions';
 import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
 import { newPlatform, type Vm } from '@anvilpaddle/platform';
 import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
--- a/packages/decisions/settings/config.ts
+++ b/packages/decisions/settings/config.ts
@@ -101,9 +101,37 @@
 const isRouteOf = (route: Route, path: string): boolean =>
   route.path === path || (route.path.endsWith('/') && path.startsWith(route.path));
 
-/** Route of a path, the most specific one. */
-export const getRoute = (config: Config, path: string): NamedRoute | undefined =>
-  config.routes.find((route) => isRouteOf(route, path));
+const MAX_DECODINGS = 3;
+
+/**
+ * Path as the least careful upstream may read it: decoded as often as it was encoded, without empty
+ * and dot segments. Undefined when it cannot be decoded.
+ */
+export const getCanonicalPath = (path: string): string | undefined => {
+  let text = path;
+  try {
+    for (let round = 0; round < MAX_DECODINGS; round += 1) text = decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+  const kept: string[] = [];
+  text.split(/[/\\]/).forEach((segment) => {
+    if (segment === '..') kept.pop();
+    else if (segment !== '' && segment !== '.') kept.push(segment);
+  });
+  const isFolder = /[/\\]\.{0,2}$/.test(text) && kept.length > 0;
+  return `/${kept.join('/')}${isFolder ? '/' : ''}`;
+};
+
+/**
+ * Route of a path, the most specific one. No other spelling of a path leads to another route than
+ * the one that its upstream will see.
+ */
+export const getRoute = (config: Config, path: string): NamedRoute | undefined => {
+  const canonical = getCanonicalPath(path);
+  if (canonical === undefined) return undefined;
+  return config.routes.find((route) => isRouteOf(route, canonical));
+};
 
 /** Revision that last changed an entry; 0 when it never existed. */
 export const getEntryRevision = (config: Config, kind: EntryKind, id: string): number =>
