--- a/anvilpaddle-app/tests/changes.test.ts
+++ b/anvilpaddle-app/tests/changes.test.ts
@@ -1,5 +1,8 @@
 import { newOperatorClient } from '../cli/operatorClient';
 import { newFleet, OPERATOR_KEY, type Fleet } from './kit/fleet';
+import { waitFor } from './kit/waitFor';
+
+const PROMISE_MS = 5000;
 
 const getChange = (operation: string, id: string, basedOn = 0) => ({
   author: 'test',
@@ -37,6 +40,23 @@
     });
   });
 
+  it('is in force on every process within the promise', async () => {
+    const created = await post(0, getChange('op_everywhere', 'everywhere'));
+    const { revision } = (created.ok ? created.value : {}) as { revision: number };
+    const acceptedMs = performance.now();
+    await waitFor('the revision everywhere', async () => {
+      const status = await fleet.operator.get('/status');
+      const { members } = (status.ok ? status.value : { members: [] }) as {
+        members: { vm: string; revision: number }[];
+      };
+      return ['entry-2', 'llm-1'].every((vm) =>
+        members.some((member) => member.vm === vm && member.revision >= revision),
+      );
+    });
+
+    expect(performance.now() - acceptedMs).toBeLessThan(PROMISE_MS);
+  });
+
   it('is acknowledged truthfully when the answer of the store is lost', async () => {
     fleet.platform.faults.add({ path: '/tables/transact', kind: 'drop_after', times: 1 });
     const first = await post(0, getChange('op_lost_once', 'lost-once'));
--- a/anvilpaddle-app/tests/withdrawal.test.ts
+++ b/anvilpaddle-app/tests/withdrawal.test.ts
@@ -113,6 +113,20 @@
     expect(stillOpen).toBe('open');
   });
 
+  it('ends open streams everywhere while the store is slow after it', async () => {
+    const streams = await Promise.all(fleet.entries.map((entry) => openStream(entry, key)));
+    const acceptedMs = await withdraw(fleet, key);
+    fleet.platform.faults.add({ path: '/tables/', kind: 'delay', delayMs: 2 * PROMISE_MS });
+    const ends = await Promise.all(streams.map(({ ended }) => ended));
+    const outcomes = await Promise.all(fleet.entries.map((entry) => getOutcome(entry, key)));
+
+    ends.forEach(({ text, atMs }) => {
+      expect(atMs - acceptedMs).toBeLessThan(PROMISE_MS);
+      expect(text).toContain('"code":"invalid_key"');
+    });
+    expect(outcomes).toEqual(['invalid_key', 'invalid_key', 'invalid_key']);
+  });
+
   it('stays withdrawn on an entry that is restarted during an outage', async () => {
     await withdraw(fleet, key);
     refuseStore(fleet);
