--- a/anvilpaddle-app/controllers/tests/configFaults.test.ts
+++ b/anvilpaddle-app/controllers/tests/configFaults.test.ts
@@ -99,16 +99,19 @@
     },
   ];
 
-  it.each(cases)('$name', async ({ strike, serving }) => {
-    const fleet = await newStartedFleet();
-    strike(fleet);
-    await passTime(fleet, 60);
+  it.each(cases.map((fault) => [fault.name, fault] as const))(
+    '%s',
+    async (_, { strike, serving }) => {
+      const fleet = await newStartedFleet();
+      strike(fleet);
+      await passTime(fleet, 60);
 
-    const current = fleet.nodes
-      .filter(({ controller, isAlive }) => isAlive && controller.ageMs() <= MAX_AGE_MS)
-      .map(({ vm }) => vm);
-    expect(current).toEqual(serving);
-  });
+      const current = fleet.nodes
+        .filter(({ controller, isAlive }) => isAlive && controller.ageMs() <= MAX_AGE_MS)
+        .map(({ vm }) => vm);
+      expect(current).toEqual(serving);
+    },
+  );
 });
 
 describe('a change during outages and cuts', () => {
