--- a/anvilpaddle-app/tests/withdrawal.test.ts
+++ b/anvilpaddle-app/tests/withdrawal.test.ts
@@ -129,7 +129,8 @@
 
   it('stays withdrawn on an entry that is restarted during an outage', async () => {
     await withdraw(fleet, key);
-    refuseStore(fleet);
+    // The list of VMs is down too: the entry knows only who speaks to it.
+    fleet.platform.faults.add({ path: '/', kind: 'refuse' });
     const restarted = fleet.entries[1];
     await restarted?.child.kill();
     await restarted?.restart();
