--- /dev/null
+++ b/anvilpaddle-app/tests/onlineFirst.test.ts
@@ -0,0 +1,85 @@
+import OpenAI, { toFile } from 'openai';
+import { newFleet, type Fleet } from './kit/fleet';
+import { waitFor } from './kit/waitFor';
+
+const SLOTS = 2;
+const ITEMS = 6;
+const ITEM_TOKENS = 60;
+const CROWD = 60;
+const QUESTION = [{ role: 'user' as const, content: 'Is the household eligible?' }];
+
+describe('online requests and batch items at one engine', () => {
+  let fleet: Fleet;
+  let client: OpenAI;
+
+  beforeAll(async () => {
+    fleet = await newFleet({
+      entries: 1,
+      engines: 1,
+      plains: 0,
+      engine: { slots: SLOTS, prefillMs: 5, tokenMs: 20 },
+    });
+    const key = await fleet.newTeam('association');
+    client = new OpenAI({ apiKey: key, baseURL: `${fleet.entries[0]?.url}/v1`, maxRetries: 0 });
+  });
+
+  afterAll(() => fleet.close());
+
+  const getStates = (): string[] => fleet.engines[0]?.records.map(({ state }) => state) ?? [];
+  const ask = (tokens: number) =>
+    client.chat.completions.create({ model: 'small-chat', messages: QUESTION, max_tokens: tokens });
+
+  it('answers online before the batch items that hold every slot, and loses no item', async () => {
+    const items = Array.from({ length: ITEMS }, (_, index) => ({
+      custom_id: `dossier-${index}`,
+      method: 'POST',
+      url: '/v1/chat/completions',
+      body: { model: 'small-chat', messages: QUESTION, max_tokens: ITEM_TOKENS },
+    }));
+    const lines = items.map((item) => JSON.stringify(item)).join('\n');
+    const file = await client.files.create({
+      purpose: 'batch',
+      file: await toFile(Buffer.from(lines), 'dossiers.jsonl'),
+    });
+    const { id } = await client.batches.create({
+      input_file_id: file.id,
+      endpoint: '/v1/chat/completions',
+      completion_window: '24h',
+    });
+    await waitFor('every slot taken by items', () => getStates().length === SLOTS);
+
+    await ask(2);
+
+    expect(
+      getStates()
+        .slice(0, SLOTS + 1)
+        .sort(),
+    ).toEqual(['cancelled', 'finished', 'running']);
+    const job = await waitFor('the job completed', async () => {
+      const read = await client.batches.retrieve(id);
+      return read.status === 'completed' && read;
+    });
+    expect(job.request_counts).toEqual({ total: ITEMS, completed: ITEMS, failed: 0 });
+  });
+
+  it('refuses early under overload, and what it refuses never reaches the engine', async () => {
+    const key = await fleet.newTeam('hasty', { 'scheduling.max_wait': '200ms' });
+    const hasty = new OpenAI({ apiKey: key, baseURL: client.baseURL, maxRetries: 0 });
+    const askHasty = () =>
+      hasty.chat.completions.create({ model: 'small-chat', messages: QUESTION, max_tokens: 4 });
+    for (let index = 0; index < 4; index += 1) await askHasty();
+    const before = getStates().length;
+
+    const outcomes = await Promise.allSettled(Array.from({ length: CROWD }, askHasty));
+
+    const answered = outcomes.filter(({ status }) => status === 'fulfilled').length;
+    const refused = outcomes.flatMap((outcome) =>
+      outcome.status === 'rejected' ? [outcome.reason as InstanceType<typeof OpenAI.APIError>] : [],
+    );
+    expect(answered).toBeGreaterThan(0);
+    expect(refused.length).toBeGreaterThan(0);
+    expect(getStates().length - before).toBe(answered);
+    expect(refused.map((error) => error.headers?.get('retry-after'))).not.toContain(null);
+    expect([...new Set(refused.map(({ code, status }) => `${status} ${code}`))]).toMatchSnapshot();
+  });
+});
--- a/packages/decisions/scheduling/serviceEstimates.ts
+++ b/packages/decisions/scheduling/serviceEstimates.ts
@@ -1,3 +1,4 @@
+import type { ServiceClass } from '@anvilpaddle/common';
 import type { Work } from './scheduler';
 
 const LEARNING_RATE = 0.1;
@@ -60,7 +61,8 @@
 /** Estimates for each class, team and route; the keys used last are kept. */
 export const newServiceEstimates = (keptKeys: number = KEPT_KEYS): ServiceEstimates => {
   const means = new Map<string, Mean>();
-  let overall = newMean();
+  /** Over all teams; items of batch jobs say nothing about online requests. */
+  const overall: Record<ServiceClass, Mean> = { online: newMean(), batch: newMean() };
   let tokensPerMs: number | undefined;
 
   const put = (key: string, mean: Mean): void => {
@@ -76,7 +78,7 @@
   return {
     get: (work) => {
       const own = means.get(getKey(work));
-      const { tokens, durationMs, deviationMs } = own ?? overall;
+      const { tokens, durationMs, deviationMs } = own ?? overall[work.serviceClass];
       // The allowance only ever lowers the estimate: asking for much must not cost others anything.
       return {
         tokens: Math.max(1, Math.min(tokens, work.maxTokens ?? tokens)),
@@ -96,13 +98,13 @@
       const tokens = isCounted ? usedTokens : getTokensOf(durationMs);
       const key = getKey(work);
       put(key, addSample(means.get(key) ?? newMean(), tokens, durationMs));
-      overall = addSample(overall, tokens, durationMs);
+      const { serviceClass } = work;
+      overall[serviceClass] = addSample(overall[serviceClass], tokens, durationMs);
     },
     decay: (work) => {
       const key = getKey(work);
       const mean = means.get(key);
-      if (mean === undefined) overall.durationMs *= REFUSAL_DECAY;
-      else put(key, { ...mean, durationMs: mean.durationMs * REFUSAL_DECAY });
+      if (mean !== undefined) put(key, { ...mean, durationMs: mean.durationMs * REFUSAL_DECAY });
     },
     getTokensOf,
     size: () => means.size,
--- a/packages/decisions/tests/serviceEstimates.test.ts
+++ b/packages/decisions/tests/serviceEstimates.test.ts
@@ -32,6 +32,13 @@
     expect(estimates.get(newWork('x', { team: 'new' })).longMs).toBe(0);
   });
 
+  it('expects of online requests nothing that batch items took', () => {
+    const estimates = newServiceEstimates();
+    estimates.learn(newWork('w', { serviceClass: 'batch' }), 9000, 90_000);
+
+    expect(estimates.get(newWork('x')).durationMs).toBe(0);
+  });
+
   it('keeps a bounded number of keys', () => {
     const estimates = newServiceEstimates(10);
     for (let index = 0; index < 100; index += 1) {
