--- a/anvilpaddle-app/index.ts
+++ b/anvilpaddle-app/index.ts
@@ -6,6 +6,7 @@
 import { addGroup, addSingle } from './cli/operatorCommand';
 import { runEntry, runSidecar, stopOnSignal } from './cli/processCommand';
 import { runDev } from './dev/dev';
+import { addStandInCommand } from './dev/standInCommand';
 
 const HELP_COLUMNS = 100;
 
@@ -34,6 +35,7 @@
       (builder) => builder.option('listen', { type: 'string', default: '127.0.0.1:8080' }),
       async ({ listen }) => stopOnSignal(await runDev(listen)),
     );
+  addStandInCommand(args);
   addConfigCommand(args);
   GROUPS.forEach((group) => addGroup(args, group));
   SINGLES.forEach((command) => addSingle(args, command));
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -50,6 +50,7 @@
       '**/*.cjs',
       '**/tests/**',
       'anvilpaddle-app/cli/**',
+      'anvilpaddle-app/dev/**',
       'anvilpaddle-app/index.ts',
       'anvilpaddle-app/processSettings/**',
       'measurements/**',
