--- a/anvilpaddle-app/tests/batchFaults.test.ts
+++ b/anvilpaddle-app/tests/batchFaults.test.ts
@@ -162,6 +162,35 @@
     expect(current.violations).toEqual([]);
   });
 
+  it('races cancels against last commits one way over 20 seeds', async () => {
+    const raceOnce = async (seed: number): Promise<string[]> => {
+      const random = newSeededRandom(seed);
+      const current = newBatchFleet({ random, slots: 16, itemMs: 1, itemsPerPart: 16 });
+      current.setRates(RATES);
+      const lines = Array.from({ length: 64 }, (_, index) => getItemLine(`item-${index}`));
+      const job = await current.submit(lines);
+      current.addWorker();
+      current.addWorker();
+      await sleep(random() * 400);
+      await Promise.all([current.jobs.cancelJob(job.id), current.jobs.cancelJob(job.id)]);
+      const state = current.getState(job);
+      const results = getIds(current.getResults(job));
+      await sleep(300);
+      const isSame =
+        current.getState(job) === state && current.getResults(job).length === results.length;
+      const isWhole = state === 'cancelled' || new Set(results).size === 64;
+      current.close();
+      return [
+        ...current.violations,
+        ...(isSame ? [] : [`seed ${seed} changed after its answer`]),
+        ...(isWhole ? [] : [`seed ${seed} completed without all results`]),
+      ];
+    };
+    const faults = await Promise.all(Array.from({ length: 20 }, (_, seed) => raceOnce(seed + 1)));
+
+    expect(faults.flat()).toEqual([]);
+  });
+
   it('gives unfinished chunks back with their results at a planned stop', async () => {
     const current = newBatchFleet({
       random: newSeededRandom(5),
@@ -213,4 +242,28 @@
     expect(Math.max(...current.runs.values())).toBe(1);
     expect(current.getResults(job)).toHaveLength(64);
   });
+
+  it('runs chunks of mixed models together, and ends items of a model that nobody serves', async () => {
+    const current = newBatchFleet({
+      random: newSeededRandom(8),
+      slots: 8,
+      itemMs: 2,
+      levels: { 'batch.model_wait': '200ms' },
+    });
+    fleet = current;
+    const models = ['small-chat', 'large-chat', 'ghost'];
+    const lines = Array.from({ length: 192 }, (_, index) => {
+      const id = `item-${index}`;
+      return getItemLine(id, { body: { model: models[index % 3], messages: [id] } });
+    });
+    const job = await current.submit(lines);
+    current.addWorker(['small-chat']);
+    current.addWorker(['large-chat']);
+    await waitFor('the job completed', () => current.getState(job) === 'completed', 20_000);
+    const results = current.getResults(job);
+
+    expect(countByOutcome(results)).toEqual({ 200: 128, model_not_found: 64 });
+    expect(new Set(getIds(results)).size).toBe(192);
+    expect(Math.max(...current.runs.values())).toBe(1);
+  });
 });
