--- a/anvilpaddle-app/entry/filters/account.ts
+++ b/anvilpaddle-app/entry/filters/account.ts
@@ -16,7 +16,8 @@
     });
     const team = exchange.team ?? NO_TEAM;
     if (!result.ok) {
-      metrics.count('refusals', team, result.error.code);
+      // A caller that went away was refused nothing.
+      if (result.error.code !== 'caller_gone') metrics.count('refusals', team, result.error.code);
       if (exchange.response.headersSent) exchange.response.destroy();
       else {
         sendJson(
--- /dev/null
+++ b/anvilpaddle-app/tests/account.test.ts
@@ -0,0 +1,26 @@
+import { Writable } from 'node:stream';
+import { ManualClock, newFailure, newMetrics, newSilentLogger } from '@anvilpaddle/common';
+import { newApiError, type ErrorCode } from '@anvilpaddle/protocol';
+import type { EntryServices, Exchange } from '../entry/exchange';
+import { newAccountFilter } from '../entry/filters/account';
+
+describe('the account of a request', () => {
+  it.each([
+    ['overloaded', { 'refusals|team|overloaded': 1 }],
+    ['caller_gone', {}],
+  ] as const)('counts what was refused: %s', async (code: ErrorCode, counts) => {
+    const metrics = newMetrics(undefined);
+    const services = { metrics, clock: new ManualClock(), log: newSilentLogger() };
+    const response = new Writable({ write: (_chunk, _encoding, done) => done() });
+    const exchange = {
+      team: 'team',
+      startedMs: 0,
+      outcome: {},
+      response: Object.assign(response, { writeHead: () => response }),
+    } as unknown as Exchange;
+    const filter = newAccountFilter(services as unknown as EntryServices);
+    await filter.apply(exchange, async () => newFailure(newApiError(code, 'refused')));
+
+    expect(metrics.counts()).toEqual(counts);
+  });
+});
