--- a/anvilpaddle-app/cli/commands/status.ts
+++ b/anvilpaddle-app/cli/commands/status.ts
@@ -11,7 +11,7 @@
   readonly members: readonly Member[];
   readonly histograms: readonly Summary[];
   readonly counts: Readonly<Record<string, number>>;
-  readonly settings: readonly TeamLimit[];
+  readonly limits: readonly TeamLimit[];
 }
 
 interface TeamLimit {
@@ -41,7 +41,7 @@
     ),
     getTable(
       ['team', 'rate /s', 'burst'],
-      status.settings
+      status.limits
         .filter((limit) => isShown(limit.team))
         .map(({ team: name, rate, burst }) => [name, rate, burst]),
     ),
