--- a/anvilpaddle-app/controllers/limitController.ts
+++ b/anvilpaddle-app/controllers/limitController.ts
@@ -31,6 +31,8 @@
   start(): void;
   admit(team: string): Promise<Admission>;
   status(): LimitStatus;
+  /** Tokens of a team that this entry has at hand, its own and borrowed. */
+  tokens(team: string): number;
   readonly handlers: LimitHandlers;
   /** Hands the tokens to other holders and leaves the view. */
   close(): Promise<void>;
@@ -54,8 +56,8 @@
 /** Pause after which this entry may have been taken for gone. */
 const PAUSE_LIMIT_MS = 5000;
 /** Time from the first view in which a request waits rather than being refused. */
-const START_GRACE_MS = 2000;
-const START_POLL_MS = 20;
+const START_GRACE_MS = 1000;
+const START_POLL_MS = 50;
 const STOPPING_RETRY_MS = 1000;
 
 /** Controller that holds a share of each team's tokens and borrows from the other holders. */
@@ -69,6 +71,7 @@
   let lastBeatMs: number | undefined;
   let ticks = 0;
   let isClosing = false;
+  let isLending = true;
 
   const now = (): number => clock.monotonic();
 
@@ -160,6 +163,8 @@
         await sleep(START_POLL_MS);
         admission = await decide(team);
       }
+      const richer = node.richerHolder(team, now());
+      if (richer !== undefined) void ask(team, richer);
       return admission;
     } finally {
       const left = (waiting.get(team) ?? 1) - 1;
@@ -186,16 +191,21 @@
 
   const timers: ReturnType<Clock['every']>[] = [];
 
-  /** Offers each team's tokens to its other holders, who borrow them into their shares. */
-  const offerTokens = async (): Promise<void> => {
+  /** Offers what is held to the holders of one rank; each takes what its own share has room for. */
+  const offerToRank = async (rank: number): Promise<boolean> => {
     const offers = new Map<string, string[]>();
     node.heldTeams(now()).forEach((team) => {
-      const [holder] = node.otherHolders(team);
+      const holder = node.otherHolders(team)[rank];
       if (holder !== undefined) offers.set(holder, [...(offers.get(holder) ?? []), team]);
     });
     await Promise.all(
       [...offers].map(([holder, teams]) => peers.call(holder, 'limit.offer', { address, teams })),
     );
+    return offers.size > 0;
+  };
+
+  const offerTokens = async (): Promise<void> => {
+    for (let rank = 0; await offerToRank(rank); rank += 1);
   };
 
   const takeOffer = async (leaving: string, team: string): Promise<void> => {
@@ -218,10 +228,11 @@
     },
     admit,
     status: () => ({ view: node.view(), holding: node.isHolding(), teams: node.teamCount() }),
+    tokens: (team) => node.available(team, now()),
     handlers: {
       'limit.borrow': (params) => {
         noticePause();
-        return node.lend(params, now());
+        return node.lend(isLending ? params : { ...params, need: 0, extra: 0 }, now());
       },
       'limit.giveBack': (params) => {
         node.takeBack(params, now());
@@ -244,6 +255,10 @@
       timers.forEach((timer) => timer.cancel());
       await mailbox.close();
       await giveBack(0);
+      // What others have borrowed and do not use comes back first.
+      isLending = false;
+      await sleep(RETURN_AGE_MS + RETURN_INTERVAL_MS);
+      isLending = true;
       await offerTokens();
       const wasHolding = node.isHolding();
       node.suspend(now());
