--- a/measurements/schedulingDrive.ts
+++ b/measurements/schedulingDrive.ts
@@ -140,7 +140,17 @@
     Object.assign(job, { state: 'waiting' });
     const { team, serviceClass, weight = 1, maxTokens } = job.source;
     const { id, deadlineMs } = job;
-    const work = { id, team, route: 'r', serviceClass, weight, maxTokens, deadlineMs };
+    const wasPreempted = job.admissions > 0;
+    const work = {
+      id,
+      team,
+      route: 'r',
+      serviceClass,
+      weight,
+      maxTokens,
+      deadlineMs,
+      wasPreempted,
+    };
     return scheduler.enqueue(work, clock.monotonic());
   };
 
