An engine's hiccup does not empty its models; paths are not echoed; failed test fleets end

Cause: one failed read of an upstream's models took the sidecar out of routing; a path may hold a credential and stood in the error; a test fleet that failed to start left its processes, and jest hung.

--- a/anvilpaddle-app/entry/filters/identify.ts
+++ b/anvilpaddle-app/entry/filters/identify.ts
@@ -21,7 +21,7 @@
       return newFailure(
         matches.length > 0
           ? newApiError('method_not_allowed', `${exchange.request.method} is not allowed here`)
-          : newApiError('not_found', `no route for ${path}`),
+          : newApiError('not_found', 'no route for this path'),
       );
     }
     const { failureDomain } = services;
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -17,6 +17,7 @@
 import { newAttemptServer } from './attemptServer';
 import { newBatchWorker, type BatchWorker } from './batchWorker';
 import { newTeamSettings } from './teamSettings';
+import { newModelList } from './modelList';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamTask } from './upstreamTask';
 
@@ -68,9 +69,10 @@
   const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
   const scheduler = newScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
   const task = newUpstreamTask(scheduler, clock, log);
-  const readModels = async (): Promise<readonly string[]> =>
-    file.upstream.kind === 'engine' ? client.listModels() : [];
-  let models = await readModels();
+  const models = newModelList(async () =>
+    file.upstream.kind === 'engine' ? client.listModels() : [],
+  );
+  await models.refresh();
   let isLeaving = false;
   let isRefusing = false;
 
@@ -83,7 +85,7 @@
     incarnation,
     leaving: isLeaving,
     group: file.upstream.group,
-    models: [...models],
+    models: [...models.current()],
     load: task.load(),
     revision: config.current().revision,
   });
@@ -128,18 +130,16 @@
     slots: batchSlots,
     random: Math.random,
     getConfig: config.current,
-    getModels: () => models,
+    getModels: models.current,
     getSidecarCount: () => Math.max(1, members.listed().filter(isOfGroup).length),
     tables: platform.tables,
     objects: platform.objects,
   });
   const modelsTimer = clock.every(MODELS_INTERVAL_MS, () => {
-    void readModels().then((listed) => {
-      models = listed;
-    });
+    void models.refresh();
   });
   await config.refresh();
-  log.info({ address, incarnation, models }, 'sidecar is ready');
+  log.info({ address, incarnation, models: models.current() }, 'sidecar is ready');
 
   return {
     stop: async () => {
--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -29,8 +29,8 @@
 /** Calls the one upstream of a sidecar. */
 export interface UpstreamClient {
   call(call: Call): Promise<Result<UpstreamAnswer, UpstreamError>>;
-  /** Models that the upstream serves; empty for a plain service. */
-  listModels(): Promise<readonly string[]>;
+  /** Models that the upstream serves; undefined when it did not answer. */
+  listModels(): Promise<readonly string[] | undefined>;
   close(): Promise<void>;
 }
 
@@ -76,7 +76,7 @@
         const { data } = (await answer.body.json()) as { data: { id: string }[] };
         return data.map(({ id }) => id);
       } catch {
-        return [];
+        return undefined;
       }
     },
     close: async () => {
--- a/anvilpaddle-app/tests/docs.test.ts
+++ b/anvilpaddle-app/tests/docs.test.ts
@@ -28,7 +28,7 @@
   [...readFileSync(join(ROOT, file), 'utf8').matchAll(TITLE_PATTERN)]
     .filter((match) => match[1] === kind)
     .map((match) => (match[2] ?? match[3] ?? match[4] ?? '').replace(/\\'/g, "'"))
-    .map((title) => title.replace(/[.*+?^${}()|[\]\\]/g, '\\$&').replace(/%[a-z]|\$\w+/g, '.*'));
+    .map((title) => title.replace(/[.*+?^${}()|[\]\\]/g, '\\$&').replace(/%[a-z]|\\\$\w+/g, '.*'));
 
 const isNamed = ({ file, name }: Proof): boolean => {
   if (!existsSync(join(ROOT, file))) return false;
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -161,8 +161,7 @@
   readonly tokens: { readonly view?: { readonly members: readonly string[] } };
 }
 
-/** Starts a fleet with teams and routes; closing it ends every process. */
-export const newFleet = async (shape: FleetShape): Promise<Fleet> => {
+const startFleet = async (shape: FleetShape, started: Node[]): Promise<Fleet> => {
   const any: Address = { host: '127.0.0.1', port: 0 };
   const platform = await newPlatformStandIn(any);
   const engineShape = {
@@ -197,6 +196,7 @@
     }),
   );
   const nodes = [...entries, ...sidecars];
+  started.push(...nodes);
   const vms = nodes.map(getVm);
   platform.setVms(vms);
   const operator = newOperatorClient(entries[0]?.url ?? '', OPERATOR_KEY);
@@ -273,3 +273,14 @@
     },
   };
 };
+
+/** Starts a fleet with teams and routes; closing it, or a failure to start, ends every process. */
+export const newFleet = async (shape: FleetShape): Promise<Fleet> => {
+  const started: Node[] = [];
+  try {
+    return await startFleet(shape, started);
+  } catch (fault) {
+    await Promise.all(started.map((node) => node.child.kill()));
+    throw fault;
+  }
+};
