CAPACITY: each role at the target from measured slopes; fewer heartbeats from sidecars

Cause: the capacity run gave 1,009 bytes and 1.16 ms (both ends) a heartbeat; with 8 a second from each process an entry would answer 33 a second from 10,000 sidecars, 41 KB/s in all. A sidecar now asks once a second over all its contacts and an entry six times: about 10 exchanges a second at an entry, 10.3 KB/s both ways. Found by the sums and not mended: the VM list and the limits' view are read by each process and go over the store's reads at the target; borrowing is 19 KB/s each way.

--- a/anvilpaddle-app/controllers/memberController.ts
+++ b/anvilpaddle-app/controllers/memberController.ts
@@ -11,7 +11,8 @@
 import type { PeerClient } from '../peers/peerClient';
 
 const FANOUT: Fanout = { sidecarsPerGroup: 32, entries: 4 };
-const MAX_HEARTBEATS_PER_SECOND = 8;
+/** Many sidecars ask each entry, which asks them too, so that theirs may be fewer. */
+const MAX_HEARTBEATS_PER_SECOND = { entry: 6, sidecar: 1 } as const;
 const SILENT_HEARTBEATS = 3;
 const TICKS_PER_HEARTBEAT = 4;
 
@@ -60,7 +61,11 @@
   let contacts: readonly Vm[] = [];
 
   const getIntervalMs = (): number =>
-    getHeartbeatIntervalMs(contacts.length, timing.heartbeatMs, MAX_HEARTBEATS_PER_SECOND);
+    getHeartbeatIntervalMs(
+      contacts.length,
+      timing.heartbeatMs,
+      MAX_HEARTBEATS_PER_SECOND[getSelf().role],
+    );
   const members = newMembers(() => Math.max(timing.silenceMs, SILENT_HEARTBEATS * getIntervalMs()));
 
   const getSelfVm = (): Vm => {
--- a/measurements/capacity.ts
+++ b/measurements/capacity.ts
@@ -4,7 +4,7 @@
 import { Agent, request } from 'undici';
 import { newMembers } from '@anvilpaddle/decisions';
 import { newSilentLogger, SystemClock } from '@anvilpaddle/common';
-import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
+import { HEADER, PEER_PATH, type Member } from '@anvilpaddle/protocol';
 import { newPeerClient } from 'anvilpaddle-app/peers/peerClient';
 import { newPeerServer } from 'anvilpaddle-app/peers/peerServer';
 import { newFleet, type Fleet } from 'anvilpaddle-app/tests/kit/fleet';
@@ -64,14 +64,19 @@
     { jsonrpc: '2.0', id: 1, method: 'member.heartbeat', params: { member: newMember(1) } },
   ]);
   const agent = new Agent({ pipelining: 1, connections: 1 });
-  const headers = { authorization: `Bearer ${SECRET}`, 'content-type': 'application/json' };
+  let exchanges = 0;
   const post = async (path: string): Promise<void> => {
     const answer = await request(`http://${address}${path}`, {
       method: 'POST',
-      headers,
+      headers: {
+        authorization: `Bearer ${SECRET}`,
+        'content-type': 'application/json',
+        [HEADER.exchange]: `inc_measure.${exchanges + 1}`,
+      },
       body,
       dispatcher: agent,
     });
+    exchanges += 1;
     await answer.body.dump();
   };
   const getBytes = async (): Promise<number> => {
