One node for entry and sidecar: place among the others and configuration

Cause: both programs started platform, peers, configuration and members line by line alike (duplicates: entry.ts:109-121 ~ sidecar.ts:53-65).

--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { AffinityRouter, getEffectiveSettings, type Router } from '@anvilpaddle/decisions';
 import {
-  getAddressText,
   listen,
   newId,
   newMetrics,
@@ -9,9 +8,7 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import { newPlatform } from '@anvilpaddle/platform';
-import { HEADER, type Member } from '@anvilpaddle/protocol';
-import { newConfigController } from '../controllers/configController';
+import { HEADER } from '@anvilpaddle/protocol';
 import { newJobController } from '../controllers/jobController';
 import { newKeyWatch } from '../controllers/keyWatch';
 import {
@@ -20,10 +17,8 @@
   type LimitControllerParts,
 } from '../controllers/limitController';
 import { newTeamRates } from '../controllers/teamRates';
-import { newMemberController } from '../controllers/memberController';
-import { newPeerClient } from '../peers/peerClient';
 import { newPeerServer } from '../peers/peerServer';
-import { getMemberTiming } from '../process/memberTiming';
+import { newFleetNode, type NodeState } from '../process/fleetNode';
 import { STOP_STAGE, waitMs, waitUntil, type Program, type StopStage } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
@@ -94,55 +89,14 @@
   log: Logger,
   entryParts: EntryParts = ENTRY_PARTS,
 ): Promise<Entry> => {
-  const incarnation = newId('inc');
-  const localAddress = file.peers.listen.host;
-  const platform = newPlatform(file.platform.url, file.platform.timeout, localAddress);
-  const secret = file.peers.secrets[0] ?? '';
-  const peers = newPeerClient(secret, file.platform.timeout, clock, localAddress);
-  const attempts = newAttemptClient(secret, localAddress);
-  const address = getAddressText(file.peers.advertise ?? file.peers.listen);
-  const config = newConfigController({
-    self: {
-      vm: file.process.vm,
-      failureDomain: file.process.failure_domain,
-      role: 'entry',
-      address,
-    },
-    peers,
-    seeds: file.peers.seeds,
-    tables: platform.tables,
-    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
-    getVms: () => members.listed(),
-    getLive: () => members.live(),
-    /* eslint-enable @typescript-eslint/no-use-before-define */
-    intervalMs: file.platform.refresh,
-    clock,
-    random: Math.random,
-    log,
-  });
-  const keyWatch = newKeyWatch(config, clock);
-  const metrics = newMetrics(file.metrics.statsd);
   let stage: StopStage = STOP_STAGE.serving;
   let open = 0;
-
-  const getSelf = (): Member => ({
-    vm: file.process.vm,
-    address,
-    role: 'entry',
-    failureDomain: file.process.failure_domain,
-    incarnation,
-    leaving: stage !== STOP_STAGE.serving,
-    models: [],
-    revision: config.current().revision,
-  });
-  const members = newMemberController(
-    platform.vms,
-    peers,
-    getSelf,
-    getMemberTiming(file),
-    clock,
-    log,
-  );
+  const getState = (): NodeState => ({ leaving: stage !== STOP_STAGE.serving, models: [] });
+  const node = newFleetNode(file, 'entry', getState, clock, log);
+  const { incarnation, address, platform, peers, config, members } = node;
+  const attempts = newAttemptClient(node.secret, file.peers.listen.host);
+  const keyWatch = newKeyWatch(config, clock);
+  const metrics = newMetrics(file.metrics.statsd);
   const limits = entryParts.newLimits({
     address,
     lifeId: incarnation,
@@ -215,8 +169,7 @@
     file.peers.listen,
     file.peers.secrets,
     {
-      ...config.handlers,
-      'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+      ...node.handlers,
       ...limits.handlers,
     },
     {},
@@ -243,13 +196,12 @@
       await waitUntil(clock, () => open === 0);
       server.close();
       server.closeIdleConnections();
-      await members.close();
       await limits.close();
       keyWatch.close();
-      await config.close();
+      await node.close();
       await peerServer.close();
       metrics.close();
-      await Promise.all([attempts.close(), peers.close(), platform.close()]);
+      await Promise.all([attempts.close(), node.disconnect()]);
     },
   };
 };
--- a/anvilpaddle-app/sidecar/sidecar.ts
+++ b/anvilpaddle-app/sidecar/sidecar.ts
@@ -4,14 +4,11 @@
   type Bounds,
   type Scheduler,
 } from '@anvilpaddle/decisions';
-import { getAddressText, MS_PER_MINUTE, newId, type Clock, type Logger } from '@anvilpaddle/common';
-import { newPlatform, type Vm } from '@anvilpaddle/platform';
-import { PEER_PATH, type Member } from '@anvilpaddle/protocol';
-import { newConfigController } from '../controllers/configController';
-import { newMemberController } from '../controllers/memberController';
-import { newPeerClient } from '../peers/peerClient';
+import { MS_PER_MINUTE, type Clock, type Logger } from '@anvilpaddle/common';
+import type { Vm } from '@anvilpaddle/platform';
+import { PEER_PATH } from '@anvilpaddle/protocol';
 import { newPeerServer } from '../peers/peerServer';
-import { getMemberTiming } from '../process/memberTiming';
+import { newFleetNode, type NodeState } from '../process/fleetNode';
 import { waitMs, waitUntil, type Program } from '../process/program';
 import type { SidecarFile } from '../processSettings/schema';
 import { newAttemptServer } from './attemptServer';
@@ -34,76 +31,34 @@
   log: Logger,
   newScheduler: SchedulerFactory = (bounds) => new YieldingScheduler(bounds),
 ): Promise<Program> => {
-  const incarnation = newId('inc');
-  const localAddress = file.peers.listen.host;
-  const platform = newPlatform(file.platform.url, file.platform.timeout, localAddress);
-  const peers = newPeerClient(
-    file.peers.secrets[0] ?? '',
-    file.platform.timeout,
-    clock,
-    localAddress,
-  );
   const client = newUpstreamClient(file.upstream.url, file.upstream.slots);
-  const address = getAddressText(file.peers.advertise ?? file.peers.listen);
-  const config = newConfigController({
-    self: {
-      vm: file.process.vm,
-      failureDomain: file.process.failure_domain,
-      role: 'sidecar',
-      address,
-    },
-    peers,
-    seeds: file.peers.seeds,
-    tables: platform.tables,
-    /* eslint-disable @typescript-eslint/no-use-before-define -- the two refer to each other */
-    getVms: () => members.listed(),
-    getLive: () => members.live(),
-    /* eslint-enable @typescript-eslint/no-use-before-define */
-    intervalMs: file.platform.refresh,
-    clock,
-    random: Math.random,
-    log,
-  });
-  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
-  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
-  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
-  const scheduler = newScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
-  const task = newUpstreamTask(scheduler, clock, log);
   const models = newModelList(async () =>
     file.upstream.kind === 'engine' ? client.listModels() : [],
   );
   await models.refresh();
   let isLeaving = false;
   let isRefusing = false;
-
-  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
-  const getSelf = (): Member => ({
-    vm: file.process.vm,
-    address,
-    role: 'sidecar',
-    failureDomain: file.process.failure_domain,
-    incarnation,
+  const getState = (): NodeState => ({
     leaving: isLeaving,
     group: file.upstream.group,
     models: [...models.current()],
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
     load: task.load(),
-    revision: config.current().revision,
   });
-
+  const node = newFleetNode(file, 'sidecar', getState, clock, log);
+  const { incarnation, platform, config, members } = node;
+  const getSettings = newTeamSettings(config.current, file.process.failure_domain);
+  const { slots, reserve, batch_slots: batchSlots = slots } = file.upstream;
+  const getMaxWaitMs = (team: string): number => getSettings(team)['scheduling.max_wait'];
+  const scheduler = newScheduler({ slots, reserve, batchSlots, getMaxWaitMs });
+  const task = newUpstreamTask(scheduler, clock, log);
+  const getWeight = (team: string): number => getSettings(team)['scheduling.weight'];
   const shared = { task, client, clock, log, getWeight, isStopping: () => isRefusing };
   const attemptServer = newAttemptServer({
     ...shared,
     incarnation,
     ledger: newAttemptLedger(LEDGER_BOUNDS),
   });
-  const members = newMemberController(
-    platform.vms,
-    peers,
-    getSelf,
-    getMemberTiming(file),
-    clock,
-    log,
-  );
   const isOfGroup = ({ role, group }: Vm): boolean =>
     role === 'sidecar' && (group === undefined || group === file.upstream.group);
   let worker: BatchWorker | undefined;
@@ -111,8 +66,7 @@
     file.peers.listen,
     file.peers.secrets,
     {
-      ...config.handlers,
-      'member.heartbeat': ({ member }) => ({ member: members.hear(member) }),
+      ...node.handlers,
       'attempt.revoke': (revocation) => attemptServer.revoke(revocation),
       'job.ended': ({ job }) => {
         worker?.hearJobEnded(job);
@@ -139,7 +93,7 @@
     void models.refresh();
   });
   await config.refresh();
-  log.info({ address, incarnation, models: models.current() }, 'sidecar is ready');
+  log.info({ address: node.address, incarnation, models: models.current() }, 'sidecar is ready');
 
   return {
     stop: async () => {
@@ -150,11 +104,10 @@
       await waitUntil(clock, () => attemptServer.open() === 0);
       modelsTimer.cancel();
       await worker?.close();
-      await members.close();
-      await config.close();
+      await node.close();
       await task.close();
       await server.close();
-      await Promise.all([client.close(), peers.close(), platform.close()]);
+      await Promise.all([client.close(), node.disconnect()]);
     },
   };
 };
