Bounds of callers' headers and times; what never reaches the filters is answered in the API's shape

Cause: headers and upload times were bounded by Node's defaults only (an upload over 300 s would have been cut), and a request beyond them got an empty answer.

--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { AffinityRouter, getEffectiveSettings, type Router } from '@anvilpaddle/decisions';
 import {
   listen,
@@ -22,6 +22,7 @@
 import { STOP_STAGE, waitMs, waitUntil, type Program, type StopStage } from '../process/program';
 import type { EntryFile } from '../processSettings/schema';
 import { ACTIONS } from './actions';
+import { newCallerServer } from './callerServer';
 import { newAttemptClient } from './attemptClient';
 import { runFilters, type EntryServices, type Exchange } from './exchange';
 import { newAccountFilter } from './filters/account';
@@ -177,7 +178,7 @@
   );
   await config.refresh();
   limits.start();
-  const server = createServer((request, response) => {
+  const server = newCallerServer(file.callers, (request, response) => {
     serve(request, response).catch((fault: unknown) => {
       log.error({ err: fault }, 'request failed outside of the filters');
       response.destroy();
--- a/anvilpaddle-app/processSettings/schema.ts
+++ b/anvilpaddle-app/processSettings/schema.ts
@@ -1,11 +1,15 @@
 import { z } from 'zod';
 import {
+  BYTES_PER_KIB,
   countSchema,
   durationSchema,
   getAddress,
   getAddressText,
   listSchema,
   LOG_LEVELS,
+  MS_PER_HOUR,
+  MS_PER_SECOND,
+  sizeSchema,
   type Address,
 } from '@anvilpaddle/common';
 
@@ -75,7 +79,15 @@
 export const entryFileSchema = z
   .strictObject({
     ...commonSections,
-    callers: z.strictObject({ listen: addressSchema }),
+    callers: z.strictObject({
+      listen: addressSchema,
+      /** Largest sum of a request's headers; 431 beyond it. */
+      max_headers: sizeSchema.default(16 * BYTES_PER_KIB),
+      /** Longest wait for a request's headers. */
+      header_timeout: durationSchema.default(10 * MS_PER_SECOND),
+      /** Longest time in which a request's body may come in, uploads included. */
+      body_timeout: durationSchema.default(MS_PER_HOUR),
+    }),
     operators: z.strictObject({
       /** SHA-256 of the operators' key in hex; two during a rotation. */
       key_hash: listSchema.refine(
--- a/anvilpaddle-app/tests/wholePath.test.ts
+++ b/anvilpaddle-app/tests/wholePath.test.ts
@@ -43,6 +43,13 @@
     expect(pieces.join('')).toBe(getExpectedText(QUESTION, 8));
   });
 
+  it('answers a plain completion', async () => {
+    const prompt = 'The tariff application of';
+    const answer = await client.completions.create({ model: 'small-chat', prompt, max_tokens: 4 });
+
+    expect(answer.choices[0]?.text).toBe(getExpectedText(prompt, 4));
+  });
+
   it('lists the models', async () => {
     const models = await client.models.list();
 
