--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import { Agent, request, type Dispatcher } from 'undici';
-import { getFaultMessage } from '@anvilpaddle/common';
+import { getFaultMessage, isNeverSent } from '@anvilpaddle/common';
 import {
   getAttemptHeader,
   HEADER,
@@ -13,7 +13,6 @@
   type Member,
   type Refusal,
 } from '@anvilpaddle/protocol';
-import { isNeverSent } from '../peers/connectFault';
 
 /** How the exchange with a sidecar began. */
 export type AttemptReply =
--- a/anvilpaddle-app/peers/peerClient.ts
+++ b/anvilpaddle-app/peers/peerClient.ts
@@ -12,6 +12,7 @@
   newOk,
   type Clock,
   type Result,
+  isNeverSent,
 } from '@anvilpaddle/common';
 import {
   HEADER,
@@ -21,7 +22,6 @@
   type Method,
   type Params,
 } from '@anvilpaddle/protocol';
-import { isNeverSent } from './connectFault';
 import type { PeerError } from './errors';
 
 /** Sends messages to other processes of the fleet. */
--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -1,7 +1,6 @@
 import type { Readable } from 'node:stream';
 import { Agent, request, type Dispatcher } from 'undici';
-import { getFaultMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
-import { isNeverSent } from '../peers/connectFault';
+import { getFaultMessage, newFailure, newOk, type Result, isNeverSent } from '@anvilpaddle/common';
 
 /** Call to the upstream. */
 export interface Call {
--- a/packages/decisions/settings/config.ts
+++ b/packages/decisions/settings/config.ts
@@ -132,7 +132,3 @@
   if (canonical === undefined) return undefined;
   return config.routes.find((route) => isRouteOf(route, canonical));
 };
-
-/** Revision that last changed an entry; 0 when it never existed. */
-export const getEntryRevision = (config: Config, kind: EntryKind, id: string): number =>
-  config.entries.get(getEntryKey(kind, id))?.revision ?? 0;
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import {
   getFaultMessage,
+  isNeverSent,
   newFailure,
   newOk,
   MS_PER_SECOND,
@@ -24,12 +25,6 @@
   close(): Promise<void>;
 }
 
-// Errors before the request left this process: it cannot have taken effect.
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-const getErrorCode = (fault: unknown): string =>
-  typeof fault === 'object' && fault !== null && 'code' in fault ? String(fault.code) : '';
-
 /** Client of the service at a base URL; a call without answer in time is `unknown`. */
 export const newHttpClient = (
   baseUrl: string,
@@ -61,7 +56,7 @@
         }
         return newOk({ status: answer.statusCode, body: content });
       } catch (fault) {
-        const kind = NOT_SENT_CODES.has(getErrorCode(fault)) ? 'unavailable' : 'unknown';
+        const kind = isNeverSent(fault) ? 'unavailable' : 'unknown';
         return newFailure({ kind, detail: `${method} ${path}: ${getFaultMessage(fault)}` });
       }
     },
