--- a/anvilpaddle-app/cli/processCommand.ts
+++ b/anvilpaddle-app/cli/processCommand.ts
@@ -2,6 +2,7 @@
 import { loadHashing, newLogger, SystemClock, type Clock, type Logger } from '@anvilpaddle/common';
 import { newEntry, type EntryParts } from '../entry/entry';
 import type { Program } from '../process/program';
+import { stopOnSignal } from '../process/stopOnSignal';
 import { loadSettings } from '../processSettings/loadSettings';
 import {
   entryFileSchema,
@@ -12,21 +13,6 @@
 import { newSidecar, type SchedulerFactory } from '../sidecar/sidecar';
 import { EXIT_CODE } from './exitCode';
 
-/** Stops the program at SIGTERM or SIGINT and ends the process when it has stopped. */
-export const stopOnSignal = (program: Program): void => {
-  let isStopping = false;
-  const stop = (): void => {
-    if (isStopping) return;
-    isStopping = true;
-    program.stop().then(
-      () => process.exit(EXIT_CODE.ok),
-      () => process.exit(EXIT_CODE.failed),
-    );
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
-};
-
 const runProgram = async <T extends EntryFile | SidecarFile>(
   name: string,
   file: string,
--- a/anvilpaddle-app/dev/standInCommand.ts
+++ b/anvilpaddle-app/dev/standInCommand.ts
@@ -3,7 +3,7 @@
 import { getAddress, type Address } from '@anvilpaddle/common';
 import type { Vm } from '@anvilpaddle/platform';
 import { newEngineStandIn, newPlainStandIn, newPlatformStandIn } from '@anvilpaddle/standins';
-import { stopOnSignal } from '../cli/processCommand';
+import { stopOnSignal } from '../process/stopOnSignal';
 
 const ENGINE = { models: ['small-chat'], slots: 4, prefillMs: 20, tokenMs: 5 } as const;
 
--- /dev/null
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -0,0 +1,148 @@
+/** What happens to a caller's request from its head to its answer. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { readBody, type Clock, type Logger } from '@anvilpaddle/common';
+import type { Sharing, WindowLimit } from '@anvilpaddle/decisions';
+import type { CallerCall, CallerProtocol } from './callerProtocol';
+import type { DeploymentWatch } from './deploymentWatch';
+import { sendRefusal, STATUS, type Refusal } from './errors';
+import type { JobService } from './jobs/jobService';
+import { serveOnline, type OnlineServices } from './onlineCall';
+import { getRoute } from './routeTable';
+import { ROUTE_KIND, type Deployment, type Route, type Team } from './types';
+
+/** Wait asked of callers of a gateway that does not know enough to serve. */
+const UNREADY_RETRY_MS = 300;
+
+/** What the handler uses. */
+export interface HandlerServices {
+  readonly protocol: CallerProtocol;
+  readonly deployment: DeploymentWatch;
+  readonly limit: WindowLimit;
+  readonly getSharing: () => Sharing;
+  readonly onAdmitted: () => void;
+  readonly online: OnlineServices;
+  readonly jobs: JobService;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** What a request was found to be. */
+interface Admitted {
+  readonly route: Route;
+  readonly team: Team | undefined;
+}
+
+type Check =
+  { readonly ok: true; readonly value: Admitted } | { readonly ok: false; readonly error: Refusal };
+
+const refuse = (status: number, reason: string, retryAfterMs?: number): Check => ({
+  ok: false,
+  error: retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs },
+});
+
+/** Handler of all callers' requests. */
+export const newCallerHandler = (services: HandlerServices) => {
+  const { protocol, deployment, limit, clock, log, jobs } = services;
+
+  const authenticate = (
+    config: Deployment,
+    route: Route | undefined,
+    key: string | undefined,
+  ): { readonly team: Team | undefined } | Refusal => {
+    if (config.teams === undefined || route?.isPublic === true) return { team: undefined };
+    if (!deployment.areKeysFresh()) {
+      const reason = 'keys can not be checked at the moment';
+      return { status: STATUS.unavailable, reason, retryAfterMs: UNREADY_RETRY_MS };
+    }
+    const team = key === undefined ? undefined : deployment.getTeam(key);
+    return team === undefined ? { status: STATUS.unknownKey, reason: 'unknown key' } : { team };
+  };
+
+  const identify = (call: CallerCall): Check => {
+    const config = deployment.current();
+    if (config === undefined) {
+      return refuse(STATUS.unavailable, 'no configuration yet', UNREADY_RETRY_MS);
+    }
+    const isJobCall = call.action.kind !== 'forward';
+    const route = isJobCall
+      ? config.routes.find(({ host, kind }) => host === call.host && kind === ROUTE_KIND.batch)
+      : getRoute(config, call.host, call.path);
+    if (route === undefined) return refuse(STATUS.notFound, 'no such route');
+    const owner = authenticate(config, route, call.key);
+    return 'status' in owner
+      ? { ok: false, error: owner }
+      : { ok: true, value: { route, team: owner.team } };
+  };
+
+  const checkLimit = (team: Team | undefined): Refusal | undefined => {
+    if (team === undefined || team.ratePerSecond <= 0) return undefined;
+    const rate = { rate: team.ratePerSecond, burst: team.burst };
+    const admission = limit.take(team.name, rate, services.getSharing(), clock.monotonic());
+    if (admission.admitted) {
+      services.onAdmitted();
+      return undefined;
+    }
+    const { retryAfterMs, used, limit: allowed } = admission;
+    log.info({ team: team.name, used, allowed }, 'over the limit');
+    return { status: STATUS.overLimit, reason: 'over the rate of the team', retryAfterMs };
+  };
+
+  return async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const startedMs = clock.monotonic();
+    const abort = new AbortController();
+    response.on('close', () => {
+      if (!response.writableFinished) abort.abort();
+    });
+    const call = protocol.parseCall(message.method ?? 'GET', message.url ?? '/', message.headers);
+    const reject = (refusal: Refusal): void => {
+      const { status, reason, retryAfterMs } = refusal;
+      log.info({ request: call.id, status, reason, retryAfterMs }, 'refused');
+      sendRefusal(response, refusal);
+    };
+    const maxBytes = deployment.current()?.bounds.maxBodyBytes ?? Infinity;
+    const body = await readBody(message, maxBytes);
+    if (!body.ok) {
+      if (body.error.kind === 'body_too_large') {
+        reject({ status: STATUS.tooLarge, reason: 'the body is too large' });
+      }
+      return;
+    }
+    const checked = identify(call);
+    if (!checked.ok) {
+      reject(checked.error);
+      return;
+    }
+    const { route, team } = checked.value;
+    if (call.action.kind !== 'forward' || route.kind === ROUTE_KIND.batch) {
+      await jobs.serve({
+        call,
+        route,
+        team: team?.name ?? '',
+        body: body.value,
+        response,
+        signal: abort.signal,
+      });
+      return;
+    }
+    const overLimit = checkLimit(team);
+    if (overLimit !== undefined) {
+      reject(overLimit);
+      return;
+    }
+    const outcome = await serveOnline(
+      {
+        call,
+        route,
+        team: team?.name,
+        message,
+        body: body.value,
+        response,
+        startedMs,
+        signal: abort.signal,
+      },
+      services.online,
+    );
+    if (outcome.result === 'served') return;
+    log.info({ request: call.id, route: route.name, team: team?.name, ...outcome }, 'not served');
+  };
+};
--- /dev/null
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -0,0 +1,177 @@
+/** An entry that sends requests straight to the upstreams and shares its view with its peers. */
+import { createServer, type Server } from 'node:http';
+import {
+  getFaultMessage,
+  listen,
+  MS_PER_SECOND,
+  newId,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
+import { newHealth, newLoadBoard, newWindowLimit } from '@anvilpaddle/decisions';
+import type { ObjectStore, RecordStore } from '@anvilpaddle/platform';
+import { waitMs, waitUntil, type Program } from '../process/program';
+import type { CallerProtocol } from './callerProtocol';
+import { newCallerHandler } from './callerHandler';
+import { newDeploymentWatch, type DeploymentSource } from './deploymentWatch';
+import { newFleetView } from './fleetView';
+import { newGatewayList } from './gatewayList';
+import { newGossip } from './gossip';
+import { newJobBoard } from './jobs/jobBoard';
+import { newJobRunner, type JobRunner } from './jobs/jobRunner';
+import { newJobService } from './jobs/jobService';
+import { newJobStore } from './jobs/jobStore';
+import type { GatewaySettings } from './types';
+import { newUpstreamWatch, type UpstreamSource } from './upstreamWatch';
+
+const DEPLOYMENT_READ_MS = 400;
+const HEALTH = {
+  consecutiveFailures: 2,
+  firstEjectionMs: MS_PER_SECOND,
+  longestEjectionMs: 8 * MS_PER_SECOND,
+  rampMs: MS_PER_SECOND,
+};
+/** Time from the stop signal until the balancer sends nothing more: two missed checks and some. */
+const BALANCER_MS = 3 * MS_PER_SECOND;
+/** Time before the kill at which a stop must be over. */
+const STOP_MARGIN_MS = 500;
+
+/** What the platform lends a gateway. */
+export interface GatewayPlatform {
+  readonly records: RecordStore;
+  readonly objects: ObjectStore;
+  readonly protocol: CallerProtocol;
+  readonly deployment: DeploymentSource;
+  readonly upstreams: UpstreamSource;
+}
+
+/** Starts a gateway. */
+export const newGateway = async (
+  settings: GatewaySettings,
+  platform: GatewayPlatform,
+  clock: Clock,
+  log: Logger,
+): Promise<Program> => {
+  const { random } = Math;
+  const incarnation = newId('gw');
+  const { bounds } = settings;
+  const { records, objects, protocol } = platform;
+  let isStopping = false;
+  let active = 0;
+
+  const board = newLoadBoard();
+  const limit = newWindowLimit(bounds.limitWindowMs);
+  const health = newHealth(HEALTH);
+  const upstreams = newUpstreamWatch(
+    records,
+    platform.upstreams,
+    () => health.keep(new Set(upstreams.all().map(({ id }) => id))),
+    clock,
+    log,
+  );
+  const server: Server = createServer({ requestTimeout: 0 });
+  const deployment = newDeploymentWatch(
+    records,
+    platform.deployment,
+    bounds,
+    DEPLOYMENT_READ_MS,
+    (next) => {
+      server.headersTimeout = next.bounds.headerTimeoutMs;
+      server.keepAliveTimeout = next.bounds.idleTimeoutMs;
+    },
+    clock,
+    log,
+  );
+  const self = { vm: settings.vm, incarnation, address: settings.peers };
+  const list = newGatewayList(records, self, clock, log);
+  const gossip = newGossip(settings.peers, incarnation, list, board, limit, clock, log);
+  const view = newFleetView(upstreams, board, health, settings.failureDomain, clock);
+  const store = newJobStore(records, objects);
+  const runnerSlot: { runner?: JobRunner } = {};
+  const jobs = newJobBoard(records, (job) => runnerSlot.runner?.onJob(job), clock, log);
+  const runner = newJobRunner({
+    self: incarnation,
+    store,
+    jobs,
+    deployment,
+    view,
+    protocol,
+    board,
+    health,
+    getTakers: () => [
+      incarnation,
+      ...list
+        .others()
+        .map((other) => other.incarnation)
+        .filter((other) => gossip.isHeard(other)),
+    ],
+    isAlive: (other) => gossip.isHeard(other) || list.isKnown(other),
+    isSettled: () => list.isSettled(),
+    onLoadChange: () => gossip.touch(),
+    retentionMs: bounds.jobRetentionMs,
+    clock,
+    random,
+    log,
+  });
+  runnerSlot.runner = runner;
+
+  const handle = newCallerHandler({
+    protocol,
+    deployment,
+    limit,
+    getSharing: () => gossip.sharing(),
+    onAdmitted: () => gossip.touch(),
+    online: { protocol, view, board, health, clock, random, log },
+    jobs: newJobService({
+      protocol,
+      store,
+      board: jobs,
+      self: incarnation,
+      isTaking: () => !isStopping,
+      clock,
+      log,
+    }),
+    clock,
+    log,
+  });
+
+  server.on('request', (message, response) => {
+    active += 1;
+    response.on('close', () => {
+      active -= 1;
+    });
+    if (isStopping) response.setHeader('connection', 'close');
+    handle(message, response).catch((fault: unknown) => {
+      log.error({ reason: getFaultMessage(fault), err: fault }, 'request failed');
+      response.destroy();
+    });
+  });
+
+  const isReady = (): boolean =>
+    !isStopping && deployment.current() !== undefined && deployment.areKeysFresh();
+  const readiness = createServer((_, response) => {
+    response.writeHead(isReady() ? 200 : 503).end();
+  });
+
+  await listen(server, settings.callers);
+  await listen(readiness, settings.readiness);
+  log.info({ vm: settings.vm, incarnation }, 'gateway started');
+
+  return {
+    stop: async () => {
+      isStopping = true;
+      log.info({ active }, 'gateway stopping');
+      const endMs = clock.monotonic() + bounds.stopMs - STOP_MARGIN_MS;
+      await Promise.race([runner.stop(), waitMs(clock, MS_PER_SECOND)]);
+      await waitMs(clock, BALANCER_MS);
+      server.close();
+      server.closeIdleConnections();
+      await Promise.race([
+        waitUntil(clock, () => active === 0),
+        waitMs(clock, Math.max(0, endMs - clock.monotonic())),
+      ]);
+      await Promise.race([list.leave(), waitMs(clock, STOP_MARGIN_MS / 2)]);
+      log.info({ active }, 'gateway stopped');
+    },
+  };
+};
--- /dev/null
+++ b/anvilpaddle-app/gateway/jobs/jobBoard.ts
@@ -0,0 +1,96 @@
+/** Copy of all jobs in the store, kept by watching their table. */
+import { getFaultMessage, type Clock, type Logger } from '@anvilpaddle/common';
+import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
+import { newRecordWatch } from '../recordWatch';
+import { JOB_TABLE, parseStoredJob, type StoredJob } from './jobStore';
+
+/** Time between whole reads; what changes in between is watched. */
+const READ_EVERY_MS = 5000;
+
+/** Jobs as this gateway last saw them. */
+export interface JobBoard {
+  get(team: string, id: string): StoredJob | undefined;
+  /** Jobs with items that still wait for a result. */
+  open(): StoredJob[];
+  all(): StoredJob[];
+  /** Takes in a change that this gateway made or read itself. */
+  put(job: StoredJob): void;
+  /** Resolves once a job has changed, or after a time in milliseconds. */
+  waitForChange(team: string, id: string, timeoutMs: number): Promise<void>;
+  /** The store's clock now, in milliseconds; undefined before its first answer. */
+  getStoreMs(): number | undefined;
+}
+
+/** Whether a job has items that wait for a result. */
+export const isOpen = ({ record }: StoredJob): boolean =>
+  !record.isEnded && record.listed.length < record.tokens.length;
+
+/** Starts following the jobs; `onChange` is called for each newer record. */
+export const newJobBoard = (
+  store: RecordStore,
+  onChange: (job: StoredJob) => void,
+  clock: Clock,
+  log: Logger,
+): JobBoard => {
+  const jobs = new Map<string, StoredJob>();
+  const waiters = new Map<string, Set<() => void>>();
+  let storeOffsetMs: number | undefined;
+
+  const getName = (team: string, id: string): string => `${team}\n${id}`;
+
+  const put = (job: StoredJob): void => {
+    const name = getName(job.record.team, job.record.id);
+    const known = jobs.get(name);
+    if (known !== undefined && known.revision >= job.revision) return;
+    jobs.set(name, job);
+    onChange(job);
+    waiters.get(name)?.forEach((wake) => wake());
+  };
+
+  const take = (record: StoredRecord): void => {
+    if (record.value === undefined) {
+      jobs.delete(getName(record.partition, record.key));
+      return;
+    }
+    try {
+      const job = parseStoredJob(record);
+      if (job !== undefined) put(job);
+    } catch (fault) {
+      log.error({ key: record.key, reason: getFaultMessage(fault) }, 'unreadable job');
+    }
+  };
+
+  newRecordWatch(
+    store,
+    { table: JOB_TABLE, hasPartitions: true, readEveryMs: READ_EVERY_MS, isWatched: true },
+    ({ records, storeMs }) => {
+      storeOffsetMs = storeMs - clock.monotonic();
+      records.forEach(take);
+    },
+    clock,
+    log,
+  );
+
+  return {
+    get: (team, id) => jobs.get(getName(team, id)),
+    open: () => [...jobs.values()].filter(isOpen),
+    all: () => [...jobs.values()],
+    put,
+    waitForChange: (team, id, timeoutMs) =>
+      new Promise((resolve) => {
+        const name = getName(team, id);
+        const wakers = waiters.get(name) ?? new Set();
+        waiters.set(name, wakers);
+        const wake = (): void => {
+          wakers.delete(wake);
+          if (wakers.size === 0) waiters.delete(name);
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set before it fires
+          timer.cancel();
+          resolve();
+        };
+        const timer = clock.after(timeoutMs, wake);
+        wakers.add(wake);
+      }),
+    getStoreMs: () => (storeOffsetMs === undefined ? undefined : clock.monotonic() + storeOffsetMs),
+  };
+};
--- /dev/null
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -0,0 +1,244 @@
+/** Batch jobs in the platform's store: one record a job, one a result, one object with the items. */
+import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import { getWaitingTokens } from '@anvilpaddle/decisions';
+import type {
+  ObjectStore,
+  PlatformError,
+  RecordCheck,
+  RecordCommit,
+  RecordStore,
+  RecordWrite,
+  StoredRecord,
+} from '@anvilpaddle/platform';
+import type { ItemResult, JobItem, JobRecord, NewJob } from './types';
+
+export const JOB_TABLE = 'jobs';
+const RESULT_TABLE = 'results';
+/** Keys of records that serialise the submissions of a route begin with it. */
+const GUARD_MARK = '!';
+const POSITION_DIGITS = 6;
+/** Largest result that is kept in its record; larger ones go into an object. */
+const MAX_INLINE_BYTES = 40_000;
+const MAX_SUBMIT_TRIES = 5;
+
+/** A job with the revision that its next change must name. */
+export interface StoredJob {
+  readonly record: JobRecord;
+  readonly revision: number;
+}
+
+/** How a submission ended. */
+export type Submission =
+  | { readonly kind: 'accepted'; readonly job: StoredJob }
+  /** An earlier submission of the same job was accepted. */
+  | { readonly kind: 'known' }
+  | { readonly kind: 'no_room'; readonly waitingTokens: number }
+  /** The store did not answer; the job may be there later. */
+  | { readonly kind: 'unknown'; readonly error: PlatformError }
+  | { readonly kind: 'unavailable'; readonly error: PlatformError };
+
+/** Bounds of a submission. */
+export interface SubmissionBounds {
+  /** 0 means no limit. */
+  readonly maxWaitingTokens: number;
+}
+
+/** Jobs in the store. */
+export interface JobStore {
+  submit(record: JobRecord, job: NewJob, bounds: SubmissionBounds): Promise<Submission>;
+  read(team: string, id: string): Promise<Result<StoredJob | undefined, PlatformError>>;
+  /** Replaces a record if it is still at its revision; results are listed along with it. */
+  update(
+    job: StoredJob,
+    next: JobRecord,
+    results?: readonly ItemResult[],
+  ): Promise<Result<RecordCommit, PlatformError>>;
+  /** Results from a position on, up to a number of bytes but at least one if there is one. */
+  readResults(
+    team: string,
+    id: string,
+    from: number,
+    maxBytes: number,
+  ): Promise<Result<readonly ItemResult[], PlatformError>>;
+  readItems(
+    team: string,
+    id: string,
+  ): Promise<Result<readonly JobItem[] | undefined, PlatformError>>;
+  /** Removes a job with all that belongs to it. */
+  remove(job: StoredJob): Promise<Result<RecordCommit, PlatformError>>;
+}
+
+/** Job in a record; undefined for other records of the table. */
+export const parseStoredJob = ({ key, value, revision }: StoredRecord): StoredJob | undefined =>
+  key.startsWith(GUARD_MARK) || value === undefined
+    ? undefined
+    : { record: JSON.parse(value.toString()) as JobRecord, revision };
+
+interface StoredItem extends Omit<JobItem, 'body'> {
+  readonly body: string;
+}
+
+const getItemsObject = (items: readonly JobItem[]): Buffer =>
+  Buffer.from(
+    JSON.stringify(
+      items.map((item): StoredItem => ({ ...item, body: item.body.toString('base64') })),
+    ),
+  );
+
+const parseItems = (content: Buffer): JobItem[] =>
+  (JSON.parse(content.toString()) as StoredItem[]).map((item) => ({
+    ...item,
+    body: Buffer.from(item.body, 'base64'),
+  }));
+
+const getObjectName = (team: string, id: string): string => `job-${team}-${id}`;
+
+const getResultKey = (id: string, position: number): string =>
+  `${id}/${String(position).padStart(POSITION_DIGITS, '0')}`;
+
+const getJson = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+
+/** Result in its record, or the name of the object that holds it. */
+type ResultValue = ItemResult | { readonly object: string };
+
+/** Jobs over a record store and an object store. */
+export const newJobStore = (records: RecordStore, objects: ObjectStore): JobStore => {
+  const getName = (team: string, key: string) => ({ table: JOB_TABLE, partition: team, key });
+
+  const read: JobStore['read'] = async (team, id) => {
+    const page = await records.read(JOB_TABLE, team, { from: id, to: `${id}\u0000` });
+    if (!page.ok) return page;
+    const found = page.value.records.find(({ key }) => key === id);
+    return newOk(found && parseStoredJob(found));
+  };
+
+  const trySubmit = async (
+    record: JobRecord,
+    job: NewJob,
+    { maxWaitingTokens }: SubmissionBounds,
+  ): Promise<Submission | 'again'> => {
+    const { team, id, route } = record;
+    const page = await records.read(JOB_TABLE, team);
+    if (!page.ok) return { kind: 'unavailable', error: page.error };
+    if (page.value.records.some(({ key }) => key === id)) return { kind: 'known' };
+    const jobs = page.value.records
+      .map(parseStoredJob)
+      .flatMap((stored) => (stored?.record.route === route ? [stored.record] : []));
+    const waitingTokens = getWaitingTokens(jobs) + getWaitingTokens([record]);
+    if (maxWaitingTokens > 0 && waitingTokens > maxWaitingTokens) {
+      return { kind: 'no_room', waitingTokens };
+    }
+    const stored = await objects.put(getObjectName(team, id), getItemsObject(job.items));
+    if (!stored.ok) return { kind: 'unavailable', error: stored.error };
+    const guard = getName(team, `${GUARD_MARK}${route}`);
+    const guardRevision = page.value.records.find(({ key }) => key === guard.key)?.revision ?? 0;
+    const dated = { ...record, submittedMs: page.value.storeMs };
+    const commit = await records.commit({
+      checks: [
+        { ...guard, revision: guardRevision },
+        { ...getName(team, id), revision: 0 },
+      ],
+      writes: [
+        { ...guard, value: getJson({ newest: id }) },
+        { ...getName(team, id), value: getJson(dated) },
+      ],
+    });
+    if (!commit.ok) {
+      return commit.error.kind === 'unknown'
+        ? { kind: 'unknown', error: commit.error }
+        : { kind: 'unavailable', error: commit.error };
+    }
+    if (!commit.value.committed) return 'again';
+    return { kind: 'accepted', job: { record: dated, revision: commit.value.revision } };
+  };
+
+  const submit: JobStore['submit'] = async (record, job, bounds) => {
+    for (let tries = 0; tries < MAX_SUBMIT_TRIES; tries += 1) {
+      const submission = await trySubmit(record, job, bounds);
+      if (submission !== 'again') return submission;
+    }
+    return { kind: 'unavailable', error: { kind: 'unavailable', detail: 'contended submission' } };
+  };
+
+  const getResultWrite = async (
+    record: JobRecord,
+    result: ItemResult,
+    position: number,
+  ): Promise<Result<RecordWrite, PlatformError>> => {
+    const key = getResultKey(record.id, position);
+    const name = { table: RESULT_TABLE, partition: record.team, key };
+    const inline = getJson(result);
+    if (inline.length <= MAX_INLINE_BYTES) return newOk({ ...name, value: inline });
+    // An object of another run must not be overwritten: the item's index alone would not tell runs apart.
+    const object = `${getObjectName(record.team, record.id)}-${position}-${record.owner ?? ''}`;
+    const stored = await objects.put(object, inline);
+    if (!stored.ok) return stored;
+    return newOk({ ...name, value: getJson({ object }) });
+  };
+
+  const update: JobStore['update'] = async (job, next, results = []) => {
+    const writes: RecordWrite[] = [{ ...getName(next.team, next.id), value: getJson(next) }];
+    const first = next.listed.length - results.length;
+    for (const [offset, result] of results.entries()) {
+      const write = await getResultWrite(next, result, first + offset);
+      if (!write.ok) return write;
+      writes.push(write.value);
+    }
+    const check: RecordCheck = { ...getName(next.team, next.id), revision: job.revision };
+    return records.commit({ checks: [check], writes });
+  };
+
+  const getResult = async (value: Buffer): Promise<Result<ItemResult, PlatformError>> => {
+    const parsed = JSON.parse(value.toString()) as ResultValue;
+    if (!('object' in parsed)) return newOk(parsed);
+    const content = await objects.get(parsed.object);
+    if (!content.ok) return content;
+    if (content.value === undefined) {
+      return newFailure({ kind: 'invalid_answer', detail: `${parsed.object} is missing` });
+    }
+    return newOk(JSON.parse(content.value.toString()) as ItemResult);
+  };
+
+  const readResults: JobStore['readResults'] = async (team, id, from, maxBytes) => {
+    const range = { from: getResultKey(id, from), to: `${id}/:` };
+    const page = await records.read(RESULT_TABLE, team, range);
+    if (!page.ok) return page;
+    const results: ItemResult[] = [];
+    let bytes = 0;
+    for (const { value } of page.value.records) {
+      if (value === undefined) continue;
+      const result = await getResult(value);
+      if (!result.ok) return result;
+      bytes += Buffer.byteLength(JSON.stringify(result.value));
+      if (results.length > 0 && bytes > maxBytes) break;
+      results.push(result.value);
+    }
+    return newOk(results);
+  };
+
+  const readItems: JobStore['readItems'] = async (team, id) => {
+    const content = await objects.get(getObjectName(team, id));
+    if (!content.ok) return content;
+    return newOk(content.value && parseItems(content.value));
+  };
+
+  const remove: JobStore['remove'] = async ({ record, revision }) => {
+    const { team, id } = record;
+    const name = getName(team, id);
+    const removals = record.listed.map((_, position) => ({
+      table: RESULT_TABLE,
+      partition: team,
+      key: getResultKey(id, position),
+    }));
+    const commit = await records.commit({
+      checks: [{ ...name, revision }],
+      writes: [],
+      removals: [name, ...removals.slice(0, 98)],
+    });
+    if (!commit.ok || !commit.value.committed) return commit;
+    const dropped = await objects.remove(getObjectName(team, id));
+    return dropped.ok ? commit : dropped;
+  };
+
+  return { submit, read, update, readResults, readItems, remove };
+};
--- /dev/null
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -0,0 +1,88 @@
+/** One request to one upstream, on a connection of its own. */
+import { Agent, request as newRequest, type IncomingMessage } from 'node:http';
+import { getFaultMessage, type Address, type Clock } from '@anvilpaddle/common';
+
+/**
+ * Connections are not kept: what an upstream sends late or beyond an answer can't reach another
+ * request, and a kept connection that has gone silent can't hold one up.
+ */
+const AGENT = new Agent({ keepAlive: false, maxSockets: Infinity });
+/** Longest wait for a connection to stand; within a data centre it takes a few milliseconds. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Request as the upstream is to see it. */
+export interface UpstreamRequest {
+  readonly address: Address;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values, alternating. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** Why there is no answer. */
+export type UpstreamFailure =
+  /** The connection never stood, so that nothing was sent. */
+  | { readonly kind: 'not_sent'; readonly detail: string }
+  /** The request was sent and may have run. */
+  | { readonly kind: 'lost'; readonly detail: string };
+
+/** How a call went up to the head of the answer. */
+export type UpstreamReply =
+  { readonly kind: 'answered'; readonly message: IncomingMessage } | UpstreamFailure;
+
+/** Sends a request and waits for the head of its answer; aborting closes the connection. */
+export const callUpstream = (
+  { address, method, path, headers, body }: UpstreamRequest,
+  signal: AbortSignal,
+  clock: Clock,
+): Promise<UpstreamReply> =>
+  new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve({ kind: 'not_sent', detail: 'aborted' });
+      return;
+    }
+    let isConnected = false;
+    const outgoing = newRequest({
+      agent: AGENT,
+      host: address.host,
+      port: address.port,
+      method,
+      path,
+      headers: headers as unknown as string[],
+      setHost: false,
+    });
+    const timer = clock.after(CONNECT_TIMEOUT_MS, () =>
+      outgoing.destroy(new Error('no connection in time')),
+    );
+    const abort = (): void => {
+      outgoing.destroy(new Error('aborted'));
+    };
+    signal.addEventListener('abort', abort, { once: true });
+    outgoing.on('close', () => signal.removeEventListener('abort', abort));
+    outgoing.on('socket', (socket) => {
+      socket.setNoDelay(true);
+      socket.once('connect', () => {
+        isConnected = true;
+        timer.cancel();
+      });
+    });
+    outgoing.on('response', (message) => resolve({ kind: 'answered', message }));
+    // After the answer has begun, its reader sees the fault; a fault after its end means nothing.
+    outgoing.on('error', (fault) => {
+      timer.cancel();
+      resolve({ kind: isConnected ? 'lost' : 'not_sent', detail: getFaultMessage(fault) });
+    });
+    outgoing.end(body);
+  });
+
+/** Whole body of an answer; undefined when it was cut. */
+export const readAnswer = async (message: IncomingMessage): Promise<Buffer | undefined> => {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) chunks.push(chunk);
+  } catch {
+    return undefined;
+  }
+  return message.complete ? Buffer.concat(chunks) : undefined;
+};
--- a/anvilpaddle-app/index.ts
+++ b/anvilpaddle-app/index.ts
@@ -4,9 +4,10 @@
 import { addConfigCommand } from './cli/configCommand';
 import { EXIT_CODE } from './cli/exitCode';
 import { addGroup, addSingle } from './cli/operatorCommand';
-import { runEntry, runSidecar, stopOnSignal } from './cli/processCommand';
+import { runEntry, runSidecar } from './cli/processCommand';
 import { runDev } from './dev/dev';
 import { addStandInCommand } from './dev/standInCommand';
+import { stopOnSignal } from './process/stopOnSignal';
 
 const HELP_COLUMNS = 100;
 
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 });
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', '**/__snapshots__/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', '**/__snapshots__/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -36,7 +36,15 @@
         'error',
         {
           props: true,
-          ignorePropertyModificationsFor: ['exchange', 'outcome', 'record', 'response', 'upstream'],
+          ignorePropertyModificationsFor: [
+            'exchange',
+            'outcome',
+            'pending',
+            'progress',
+            'record',
+            'response',
+            'upstream',
+          ],
         },
       ],
       'no-void': ['error', { allowAsStatement: true }],
@@ -52,7 +60,10 @@
       'anvilpaddle-app/cli/**',
       'anvilpaddle-app/dev/**',
       'anvilpaddle-app/index.ts',
+      'anvilpaddle-app/process/stopOnSignal.ts',
       'anvilpaddle-app/processSettings/**',
+      'platform/bootFile.ts',
+      'platform/main.ts',
       'measurements/**',
     ],
     rules: {
--- a/packages/common/logging.ts
+++ b/packages/common/logging.ts
@@ -7,9 +7,12 @@
 export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const;
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
-/** Logger that writes bunyan records to standard error. */
-export const newLogger = (name: string, level: LogLevel): Logger =>
-  bunyan.createLogger({ name, level, streams: [{ stream: process.stderr, level }] });
+/** Logger that writes bunyan records to a stream, by default standard error. */
+export const newLogger = (
+  name: string,
+  level: LogLevel,
+  stream: NodeJS.WritableStream = process.stderr,
+): Logger => bunyan.createLogger({ name, level, streams: [{ stream, level }] });
 
 /** Logger that writes nothing, for tests. */
 export const newSilentLogger = (): Logger =>
--- /dev/null
+++ b/packages/decisions/limits/windowLimit.ts
@@ -0,0 +1,162 @@
+import { MS_PER_SECOND } from '@anvilpaddle/common';
+import type { Rate } from './tokenBucket';
+
+/** Answer of a limit. */
+export type WindowAdmission =
+  | { readonly admitted: true }
+  | {
+      readonly admitted: false;
+      readonly retryAfterMs: number;
+      readonly used: number;
+      readonly limit: number;
+    };
+
+/** What a gateway tells its peers of a team. */
+export interface Spending {
+  /** Its own admissions since its start. */
+  readonly total: number;
+  /** Its own admissions in the window. */
+  readonly recent: number;
+  /** Admissions of all gateways in the window, as far as it knows. */
+  readonly window: number;
+}
+
+/** Who shares the limits. */
+export interface Sharing {
+  /** Gateways that may be admitting requests, this one included. */
+  readonly members: number;
+  /** Those that were heard of late, this one included. */
+  readonly heard: number;
+  /** Time since the start of the oldest one heard, in milliseconds. */
+  readonly oldestMs: number;
+}
+
+/**
+ * Limit of each team over a sliding window, shared by all gateways: each tells the others what it
+ * admitted. Gateways that are not heard are assumed to use their equal part of the limit. Times are
+ * monotonic milliseconds.
+ */
+export interface WindowLimit {
+  take(team: string, rate: Rate, sharing: Sharing, nowMs: number): WindowAdmission;
+  /** Admissions of this gateway, for its peers. */
+  own(nowMs: number): ReadonlyMap<string, Spending>;
+  /** A peer told its admissions. */
+  hear(peer: string, spendings: ReadonlyMap<string, Spending>, nowMs: number): void;
+  forget(peer: string): void;
+}
+
+const SLOTS_PER_WINDOW = 20;
+const MIN_RETRY_MS = 50;
+
+/** Count of events in a sliding window, in slots of a fixed width. */
+const newWindowCount = (windowMs: number) => {
+  const slotMs = windowMs / SLOTS_PER_WINDOW;
+  // One slot more than the window has, so that what is counted is never younger than the window.
+  const slots = new Array<number>(SLOTS_PER_WINDOW + 1).fill(0);
+  let sum = 0;
+  let newest = 0;
+
+  const move = (nowMs: number): void => {
+    const slot = Math.floor(nowMs / slotMs);
+    const steps = Math.min(slot - newest, slots.length);
+    for (let step = 1; step <= steps; step += 1) {
+      const index = (newest + step) % slots.length;
+      sum -= slots[index] ?? 0;
+      slots[index] = 0;
+    }
+    if (steps >= slots.length) slots.fill(0);
+    newest = Math.max(newest, slot);
+  };
+
+  return {
+    add: (count: number, nowMs: number): void => {
+      move(nowMs);
+      const index = newest % slots.length;
+      slots[index] = (slots[index] ?? 0) + count;
+      sum += count;
+    },
+    get: (nowMs: number): number => {
+      move(nowMs);
+      return sum;
+    },
+    /** Time until no more than a count is left in the window. */
+    getDrainMs: (count: number, nowMs: number): number => {
+      move(nowMs);
+      let left = sum;
+      for (let age = slots.length - 1; age >= 0; age -= 1) {
+        if (left <= count) return (slots.length - 1 - age) * slotMs;
+        left -= slots[(newest - age + slots.length * 2) % slots.length] ?? 0;
+      }
+      return windowMs;
+    },
+  };
+};
+
+type WindowCount = ReturnType<typeof newWindowCount>;
+
+/** Limit of a gateway that knows of no admissions. */
+export const newWindowLimit = (windowMs: number): WindowLimit => {
+  const all = new Map<string, WindowCount>();
+  const ownRecent = new Map<string, WindowCount>();
+  const ownTotal = new Map<string, number>();
+  const peerTotals = new Map<string, Map<string, number>>();
+
+  const getCount = (counts: Map<string, WindowCount>, team: string): WindowCount => {
+    const known = counts.get(team);
+    if (known !== undefined) return known;
+    const count = newWindowCount(windowMs);
+    counts.set(team, count);
+    return count;
+  };
+
+  /** Limit of a window; while no gateway knows all of the window, what the rate has earned since. */
+  const getLimit = ({ rate, burst }: Rate, { members, heard, oldestMs }: Sharing): number => {
+    const earningMs = Math.min(windowMs, oldestMs + windowMs / SLOTS_PER_WINDOW);
+    const earned = (rate * earningMs) / MS_PER_SECOND + (oldestMs < windowMs ? 0 : burst);
+    return earned * Math.min(1, heard / Math.max(1, members));
+  };
+
+  return {
+    take: (team, rate, sharing, nowMs) => {
+      const limit = Math.max(1, getLimit(rate, sharing));
+      const count = getCount(all, team);
+      const used = count.get(nowMs);
+      if (used + 1 > limit) {
+        const retryAfterMs = Math.max(MIN_RETRY_MS, count.getDrainMs(limit - 1, nowMs));
+        return { admitted: false, retryAfterMs, used, limit };
+      }
+      count.add(1, nowMs);
+      getCount(ownRecent, team).add(1, nowMs);
+      ownTotal.set(team, (ownTotal.get(team) ?? 0) + 1);
+      return { admitted: true };
+    },
+    own: (nowMs) =>
+      new Map(
+        [...ownTotal].map(([team, total]) => [
+          team,
+          {
+            total,
+            recent: getCount(ownRecent, team).get(nowMs),
+            window: getCount(all, team).get(nowMs),
+          },
+        ]),
+      ),
+    hear: (peer, spendings, nowMs) => {
+      const known = peerTotals.get(peer);
+      const totals = known ?? new Map<string, number>();
+      peerTotals.set(peer, totals);
+      spendings.forEach(({ total, recent, window }, team) => {
+        const before = totals.get(team) ?? (known === undefined ? total - recent : 0);
+        const count = getCount(all, team);
+        if (total > before) count.add(total - before, nowMs);
+        totals.set(team, Math.max(total, before));
+        // A peer that has been here longer knows of gateways that are gone.
+        const missing = known === undefined ? window - count.get(nowMs) : 0;
+        if (missing > 0) count.add(missing, nowMs);
+      });
+    },
+    forget: (peer) => {
+      peerTotals.delete(peer);
+    },
+  };
+};
--- /dev/null
+++ b/packages/decisions/placement/loadBoard.ts
@@ -0,0 +1,86 @@
+import type { ServiceClass } from '@anvilpaddle/common';
+
+/** Requests of each class that an upstream works on. */
+export interface UpstreamLoad {
+  readonly online: number;
+  readonly batch: number;
+}
+
+/** Loads by upstream; upstreams without work may be missing. */
+export type Loads = ReadonlyMap<string, UpstreamLoad>;
+
+/**
+ * Load of all upstreams as one gateway knows it: its own requests exactly, those of its peers as
+ * they last told. Times are monotonic milliseconds.
+ */
+export interface LoadBoard {
+  /** A request of this gateway was sent to an upstream. */
+  begin(upstream: string, serviceClass: ServiceClass): void;
+  /** It ended. */
+  end(upstream: string, serviceClass: ServiceClass): void;
+  /** What this gateway tells its peers. */
+  own(): Loads;
+  /** A peer told its loads. */
+  hear(peer: string, loads: Loads, nowMs: number): void;
+  /** Load of an upstream from all gateways heard of late. */
+  getLoad(upstream: string, nowMs: number): UpstreamLoad;
+  /** Batch work at an upstream by peer, for agreeing on who yields. */
+  getBatchByPeer(upstream: string, nowMs: number): ReadonlyMap<string, number>;
+}
+
+/** Silence after which a peer's load no longer counts: its requests have ended or moved. */
+const PEER_SILENCE_MS = 1500;
+
+const NO_LOAD: UpstreamLoad = { online: 0, batch: 0 };
+
+interface PeerLoads {
+  readonly loads: Loads;
+  readonly heardMs: number;
+}
+
+/** Board without any load. */
+export const newLoadBoard = (): LoadBoard => {
+  const own = new Map<string, UpstreamLoad>();
+  const peers = new Map<string, PeerLoads>();
+
+  const change = (upstream: string, serviceClass: ServiceClass, by: number): void => {
+    const load = own.get(upstream) ?? NO_LOAD;
+    const next = { ...load, [serviceClass]: load[serviceClass] + by };
+    if (next.online === 0 && next.batch === 0) own.delete(upstream);
+    else own.set(upstream, next);
+  };
+
+  const dropSilent = (nowMs: number): void => {
+    peers.forEach(({ heardMs }, peer) => {
+      if (nowMs - heardMs > PEER_SILENCE_MS) peers.delete(peer);
+    });
+  };
+
+  return {
+    begin: (upstream, serviceClass) => change(upstream, serviceClass, 1),
+    end: (upstream, serviceClass) => change(upstream, serviceClass, -1),
+    own: () => own,
+    hear: (peer, loads, nowMs) => {
+      peers.set(peer, { loads, heardMs: nowMs });
+    },
+    getLoad: (upstream, nowMs) => {
+      dropSilent(nowMs);
+      let { online, batch } = own.get(upstream) ?? NO_LOAD;
+      peers.forEach(({ loads }) => {
+        const load = loads.get(upstream) ?? NO_LOAD;
+        online += load.online;
+        batch += load.batch;
+      });
+      return { online, batch };
+    },
+    getBatchByPeer: (upstream, nowMs) => {
+      dropSilent(nowMs);
+      const counts = new Map<string, number>();
+      peers.forEach(({ loads }, peer) => {
+        const batch = loads.get(upstream)?.batch ?? 0;
+        if (batch > 0) counts.set(peer, batch);
+      });
+      return counts;
+    },
+  };
+};
--- /dev/null
+++ b/packages/decisions/placement/placement.ts
@@ -0,0 +1,79 @@
+import type { Random } from '@anvilpaddle/common';
+import type { UpstreamLoad } from './loadBoard';
+
+/** An upstream as the choice for one online request sees it. */
+export interface Candidate {
+  readonly id: string;
+  readonly slots: number;
+  readonly load: UpstreamLoad;
+  /** Share of its usual work that its health allows, 0 to 1. */
+  readonly weight: number;
+  readonly isNear: boolean;
+  /** Mean time of an online request at it, in milliseconds. */
+  readonly serviceMs: number;
+}
+
+/** Facts of the request that bear on the choice. */
+export interface Demand {
+  /** Time left in which the first byte of the answer is on time, in milliseconds. */
+  readonly objectiveLeftMs: number;
+  /** Time left in which an answer is of any use, in milliseconds. */
+  readonly timeLeftMs: number;
+}
+
+/** Where a request goes, or when it should come back. */
+export type Placement =
+  | { readonly kind: 'send'; readonly upstream: string; readonly waitMs: number }
+  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+
+/** A batch item slows an upstream down until it has yielded. */
+const BATCH_WEIGHT = 0.35;
+/** Preference for an upstream in the gateway's failure domain, in requests. */
+const NEAR_BONUS = 0.2;
+/** Part of the objective that may go by in an upstream's own queue. */
+const QUEUE_SHARE = 0.6;
+/** Waits for a return are spread over a range so that refused callers do not come back together. */
+const RETURN_SPREAD = 1;
+const MIN_RETURN_MS = 150;
+
+/** Time that a new request waits at an upstream for a slot; batch work yields its slots. */
+export const getQueueMs = ({ load, slots, serviceMs }: Candidate): number => {
+  const ahead = load.online - slots + 1;
+  return ahead <= 0 ? 0 : (ahead * serviceMs) / slots;
+};
+
+const getScore = (candidate: Candidate): number => {
+  const { load, slots, weight, isNear } = candidate;
+  const work = load.online + load.batch * BATCH_WEIGHT - (isNear ? NEAR_BONUS : 0);
+  return (work + 1) / (slots * weight);
+};
+
+const getLeast = <T>(items: readonly T[], getValue: (item: T) => number): T | undefined =>
+  items.reduce<T | undefined>(
+    (best, item) => (best === undefined || getValue(item) < getValue(best) ? item : best),
+    undefined,
+  );
+
+/**
+ * Chooses the upstream with the least work for its slots among those that are healthy. When even
+ * the shortest queue would use up the objective, the request is refused at once, with the time
+ * after which that queue has drained.
+ */
+export const getPlacement = (
+  candidates: readonly Candidate[],
+  demand: Demand,
+  random: Random,
+): Placement => {
+  const healthy = candidates.filter(({ weight }) => weight > 0);
+  // With no healthy one left, a suspect is better than none.
+  const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
+  const offset = Math.floor(random() * usable.length);
+  const shuffled = [...usable.slice(offset), ...usable.slice(0, offset)];
+  const best = getLeast(shuffled, getScore);
+  if (best === undefined) return { kind: 'refuse', retryAfterMs: MIN_RETURN_MS };
+  const queueMs = getQueueMs(best);
+  const limitMs = Math.min(demand.timeLeftMs, demand.objectiveLeftMs * QUEUE_SHARE);
+  if (queueMs <= Math.max(0, limitMs)) return { kind: 'send', upstream: best.id, waitMs: queueMs };
+  const retryAfterMs = Math.max(MIN_RETURN_MS, queueMs) * (1 + random() * RETURN_SPREAD);
+  return { kind: 'refuse', retryAfterMs };
+};
--- a/packages/decisions/routing/health.ts
+++ b/packages/decisions/routing/health.ts
@@ -1,16 +1,28 @@
 import { MS_PER_SECOND } from '@anvilpaddle/common';
 import type { AttemptResult } from './router';
 
-const CONSECUTIVE_FAILURES = 5;
 const FAILURE_SHARE = 0.5;
 const SLOW_FACTOR = 5;
 const MIN_SAMPLES = 10;
 const SAMPLE_SHARE = 0.1;
-const FIRST_EJECTION_MS = 5 * MS_PER_SECOND;
-const LONGEST_EJECTION_MS = 60 * MS_PER_SECOND;
-const RAMP_MS = 10 * MS_PER_SECOND;
 const RAMP_START = 0.1;
 
+/** When an upstream is ejected and how it comes back; times in milliseconds. */
+export interface HealthBounds {
+  readonly consecutiveFailures: number;
+  readonly firstEjectionMs: number;
+  readonly longestEjectionMs: number;
+  /** Time over which the work of an upstream that is back grows to its usual share. */
+  readonly rampMs: number;
+}
+
+const USUAL_BOUNDS: HealthBounds = {
+  consecutiveFailures: 5,
+  firstEjectionMs: 5 * MS_PER_SECOND,
+  longestEjectionMs: 60 * MS_PER_SECOND,
+  rampMs: 10 * MS_PER_SECOND,
+};
+
 /** Health of upstreams as this entry's own attempts show it; times are monotonic milliseconds. */
 export interface Health {
   /** An attempt ended; `delayMs` is the time until its answer began. */
@@ -46,7 +58,7 @@
   average + (sample - average) * Math.max(SAMPLE_SHARE, 1 / samples);
 
 /** Ejects upstreams that fail or are far slower than the others, and lets them back by and by. */
-export const newHealth = (): Health => {
+export const newHealth = (bounds: HealthBounds = USUAL_BOUNDS): Health => {
   const records = new Map<string, Record>();
 
   const getRecord = (vm: string): Record => {
@@ -66,13 +78,16 @@
   };
 
   const isUnhealthy = (record: Record): boolean => {
-    if (record.consecutiveFailures >= CONSECUTIVE_FAILURES) return true;
+    if (record.consecutiveFailures >= bounds.consecutiveFailures) return true;
     if (record.samples < MIN_SAMPLES) return false;
     return record.failureShare > FAILURE_SHARE || isSlow(record);
   };
 
   const eject = (record: Record, nowMs: number): void => {
-    const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections);
+    const durationMs = Math.min(
+      bounds.longestEjectionMs,
+      bounds.firstEjectionMs * 2 ** record.ejections,
+    );
     record.ejections += 1;
     record.ejectedUntilMs = nowMs + durationMs;
     record.samples = 0;
@@ -97,14 +112,14 @@
       if (nowMs < record.ejectedUntilMs) return;
       learn(record, result, delayMs);
       if (isUnhealthy(record)) eject(record, nowMs);
-      else if (nowMs > record.ejectedUntilMs + RAMP_MS) record.ejections = 0;
+      else if (nowMs > record.ejectedUntilMs + bounds.rampMs) record.ejections = 0;
     },
     weight: (vm, nowMs) => {
       const record = records.get(vm);
       if (record === undefined) return 1;
       const sinceMs = nowMs - record.ejectedUntilMs;
       if (sinceMs < 0) return 0;
-      return Math.min(1, RAMP_START + ((1 - RAMP_START) * sinceMs) / RAMP_MS);
+      return Math.min(1, RAMP_START + ((1 - RAMP_START) * sinceMs) / bounds.rampMs);
     },
     keep: (vms) => {
       records.forEach((_, vm) => {
--- a/packages/platform/errors.ts
+++ b/packages/platform/errors.ts
@@ -7,3 +7,7 @@
   | { readonly kind: 'unknown'; readonly detail: string }
   | { readonly kind: 'limited'; readonly retryAfterMs: number }
   | { readonly kind: 'invalid_answer'; readonly detail: string };
+
+/** Text of an error for a log line. */
+export const getPlatformErrorText = (error: PlatformError): string =>
+  error.kind === 'limited' ? `limited for ${error.retryAfterMs} ms` : error.detail;
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -9,18 +9,29 @@
 } from '@anvilpaddle/common';
 import type { PlatformError } from './errors';
 
+const BYTES_TYPE = 'application/octet-stream';
+
 /** Answer of a platform service. */
 export interface Answer {
   readonly status: number;
   readonly body: Buffer;
 }
 
+/** How one call differs from the usual one. */
+export interface CallOptions {
+  /** Media type of the body; bytes when missing. */
+  readonly contentType?: string;
+  /** Longest wait for the whole answer, in milliseconds; the client's own when missing. */
+  readonly timeoutMs?: number;
+}
+
 /** Calls one platform service over kept-alive HTTP. */
 export interface HttpClient {
   call(
     method: 'GET' | 'PUT' | 'POST' | 'DELETE',
     path: string,
     body?: Buffer,
+    options?: CallOptions,
   ): Promise<Result<Answer, PlatformError>>;
   close(): Promise<void>;
 }
@@ -33,18 +44,21 @@
 ): HttpClient => {
   const agent = new Agent({
     connect: { timeout: timeoutMs },
+    // A call that waits for news may be silent for as long as it was asked to wait.
+    headersTimeout: 0,
+    bodyTimeout: 0,
     localAddress,
     keepAliveTimeout: 30 * MS_PER_SECOND,
   });
   return {
-    call: async (method, path, body) => {
+    call: async (method, path, body, options = {}) => {
       try {
         const answer = await request(`${baseUrl}${path}`, {
           method,
           body: body ?? null,
-          headers: body === undefined ? {} : { 'content-type': 'application/octet-stream' },
+          headers: body === undefined ? {} : { 'content-type': options.contentType ?? BYTES_TYPE },
           dispatcher: agent,
-          signal: AbortSignal.timeout(timeoutMs),
+          signal: AbortSignal.timeout(options.timeoutMs ?? timeoutMs),
         });
         const content = Buffer.from(await answer.body.arrayBuffer());
         if (answer.statusCode === 429) {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -57,6 +57,11 @@
   );
 };
 
+if (process.argv.includes('--target')) {
+  mkdirSync(join(root, 'target'), { recursive: true });
+  await bundle('platform/main.ts', '../target/anvilpaddle.cjs');
+  process.exit(0);
+}
 mkdirSync(dist, { recursive: true });
 await bundle('anvilpaddle-app/index.ts', 'anvilpaddle.cjs');
 if (existsSync(join(root, 'measurements/index.ts'))) {
