Limits known across restarts, peers by their first datagram, bounded log, metrics, compiled start

Change: each gateway's record in the store carries what it knows to be admitted, in parts of the window; a new process takes that over, hears peers at once by their datagrams, and counts a peer that it first hears only as far as that one knows more. Log lines have a budget a kind and a second and never wait for their reader; counters and a latency histogram are served as text.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -5,6 +5,7 @@
 import type { CallerCall, CallerProtocol } from './callerProtocol';
 import type { DeploymentWatch } from './deploymentWatch';
 import { sendRefusal, STATUS, type Refusal } from './errors';
+import type { GatewayMetrics } from './gatewayMetrics';
 import type { JobService } from './jobs/jobService';
 import { serveOnline, type OnlineServices } from './onlineCall';
 import { getRoute } from './routeTable';
@@ -22,6 +23,7 @@
   readonly onAdmitted: () => void;
   readonly online: OnlineServices;
   readonly jobs: JobService;
+  readonly metrics: GatewayMetrics;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -42,7 +44,7 @@
 
 /** Handler of all callers' requests. */
 export const newCallerHandler = (services: HandlerServices) => {
-  const { protocol, deployment, limit, clock, log, jobs } = services;
+  const { protocol, deployment, limit, clock, log, jobs, metrics } = services;
 
   const authenticate = (
     config: Deployment,
@@ -96,7 +98,9 @@
     const call = protocol.parseCall(message.method ?? 'GET', message.url ?? '/', message.headers);
     const reject = (refusal: Refusal): void => {
       const { status, reason, retryAfterMs } = refusal;
-      log.info({ request: call.id, status, reason, retryAfterMs }, 'refused');
+      const { version } = deployment.current() ?? {};
+      metrics.countRefusal(status);
+      log.info({ request: call.id, status, reason, retryAfterMs, version }, 'refused');
       sendRefusal(response, refusal);
     };
     const maxBytes = deployment.current()?.bounds.maxBodyBytes ?? Infinity;
@@ -142,7 +146,11 @@
       },
       services.online,
     );
-    if (outcome.result === 'served') return;
-    log.info({ request: call.id, route: route.name, team: team?.name, ...outcome }, 'not served');
+    metrics.countRequest(route, outcome);
+    const { version } = deployment.current() ?? {};
+    log.info(
+      { request: call.id, route: route.name, team: team?.name, version, ...outcome },
+      'request',
+    );
   };
 };
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { newDeploymentWatch, type DeploymentSource } from './deploymentWatch';
 import { newFleetView } from './fleetView';
 import { newGatewayList, type GatewayList } from './gatewayList';
+import { newGatewayMetrics, serveMetrics } from './gatewayMetrics';
 import { newGossip, type Gossip } from './gossip';
 import { newJobBoard } from './jobs/jobBoard';
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
@@ -108,8 +109,18 @@
     log,
   );
   const self = { vm: settings.vm, incarnation, address: settings.peers };
-  const list = newGatewayList(records, self, clock, log);
-  const gossip = newGossip(settings.peers, incarnation, list, board, limit, clock, log);
+  const list = newGatewayList(
+    records,
+    self,
+    {
+      getSpent: () => limit.all(clock.monotonic()),
+      windowMs: bounds.limitWindowMs,
+      onInherited: (spent, ageMs) => limit.inherit(spent, ageMs, clock.monotonic()),
+    },
+    clock,
+    log,
+  );
+  const gossip = newGossip(self, list, board, limit, clock, log);
   peersSlot.list = list;
   peersSlot.gossip = gossip;
   const view = newFleetView(upstreams, board, health, settings.failureDomain, clock);
@@ -141,13 +152,23 @@
   });
   runnerSlot.runner = runner;
 
+  const metrics = newGatewayMetrics({
+    getActive: () => active,
+    getJobs: () => jobs.open().filter(({ record }) => record.owner === incarnation).length,
+    getPeers: () => list.others().length,
+  });
   const handle = newCallerHandler({
     protocol,
     deployment,
     limit,
-    getSharing: () => gossip.sharing(),
+    getSharing: () => {
+      const sharing = gossip.sharing();
+      // Once the list is read, what was admitted before this start is known.
+      return list.isRead() ? { ...sharing, oldestMs: Infinity } : sharing;
+    },
     onAdmitted: () => gossip.touch(),
     online: { protocol, view, board, health, clock, random, log },
+    metrics,
     jobs: newJobService({
       protocol,
       store,
@@ -179,6 +200,7 @@
     response.writeHead(isReady() ? 200 : 503).end();
   });
 
+  if (settings.metrics !== undefined) await serveMetrics(settings.metrics, metrics, log);
   await serveStoreRelay(settings.peers, platform.client, log);
   await listen(server, settings.callers);
   await listen(readiness, settings.readiness);
--- a/anvilpaddle-app/gateway/gatewayList.ts
+++ b/anvilpaddle-app/gateway/gatewayList.ts
@@ -7,6 +7,7 @@
   type Logger,
 } from '@anvilpaddle/common';
 import { z } from 'zod';
+import type { Admissions } from '@anvilpaddle/decisions';
 import { getPlatformErrorText, type RecordStore, type StoredRecord } from '@anvilpaddle/platform';
 import { newRecordWatch } from './recordWatch';
 
@@ -20,6 +21,8 @@
 const GONE_AFTER_MS = 6 * MS_PER_SECOND;
 /** Silence after which others may take over a gateway's jobs. */
 const LATE_AFTER_MS = 2.5 * MS_PER_SECOND;
+/** Teams whose admissions one record tells at most. */
+const MAX_TOLD_TEAMS = 300;
 /** Longest time between two reads that counts as a record's silence; beyond it the store was away. */
 const LONGEST_STEP_MS = 1.5 * MS_PER_SECOND;
 
@@ -27,8 +30,12 @@
   incarnation: z.string(),
   host: z.string(),
   port: z.number(),
-  beat: z.number(),
+  /** Store's clock at the time of writing, in milliseconds. */
+  atStoreMs: z.number(),
+  /** Team and admissions of all gateways in the limit's window, as this one knew them. */
+  spent: z.array(z.tuple([z.string(), z.array(z.number())])),
 });
+type GatewayRecord = z.output<typeof recordSchema>;
 
 /** One gateway process. */
 export interface Gateway {
@@ -37,6 +44,19 @@
   readonly address: Address;
 }
 
+/** Admissions by team in the limits' window. */
+export type SpentByTeam = ReadonlyMap<string, Admissions>;
+
+/** What a gateway tells the store of itself, and what it learns there when it starts. */
+export interface Inheritance {
+  /** Admissions in the window now. */
+  getSpent(): SpentByTeam;
+  /** Length of the window in milliseconds. */
+  readonly windowMs: number;
+  /** Called for each gateway of before with what it told and the time since, in milliseconds. */
+  onInherited(spent: SpentByTeam, ageMs: number): void;
+}
+
 /** The gateways that may be at work. */
 export interface GatewayList {
   /** All but this one. */
@@ -45,6 +65,10 @@
   isRenewed(incarnation: string): boolean;
   /** Whether the list was read of late, so that it tells who is gone. */
   isCurrent(): boolean;
+  /** Whether the list has been read at all, and with it what gateways of before admitted. */
+  isRead(): boolean;
+  /** A gateway told of itself; it takes the place of an earlier process of its VM. */
+  introduce(gateway: Gateway): void;
   /** Removes this gateway's record. */
   leave(): Promise<void>;
 }
@@ -56,10 +80,9 @@
   readonly silentMs: number;
 }
 
-const parse = (vm: string, value: Buffer): Gateway | undefined => {
+const parse = (value: Buffer): GatewayRecord | undefined => {
   try {
-    const { incarnation, host, port } = recordSchema.parse(JSON.parse(value.toString()));
-    return { vm, incarnation, address: { host, port } };
+    return recordSchema.parse(JSON.parse(value.toString()));
   } catch {
     return undefined;
   }
@@ -69,11 +92,12 @@
 export const newGatewayList = (
   store: RecordStore,
   self: Gateway,
+  inheritance: Inheritance,
   clock: Clock,
   log: Logger,
 ): GatewayList => {
-  let sightings: ReadonlyMap<string, Sighting> = new Map();
-  let beat = 0;
+  let sightings = new Map<string, Sighting>();
+  let storeOffsetMs = 0;
   let isLeaving = false;
   let lastReadMs: number | undefined;
   let isRenewing = false;
@@ -81,14 +105,21 @@
   const name = { table: TABLE, partition: '', key: self.vm };
 
   const renew = async (): Promise<void> => {
-    if (isRenewing || isLeaving) return;
+    // What an earlier process of this VM left is read before it is replaced.
+    if (isRenewing || isLeaving || lastReadMs === undefined) return;
     isRenewing = true;
-    beat += 1;
-    const { host, port } = self.address;
-    const value = JSON.stringify({ incarnation: self.incarnation, host, port, beat });
+    const record: GatewayRecord = {
+      incarnation: self.incarnation,
+      host: self.address.host,
+      port: self.address.port,
+      atStoreMs: Math.round(clock.monotonic() + storeOffsetMs),
+      spent: [...inheritance.getSpent()]
+        .slice(0, MAX_TOLD_TEAMS)
+        .map(([team, parts]) => [team, [...parts]]),
+    };
     const commit = await store.commit({
       checks: [],
-      writes: [{ ...name, value: Buffer.from(value) }],
+      writes: [{ ...name, value: Buffer.from(JSON.stringify(record)) }],
     });
     isRenewing = false;
     if (!commit.ok) {
@@ -104,20 +135,41 @@
     if (known?.revision === revision) {
       return { ...known, silentMs: known.silentMs + Math.min(sinceReadMs, LONGEST_STEP_MS) };
     }
-    const gateway = value === undefined ? undefined : parse(vm, value);
-    if (gateway === undefined) return undefined;
+    const record = value === undefined ? undefined : parse(value);
+    if (record === undefined) return undefined;
+    const { incarnation, host, port } = record;
+    const gateway = { vm, incarnation, address: { host, port } };
     if (known?.gateway.incarnation !== gateway.incarnation) {
       log.info({ ...gateway }, 'gateway seen');
     }
     return { gateway, revision, silentMs: 0 };
   };
 
+  const inherit = (records: readonly StoredRecord[], storeMs: number): void =>
+    records
+      .flatMap(({ value }) => (value === undefined ? [] : (parse(value) ?? [])))
+      .filter(({ atStoreMs }) => storeMs - atStoreMs < inheritance.windowMs)
+      .forEach(({ spent, atStoreMs }) =>
+        inheritance.onInherited(new Map(spent), storeMs - atStoreMs),
+      );
+
+  const tick = (): void => {
+    renew().catch((fault: unknown) => log.error({ reason: getFaultMessage(fault) }, 'heartbeat'));
+  };
+  clock.every(HEARTBEAT_MS, tick);
+
   newRecordWatch(
     store,
     { table: TABLE, hasPartitions: false, readEveryMs: READ_EVERY_MS, isWatched: false },
-    ({ records, askedMs }) => {
+    ({ records, askedMs, storeMs }) => {
+      const isFirst = lastReadMs === undefined;
       const sinceReadMs = askedMs - (lastReadMs ?? askedMs);
       lastReadMs = askedMs;
+      storeOffsetMs = storeMs - askedMs;
+      if (isFirst) {
+        inherit(records, storeMs);
+        tick();
+      }
       const next = new Map(
         records
           .filter(({ key }) => key !== self.vm)
@@ -132,12 +184,6 @@
     log,
   );
 
-  const tick = (): void => {
-    renew().catch((fault: unknown) => log.error({ reason: getFaultMessage(fault) }, 'heartbeat'));
-  };
-  tick();
-  clock.every(HEARTBEAT_MS, tick);
-
   const getAlive = (silenceMs: number): Gateway[] =>
     [...sightings.values()]
       .filter(({ silentMs }) => silentMs < silenceMs)
@@ -148,6 +194,14 @@
     isRenewed: (incarnation) =>
       getAlive(LATE_AFTER_MS).some((gateway) => gateway.incarnation === incarnation),
     isCurrent: () => lastReadMs !== undefined && clock.monotonic() - lastReadMs < 2 * READ_EVERY_MS,
+    isRead: () => lastReadMs !== undefined,
+    introduce: (gateway) => {
+      const { vm, incarnation } = gateway;
+      const known = sightings.get(vm);
+      if (vm === self.vm || known?.gateway.incarnation === incarnation) return;
+      log.info({ ...gateway }, 'gateway heard');
+      sightings.set(vm, { gateway, revision: known?.revision ?? 0, silentMs: 0 });
+    },
     leave: async () => {
       isLeaving = true;
       const commit = await store.commit({ checks: [], writes: [], removals: [name] });
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -9,7 +9,7 @@
   type Timer,
 } from '@anvilpaddle/common';
 import type { LoadBoard, Sharing, WindowLimit } from '@anvilpaddle/decisions';
-import type { GatewayList } from './gatewayList';
+import type { Gateway, GatewayList } from './gatewayList';
 
 /** Shortest time between two datagrams to the same peer. */
 const SHORTEST_INTERVAL_MS = 25;
@@ -23,11 +23,12 @@
 /** What a gateway tells. */
 interface Datagram {
   readonly from: string;
+  readonly vm: string;
   readonly ageMs: number;
   /** Upstream, online requests, batch items. */
   readonly loads: readonly (readonly [string, number, number])[];
-  /** Team, own total, own in the window, all in the window. */
-  readonly spent: readonly (readonly [string, number, number, number])[];
+  /** Team, own admissions since the start, all in the window. */
+  readonly spent: readonly (readonly [string, number, number])[];
 }
 
 /** Datagram of a peer; its sender is this same program, so that the outline is enough. */
@@ -36,6 +37,7 @@
     const datagram = JSON.parse(content.toString()) as Partial<Datagram> | null;
     const isWhole =
       typeof datagram?.from === 'string' &&
+      typeof datagram.vm === 'string' &&
       typeof datagram.ageMs === 'number' &&
       Array.isArray(datagram.loads) &&
       Array.isArray(datagram.spent);
@@ -60,10 +62,9 @@
   readonly startedMs: number;
 }
 
-/** Starts the exchange on an address. */
+/** Starts the exchange on this gateway's address. */
 export const newGossip = (
-  address: Address,
-  incarnation: string,
+  self: Gateway,
   list: GatewayList,
   board: LoadBoard,
   limit: WindowLimit,
@@ -78,29 +79,30 @@
   let lastSentMs = -Infinity;
   let isFaulty = false;
 
-  const receive = (content: Buffer): void => {
+  const receive = (content: Buffer, sender: Address): void => {
     const datagram = parseDatagram(content);
     if (datagram === undefined) {
       log.warn({ bytes: content.length }, 'unreadable datagram');
       return;
     }
     const nowMs = clock.monotonic();
-    const { from, ageMs, loads, spent } = datagram;
+    const { from, vm, ageMs, loads, spent } = datagram;
+    // A new process of a VM is known by its first datagram, before its record is read.
+    if (!heard.has(from)) list.introduce({ vm, incarnation: from, address: sender });
     heard.set(from, { heardMs: nowMs, startedMs: nowMs - ageMs });
     board.hear(from, new Map(loads.map(([id, online, batch]) => [id, { online, batch }])), nowMs);
-    const spendings = spent.map(
-      ([team, total, recent, window]) => [team, { total, recent, window }] as const,
-    );
+    const spendings = spent.map(([team, total, window]) => [team, { total, window }] as const);
     limit.hear(from, new Map(spendings), nowMs);
   };
 
   const getDatagram = (nowMs: number): Datagram => ({
-    from: incarnation,
+    from: self.incarnation,
+    vm: self.vm,
     ageMs: Math.round(nowMs - startedMs),
     loads: [...board.own()].map(([id, { online, batch }]) => [id, online, batch]),
     spent: [...limit.own(nowMs)]
-      .filter(([, { recent }]) => recent > 0)
-      .map(([team, { total, recent, window }]) => [team, total, recent, window]),
+      .filter(([, { window }]) => window > 0)
+      .map(([team, { total, window }]) => [team, total, window]),
   });
 
   const send = (): void => {
@@ -139,12 +141,12 @@
   const isHeard = (peer: string): boolean =>
     clock.monotonic() - (heard.get(peer)?.heardMs ?? -Infinity) < HEARD_MS;
 
-  socket.on('message', receive);
+  socket.on('message', (content, { address, port }) => receive(content, { host: address, port }));
   socket.on('error', (fault) => {
     if (!isFaulty) log.warn({ reason: getFaultMessage(fault) }, 'datagrams fail');
     isFaulty = true;
   });
-  socket.bind(address.port, address.host);
+  socket.bind(self.address.port, self.address.host);
   const timers = [
     clock.every(IDLE_INTERVAL_MS, sendIdle),
     clock.every(MS_PER_SECOND, forgetSilent),
@@ -154,13 +156,15 @@
     isHeard,
     sharing: () => {
       const others = list.others();
+      // The first datagrams take a moment; what the others admitted before was read at the start.
+      const isNew = clock.monotonic() - startedMs < HEARD_MS;
       const heardOthers = others.filter((other) => isHeard(other.incarnation));
       const starts = heardOthers.map(
         (other) => heard.get(other.incarnation)?.startedMs ?? Infinity,
       );
       return {
         members: others.length + 1,
-        heard: heardOthers.length + 1,
+        heard: isNew ? others.length + 1 : heardOthers.length + 1,
         oldestMs: clock.monotonic() - Math.min(startedMs, ...starts),
       };
     },
--- a/anvilpaddle-app/gateway/onlineCall.ts
+++ b/anvilpaddle-app/gateway/onlineCall.ts
@@ -51,6 +51,10 @@
   readonly upstream: string | undefined;
   readonly attempts: number;
   readonly firstByteMs: number | undefined;
+  /** Online requests and batch items at the upstream when it was chosen, and the wait expected. */
+  readonly online: number | undefined;
+  readonly batch: number | undefined;
+  readonly waitMs: number | undefined;
 }
 
 /** Upstreams that may say that they have not run a request before it is given up. */
@@ -88,6 +92,11 @@
   let rejections = 0;
   let firstByteMs: number | undefined;
   let lastUpstream: string | undefined;
+  let choice: Pick<OnlineOutcome, 'online' | 'batch' | 'waitMs'> = {
+    online: undefined,
+    batch: undefined,
+    waitMs: undefined,
+  };
   /** Worst that may be true of all attempts so far. */
   let mayHaveRun = false;
 
@@ -191,7 +200,14 @@
     timer.cancel();
     if (stream?.isStarted() === true && result !== 'served') stream.cut();
     else if (refusal !== undefined) sendRefusal(response, refusal);
-    return { result, reason, upstream: lastUpstream, attempts: runs + rejections, firstByteMs };
+    return {
+      result,
+      reason,
+      upstream: lastUpstream,
+      attempts: runs + rejections,
+      firstByteMs,
+      ...choice,
+    };
   };
 
   const fail = (status: number, reason: string): OnlineOutcome =>
@@ -218,6 +234,7 @@
     if (upstream === undefined) return refuse('no upstream has room', 100);
     tried.add(upstream.id);
     lastUpstream = upstream.id;
+    choice = { ...board.getLoad(upstream.id, clock.monotonic()), waitMs: placement.waitMs };
     runs += 1;
     const outcome = await attempt(upstream);
     if (outcome.answered) return finish('served', 'answered');
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -123,6 +123,8 @@
   readonly readiness: Address;
   /** Address for datagrams between gateways. */
   readonly peers: Address;
+  /** Address at which the metrics are served as text; undefined serves none. */
+  readonly metrics: Address | undefined;
   readonly storeUrl: string;
   readonly bounds: GatewayBounds;
 }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,6 +65,7 @@
       'platform/bootFile.ts',
       'platform/main.ts',
       'measurements/**',
+      'packages/common/logStream.ts',
     ],
     rules: {
       'n/no-sync': 'off',
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -5,6 +5,7 @@
 export * from './http';
 export * from './ids';
 export * from './logging';
+export * from './logStream';
 export * from './mailbox';
 export * from './manualClock';
 export * from './metrics';
--- a/packages/common/logging.ts
+++ b/packages/common/logging.ts
@@ -1,4 +1,5 @@
 import bunyan from 'bunyan';
+import { newLogStream, newOutput } from './logStream';
 
 /** Structured logger; fields never hold keys, prompts or answers. */
 export type Logger = bunyan;
@@ -7,12 +8,17 @@
 export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const;
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
-/** Logger that writes bunyan records to a stream, by default standard error. */
-export const newLogger = (
-  name: string,
-  level: LogLevel,
-  stream: NodeJS.WritableStream = process.stderr,
-): Logger => bunyan.createLogger({ name, level, streams: [{ stream, level }] });
+/** Logger that writes bunyan records to standard error. */
+export const newLogger = (name: string, level: LogLevel): Logger =>
+  bunyan.createLogger({ name, level, streams: [{ stream: process.stderr, level }] });
+
+/** Logger that writes bunyan records to standard output without ever waiting for its reader. */
+export const newBoundedLogger = (name: string, level: LogLevel): Logger => {
+  const stream = newLogStream(newOutput(), () => performance.now());
+  // The type of a raw stream's argument is missing in bunyan's declarations.
+  const raw = stream as unknown as NodeJS.WritableStream;
+  return bunyan.createLogger({ name, level, streams: [{ type: 'raw', stream: raw, level }] });
+};
 
 /** Logger that writes nothing, for tests. */
 export const newSilentLogger = (): Logger =>
--- a/packages/decisions/limits/windowLimit.ts
+++ b/packages/decisions/limits/windowLimit.ts
@@ -15,19 +15,23 @@
 export interface Spending {
   /** Its own admissions since its start. */
   readonly total: number;
-  /** Its own admissions in the window. */
-  readonly recent: number;
   /** Admissions of all gateways in the window, as far as it knows. */
   readonly window: number;
 }
 
+/** Admissions of a team in equal parts of the window, the oldest first. */
+export type Admissions = readonly number[];
+
 /** Who shares the limits. */
 export interface Sharing {
   /** Gateways that may be admitting requests, this one included. */
   readonly members: number;
   /** Those that were heard of late, this one included. */
   readonly heard: number;
-  /** Time since the start of the oldest one heard, in milliseconds. */
+  /**
+   * Time since the start of the oldest one heard, in milliseconds; at least the window when the
+   * admissions before the starts are known.
+   */
   readonly oldestMs: number;
 }
 
@@ -43,6 +47,10 @@
   /** A peer told its admissions. */
   hear(peer: string, spendings: ReadonlyMap<string, Spending>, nowMs: number): void;
   forget(peer: string): void;
+  /** Admissions of all gateways in the window, as far as they are known. */
+  all(nowMs: number): ReadonlyMap<string, Admissions>;
+  /** Takes over what gateways knew that are gone; `ageMs` is the time since then. */
+  inherit(admissions: ReadonlyMap<string, Admissions>, ageMs: number, nowMs: number): void;
 }
 
 const SLOTS_PER_WINDOW = 20;
@@ -79,6 +87,22 @@
       move(nowMs);
       return sum;
     },
+    getParts: (nowMs: number): Admissions => {
+      move(nowMs);
+      return slots.map((_, index) => slots[(newest + 1 + index) % slots.length] ?? 0);
+    },
+    /** Raises each part to what another counter had at an earlier time. */
+    raise: (parts: Admissions, ageMs: number, nowMs: number): void => {
+      move(nowMs);
+      const shift = Math.floor(Math.max(0, ageMs) / slotMs);
+      parts.slice(shift).forEach((count, index) => {
+        const slot = (newest + 1 + index) % slots.length;
+        const missing = count - (slots[slot] ?? 0);
+        if (missing <= 0) return;
+        slots[slot] = count;
+        sum += missing;
+      });
+    },
     /** Time until no more than a count is left in the window. */
     getDrainMs: (count: number, nowMs: number): number => {
       move(nowMs);
@@ -97,7 +121,6 @@
 /** Limit of a gateway that knows of no admissions. */
 export const newWindowLimit = (windowMs: number): WindowLimit => {
   const all = new Map<string, WindowCount>();
-  const ownRecent = new Map<string, WindowCount>();
   const ownTotal = new Map<string, number>();
   const peerTotals = new Map<string, Map<string, number>>();
 
@@ -126,7 +149,6 @@
         return { admitted: false, retryAfterMs, used, limit };
       }
       count.add(1, nowMs);
-      getCount(ownRecent, team).add(1, nowMs);
       ownTotal.set(team, (ownTotal.get(team) ?? 0) + 1);
       return { admitted: true };
     },
@@ -136,7 +158,6 @@
           team,
           {
             total,
-            recent: getCount(ownRecent, team).get(nowMs),
             window: getCount(all, team).get(nowMs),
           },
         ]),
@@ -145,18 +166,25 @@
       const known = peerTotals.get(peer);
       const totals = known ?? new Map<string, number>();
       peerTotals.set(peer, totals);
-      spendings.forEach(({ total, recent, window }, team) => {
-        const before = totals.get(team) ?? (known === undefined ? total - recent : 0);
+      spendings.forEach(({ total, window }, team) => {
         const count = getCount(all, team);
-        if (total > before) count.add(total - before, nowMs);
-        totals.set(team, Math.max(total, before));
-        // A peer that has been here longer knows of gateways that are gone.
-        const missing = known === undefined ? window - count.get(nowMs) : 0;
-        if (missing > 0) count.add(missing, nowMs);
+        // Of a peer heard for the first time, only what it knows beyond this gateway is new here.
+        const added =
+          known === undefined ? window - count.get(nowMs) : total - (totals.get(team) ?? 0);
+        if (added > 0) count.add(added, nowMs);
+        totals.set(team, Math.max(total, totals.get(team) ?? 0));
       });
     },
     forget: (peer) => {
       peerTotals.delete(peer);
     },
+    all: (nowMs) =>
+      new Map(
+        [...all].flatMap(([team, count]) =>
+          count.get(nowMs) > 0 ? [[team, count.getParts(nowMs)] as const] : [],
+        ),
+      ),
+    inherit: (admissions, ageMs, nowMs) =>
+      admissions.forEach((parts, team) => getCount(all, team).raise(parts, ageMs, nowMs)),
   };
 };
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,6 +7,8 @@
 
 const root = resolve(dirname(fileURLToPath(import.meta.url)), '..');
 const dist = join(root, 'dist');
+// The cache holds only for a process with the same flags; deploy/system.toml has them too.
+const RUN_FLAGS = ['--max-old-space-size=120'];
 const bundleOnly = process.argv.includes('--bundle-only');
 
 /** Bundles one entry point; bunyan's optional native helpers are left out. */
@@ -57,9 +59,20 @@
   );
 };
 
+/** Program for the platform, with the compiled code beside it so that a restart is quick. */
+const buildTarget = async () => {
+  const target = join(root, 'target');
+  mkdirSync(target, { recursive: true });
+  await bundle('platform/main.ts', '../target/gateway.cjs');
+  copyFileSync(join(root, 'scripts/cachedStart.cjs'), join(target, 'anvilpaddle.cjs'));
+  execFileSync(process.execPath, [...RUN_FLAGS, join(target, 'anvilpaddle.cjs'), '--write-cache'], {
+    stdio: 'pipe',
+    env: { ...process.env, ANVILPADDLE_CONFIG: join(root, 'platform/warmUp.json') },
+  });
+};
+
 if (process.argv.includes('--target')) {
-  mkdirSync(join(root, 'target'), { recursive: true });
-  await bundle('platform/main.ts', '../target/anvilpaddle.cjs');
+  await buildTarget();
   process.exit(0);
 }
 mkdirSync(dist, { recursive: true });
