--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -71,14 +71,18 @@
         timer.cancel();
       });
     });
+    let answer: IncomingMessage | undefined;
     outgoing.on('response', (message) => {
+      answer = message;
       // The reader of a bulk answer closes the connection itself, after what has arrived is read.
       if (isBulk) signal.removeEventListener('abort', abort);
       resolve({ kind: 'answered', message });
     });
-    // After the answer has begun, its reader sees the fault; a fault after its end means nothing.
     outgoing.on('error', (fault) => {
       timer.cancel();
+      // The parser takes a reset for the end of an answer without a length. A fault after the end of
+      // an answer means nothing.
+      if (answer?.complete === false) answer.destroy(fault);
       resolve({ kind: isConnected ? 'lost' : 'not_sent', detail: getFaultMessage(fault) });
     });
     outgoing.end(body);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -77,6 +77,7 @@
 }
 mkdirSync(dist, { recursive: true });
 await bundle('anvilpaddle-app/index.ts', 'anvilpaddle.cjs');
+await bundle('platform/main.ts', 'gateway.cjs');
 if (existsSync(join(root, 'measurements/index.ts'))) {
   await bundle('measurements/index.ts', 'measure.cjs');
   await bundle('measurements/naive.ts', 'naive.cjs');
