A reset read together with data is no end; one attempt, one answer and the retry loop apart

Where a reset and data are read at once, the runtime reports the usual end in the turn of the event loop of that data; a usual end has a turn of its own.

Change: an answer that ends with its connection is whole only if its end came in a later turn. onlineCall is split into the loop over upstreams, one attempt, and the answer to the caller; an upstream that is silent for a second counts as failed, and a repeatable request goes on elsewhere.

Failed first: gatewayProcess 'do not get it either when the reset is read together with the part': expected 502, received 200.

--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -9,7 +9,7 @@
 /** Stream to one caller. */
 export interface CallerStream {
   /** Passes on an upstream's whole events until its stream ends or is cut. */
-  relay(message: IncomingMessage, signal: AbortSignal): Promise<StreamEnd>;
+  relay(message: IncomingMessage, signal: AbortSignal, onProgress: () => void): Promise<StreamEnd>;
   isStarted(): boolean;
   /** Id of the last event passed on. */
   lastEventId(): string | undefined;
@@ -54,10 +54,15 @@
     return write(message, fresh);
   };
 
-  const pump = (message: IncomingMessage, signal: AbortSignal): Promise<StreamEnd> =>
+  const pump = (
+    message: IncomingMessage,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<StreamEnd> =>
     new Promise((resolve) => {
       const splitter = newEventSplitter();
       message.on('data', (chunk: Buffer) => {
+        onProgress();
         if (passEvents(message, splitter.feed(chunk))) return;
         message.pause();
         once(response, 'drain', { signal }).then(
@@ -79,9 +84,9 @@
     });
 
   return {
-    relay: (message, signal) => {
+    relay: (message, signal, onProgress) => {
       parts += 1;
-      return pump(message, signal);
+      return pump(message, signal, onProgress);
     },
     isStarted: () => isStarted,
     lastEventId,
--- /dev/null
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -0,0 +1,108 @@
+/** One attempt of an online request at one upstream. */
+import { SERVICE_CLASS } from '@anvilpaddle/common';
+import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
+import type { CallerAnswer } from './callerAnswer';
+import type { OnlineRequest, OnlineServices } from './onlineCall';
+import type { Upstream } from './types';
+import { callUpstream, type UpstreamReply } from './upstreamCall';
+
+/**
+ * Silence of an upstream that counts against its health, and ends the attempt when another
+ * upstream can give the answer: many times what a first event takes with a short queue.
+ */
+const SILENCE_MS = 1000;
+
+/** What an attempt is told. */
+export interface AttemptPlan {
+  readonly upstream: Upstream;
+  /** Time left for the answer, in milliseconds. */
+  readonly timeLeftMs: number;
+  /** Whether no other upstream may be asked after this one. */
+  readonly isLast: boolean;
+}
+
+const getFailedOutcome = (reply: UpstreamReply): AttemptOutcome => ({
+  run: reply.kind === 'not_sent' ? 'not_run' : 'unknown',
+  answered: false,
+});
+
+/** What an attempt says of its upstream's health. */
+const getResult = (reply: UpstreamReply, outcome: AttemptOutcome): AttemptResult => {
+  if (outcome.answered) return ATTEMPT_RESULT.ok;
+  const isRejected = reply.kind === 'answered' && outcome.run === 'not_run';
+  return isRejected ? ATTEMPT_RESULT.refused : ATTEMPT_RESULT.failed;
+};
+
+const getDetail = (reply: UpstreamReply): string =>
+  reply.kind === 'answered' ? `status ${reply.message.statusCode}` : reply.detail;
+
+/** Sends the request to the upstream and passes its answer on; `signal` ends the attempt. */
+export const runAttempt = async (
+  { call, team, message, body }: OnlineRequest,
+  { upstream, timeLeftMs, isLast }: AttemptPlan,
+  answer: CallerAnswer,
+  signal: AbortSignal,
+  { protocol, view, board, health, clock, log }: OnlineServices,
+): Promise<AttemptOutcome> => {
+  const sentMs = clock.monotonic();
+  const silence = new AbortController();
+  const attemptSignal = AbortSignal.any([signal, silence.signal]);
+
+  const onSilence = (): void => {
+    health.record(upstream.id, ATTEMPT_RESULT.failed, SILENCE_MS, clock.monotonic());
+    log.warn({ request: call.id, upstream: upstream.id, silenceMs: SILENCE_MS }, 'upstream silent');
+    if (answer.isRepeatable() && !isLast) silence.abort();
+  };
+  let watchdog = clock.after(SILENCE_MS, onSilence);
+  const onProgress = (): void => {
+    watchdog.cancel();
+    watchdog = clock.after(SILENCE_MS, onSilence);
+  };
+
+  const note = (reply: UpstreamReply, outcome: AttemptOutcome, delayMs: number): void => {
+    const result = getResult(reply, outcome);
+    health.record(upstream.id, result, delayMs, clock.monotonic());
+    if (result === ATTEMPT_RESULT.ok) {
+      view.learn(upstream.service, clock.monotonic() - sentMs);
+      return;
+    }
+    const detail = getDetail(reply);
+    log.warn(
+      { request: call.id, upstream: upstream.id, run: outcome.run, detail },
+      'attempt failed',
+    );
+  };
+
+  board.begin(upstream.id, SERVICE_CLASS.online);
+  try {
+    const headers = protocol.getUpstreamHeaders(message.rawHeaders, {
+      upstreamId: upstream.id,
+      team,
+      timeLeftMs,
+      resumeAfter: answer.lastEventId(),
+      bodyBytes: body.length,
+    });
+    const reply = await callUpstream(
+      {
+        address: upstream.address,
+        method: message.method ?? 'GET',
+        path: message.url ?? '/',
+        headers,
+        body,
+      },
+      attemptSignal,
+      clock,
+    );
+    const delayMs = clock.monotonic() - sentMs;
+    const outcome =
+      reply.kind === 'answered'
+        ? await answer.pass(reply.message, isLast, attemptSignal, onProgress)
+        : getFailedOutcome(reply);
+    // A caller that leaves, or whose time is up, says nothing of the upstream.
+    if (!attemptSignal.aborted) note(reply, outcome, delayMs);
+    return outcome;
+  } finally {
+    watchdog.cancel();
+    board.end(upstream.id, SERVICE_CLASS.online);
+  }
+};
--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -33,6 +33,30 @@
 export type UpstreamReply =
   { readonly kind: 'answered'; readonly message: IncomingMessage } | UpstreamFailure;
 
+const isFramed = ({ headers }: IncomingMessage): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+
+/**
+ * Watches an answer that ends with its connection. A reset that is read together with data is
+ * reported by the runtime as the usual end, but in the same turn of the event loop as that data; a
+ * usual end takes a turn of its own.
+ */
+const watchUnframedEnd = (message: IncomingMessage): void => {
+  const { socket } = message;
+  let isLaterTurn = false;
+  const startTurn = (): void => {
+    isLaterTurn = false;
+    setImmediate(() => {
+      isLaterTurn = true;
+    });
+  };
+  startTurn();
+  socket.on('data', startTurn);
+  socket.prependListener('end', () => {
+    if (!isLaterTurn) message.destroy(new Error('reset with the last data'));
+  });
+};
+
 /** Sends a request and waits for the head of its answer; aborting closes the connection. */
 export const callUpstream = (
   { address, method, path, headers, body, isBulk = false }: UpstreamRequest,
@@ -74,6 +98,7 @@
     let answer: IncomingMessage | undefined;
     outgoing.on('response', (message) => {
       answer = message;
+      if (!isFramed(message)) watchUnframedEnd(message);
       // The reader of a bulk answer closes the connection itself, after what has arrived is read.
       if (isBulk) signal.removeEventListener('abort', abort);
       resolve({ kind: 'answered', message });
