--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -13,6 +13,8 @@
   getCandidates(service: string, except: ReadonlySet<string>): Candidate[];
   getBatchCandidates(service: string, ownItems: ReadonlyMap<string, number>): BatchCandidate[];
   getUpstream(id: string): Upstream | undefined;
+  /** Time in which a share of a service's upstreams takes in one more online request, in ms. */
+  getSpacingMs(service: string, share: number): number;
   /** An online request of a service took a time. */
   learn(service: string, durationMs: number): void;
 }
@@ -53,6 +55,10 @@
       }));
     },
     getUpstream: (id) => watch.all().find((upstream) => upstream.id === id),
+    getSpacingMs: (service, share) => {
+      const slots = watch.getUsable(service).reduce((sum, upstream) => sum + upstream.slots, 0);
+      return (serviceMs.get(service) ?? FIRST_SERVICE_MS) / Math.max(1, slots * share);
+    },
     learn: (service, durationMs) => {
       const known = serviceMs.get(service) ?? durationMs;
       serviceMs.set(service, known + (durationMs - known) * SAMPLE_SHARE);
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -8,7 +8,7 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import { newHealth, newLoadBoard, newWindowLimit } from '@anvilpaddle/decisions';
+import { newHealth, newLoadBoard, newReturnSchedule, newWindowLimit } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import { waitMs, waitUntil, type Program } from '../process/program';
 import type { CallerProtocol } from './callerProtocol';
@@ -167,7 +167,17 @@
       return list.isRead() ? { ...sharing, oldestMs: Infinity } : sharing;
     },
     onAdmitted: () => gossip.touch(),
-    online: { protocol, view, board, health, clock, random, log },
+    online: {
+      protocol,
+      view,
+      board,
+      health,
+      clock,
+      random,
+      log,
+      returns: newReturnSchedule(),
+      getGatewayCount: () => list.others().length + 1,
+    },
     metrics,
     jobs: newJobService({
       protocol,
--- a/anvilpaddle-app/gateway/onlineCall.ts
+++ b/anvilpaddle-app/gateway/onlineCall.ts
@@ -7,6 +7,7 @@
   type AttemptOutcome,
   type Health,
   type LoadBoard,
+  type ReturnSchedule,
 } from '@anvilpaddle/decisions';
 import { newCallerAnswer } from './callerAnswer';
 import type { CallerCall, CallerProtocol } from './callerProtocol';
@@ -18,8 +19,6 @@
 
 /** Upstreams that may say that they have not run a request before it is given up. */
 const MAX_REJECTIONS = 3;
-/** Wait asked of a caller whose request found every upstream full. */
-const FULL_RETRY_MS = 200;
 /** Wait asked of a caller whose route has no upstream at all. */
 const EMPTY_RETRY_MS = 1000;
 
@@ -32,6 +31,9 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
+  readonly returns: ReturnSchedule;
+  /** Gateways that may be at work, this one included. */
+  readonly getGatewayCount: () => number;
 }
 
 /** One request that a caller sent, with its body. */
@@ -68,7 +70,7 @@
 
 type Target =
   | { readonly kind: 'send'; readonly upstream: Upstream; readonly choice: Choice }
-  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+  | { readonly kind: 'refuse'; readonly queueMs: number };
 
 /** Serves a request and tells how it ended. */
 export const serveOnline = async (
@@ -118,12 +120,17 @@
     const placement = getPlacement(view.getCandidates(service, tried), demand, random);
     if (placement.kind === 'refuse') return placement;
     const upstream = view.getUpstream(placement.upstream);
-    if (upstream === undefined) return { kind: 'refuse', retryAfterMs: FULL_RETRY_MS };
+    if (upstream === undefined) return { kind: 'refuse', queueMs: 0 };
     const load = board.getLoad(upstream.id, clock.monotonic());
     const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
     return { kind: 'send', upstream, choice };
   };
 
+  const getReturnMs = (service: string, queueMs: number): number => {
+    const spacingMs = view.getSpacingMs(service, 1 / services.getGatewayCount());
+    return services.returns.getReturnMs({ queueMs, spacingMs }, clock.monotonic());
+  };
+
   const count = ({ run }: AttemptOutcome): void => {
     if (run === 'not_run') rejections += 1;
     else runs += 1;
@@ -142,7 +149,9 @@
   if (service === undefined) return refuse('the route has no service', EMPTY_RETRY_MS);
   for (;;) {
     const target = getTarget(service);
-    if (target.kind === 'refuse') return refuse('no upstream has room', target.retryAfterMs);
+    if (target.kind === 'refuse') {
+      return refuse('no upstream has room', getReturnMs(service, target.queueMs));
+    }
     const { upstream } = target;
     tried.add(upstream.id);
     lastChoice = target.choice;
@@ -158,7 +167,7 @@
     if (timeUp.signal.aborted) return fail(STATUS.timeout, 'the time for the answer is up');
     if (isWorthAnother(outcome)) continue;
     return outcome.run === 'not_run'
-      ? refuse('the upstreams are full', FULL_RETRY_MS)
+      ? refuse('the upstreams are full', getReturnMs(service, 0))
       : fail(STATUS.badGateway, 'the answer was lost');
   }
 };
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -19,6 +19,7 @@
 export * from './placement/batchPlan';
 export * from './placement/loadBoard';
 export * from './placement/placement';
+export * from './placement/returnSchedule';
 export * from './retries/attemptLedger';
 export * from './retries/retryPolicy';
 export * from './routing/affinityRouter';
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -21,10 +21,10 @@
   readonly timeLeftMs: number;
 }
 
-/** Where a request goes, or when it should come back. */
+/** Where a request goes, or how long even the shortest queue is, in milliseconds. */
 export type Placement =
   | { readonly kind: 'send'; readonly upstream: string; readonly waitMs: number }
-  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+  | { readonly kind: 'refuse'; readonly queueMs: number };
 
 /** A batch item slows an upstream down until it has yielded. */
 const BATCH_WEIGHT = 0.35;
@@ -34,9 +34,6 @@
 const SPREAD = 2;
 /** Part of the objective that may go by in an upstream's own queue. */
 const QUEUE_SHARE = 0.6;
-/** Waits for a return are spread over a range so that refused callers do not come back together. */
-const RETURN_SPREAD = 1;
-const MIN_RETURN_MS = 150;
 
 /** Time that a new request waits at an upstream for a slot; batch work yields its slots. */
 export const getQueueMs = ({ load, slots, serviceMs }: Candidate): number => {
@@ -58,8 +55,7 @@
 
 /**
  * Chooses the upstream with the least work for its slots among those that are healthy. When even
- * the shortest queue would use up the objective, the request is refused at once, with the time
- * after which that queue has drained.
+ * the shortest queue would use up the objective, the request is refused at once.
  */
 export const getPlacement = (
   candidates: readonly Candidate[],
@@ -71,10 +67,9 @@
   const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
   const scored = usable.map((candidate) => ({ candidate, score: getScore(candidate, random) }));
   const best = getLeast(scored, ({ score }) => score)?.candidate;
-  if (best === undefined) return { kind: 'refuse', retryAfterMs: MIN_RETURN_MS };
+  if (best === undefined) return { kind: 'refuse', queueMs: 0 };
   const queueMs = getQueueMs(best);
   const limitMs = Math.min(demand.timeLeftMs, demand.objectiveLeftMs * QUEUE_SHARE);
   if (queueMs <= Math.max(0, limitMs)) return { kind: 'send', upstream: best.id, waitMs: queueMs };
-  const retryAfterMs = Math.max(MIN_RETURN_MS, queueMs) * (1 + random() * RETURN_SPREAD);
-  return { kind: 'refuse', retryAfterMs };
+  return { kind: 'refuse', queueMs };
 };
