Batch items that can still be in time go first; a gateway that is cut off refuses jobs at once

A gateway cut off from all held submissions for 3 s.

Change: order by whether an item can still be in time, then due time, then least left, with run times learned a route; the least urgent by the same order yields. A gateway that hears no peer and no store says 503 with 50 ms to submissions that are not committed, and is not ready.

Ruled out: idle slots.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -152,6 +152,9 @@
   });
   runnerSlot.runner = runner;
 
+  /** Callers are served better by the others, which may still reach the store. */
+  const isCutOff = (): boolean => gossip.isAlone() && !client.isAnswered();
+
   const metrics = newGatewayMetrics({
     getActive: () => active,
     getJobs: () => jobs.open().filter(({ record }) => record.owner === incarnation).length,
@@ -184,6 +187,7 @@
       store,
       board: jobs,
       self: incarnation,
+      isCutOff,
       isTaking: () => !isStopping,
       clock,
       log,
@@ -205,7 +209,7 @@
   });
 
   const isReady = (): boolean =>
-    !isStopping && deployment.current() !== undefined && deployment.areKeysFresh();
+    !isStopping && !isCutOff() && deployment.current() !== undefined && deployment.areKeysFresh();
   const readiness = createServer((_, response) => {
     response.writeHead(isReady() ? 200 : 503).end();
   });
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -47,10 +47,15 @@
   }
 };
 
+/** Silence of all peers after which this gateway takes itself for cut off. */
+const ALONE_MS = 600;
+
 /** Exchange with the other gateways. */
 export interface Gossip {
   /** Whether a gateway was heard of late. */
   isHeard(incarnation: string): boolean;
+  /** Whether there are peers and none of them was heard of late. */
+  isAlone(): boolean;
   sharing(): Sharing;
   /** Something changed that the others should know soon. */
   touch(): void;
@@ -138,8 +143,19 @@
     });
   };
 
-  const isHeard = (peer: string): boolean =>
-    clock.monotonic() - (heard.get(peer)?.heardMs ?? -Infinity) < HEARD_MS;
+  const getSilenceMs = (peer: string): number =>
+    clock.monotonic() - (heard.get(peer)?.heardMs ?? -Infinity);
+
+  const isHeard = (peer: string): boolean => getSilenceMs(peer) < HEARD_MS;
+
+  const isAlone = (): boolean => {
+    const others = list.others();
+    return (
+      others.length > 0 &&
+      clock.monotonic() - startedMs > ALONE_MS &&
+      others.every(({ incarnation }) => getSilenceMs(incarnation) > ALONE_MS)
+    );
+  };
 
   socket.on('message', (content, { address, port }) => receive(content, { host: address, port }));
   socket.on('error', (fault) => {
@@ -154,6 +170,7 @@
 
   return {
     isHeard,
+    isAlone,
     sharing: () => {
       const others = list.others();
       // The first datagrams take a moment; what the others admitted before was read at the start.
--- a/anvilpaddle-app/gateway/jobs/itemRun.ts
+++ b/anvilpaddle-app/gateway/jobs/itemRun.ts
@@ -23,6 +23,10 @@
 /** Output of an item so far. */
 export interface ItemProgress {
   readonly texts: string[];
+  /** Events in the texts. */
+  events: number;
+  /** Time for which it has run so far, in milliseconds. */
+  runMs: number;
   /** Id of the last event that is in the texts. */
   lastEventId: string | undefined;
 }
@@ -68,6 +72,7 @@
       .filter((event) => isEventAfter(event, progress.lastEventId))
       .forEach((event) => {
         progress.texts.push(getEventData(event));
+        progress.events += 1;
         progress.lastEventId = getLastEventId(event) ?? progress.lastEventId;
       });
 
@@ -123,6 +128,7 @@
     }
     return end;
   } finally {
+    progress.runMs += clock.monotonic() - startedMs;
     watchdog.cancel();
     board.end(upstream.id, SERVICE_CLASS.batch);
   }
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -7,9 +7,11 @@
   type Random,
 } from '@anvilpaddle/common';
 import {
+  compareItems,
   getItemPlace,
   getYieldCount,
   isToClaim,
+  newItemEstimate,
   type Health,
   type LoadBoard,
 } from '@anvilpaddle/decisions';
@@ -66,6 +68,14 @@
   readonly abort: AbortController;
 }
 
+/** An item that could run now. */
+interface Ready {
+  readonly job: OwnedJob;
+  readonly pending: PendingItem;
+  readonly service: string;
+  readonly dueMs: number;
+}
+
 /** Runner of batch items. */
 export interface JobRunner {
   /** A record of a job changed. */
@@ -82,6 +92,19 @@
   const runs = new Set<Run>();
   let isStopping = false;
 
+  const estimate = newItemEstimate();
+
+  /** What an item's order goes by, on the store's clock. */
+  const getWaiting = ({ job, pending, dueMs }: Pick<Ready, 'job' | 'pending' | 'dueMs'>) => ({
+    dueMs,
+    remainingMs: estimate.getRemainingMs(job.record().route, pending.events),
+  });
+
+  const compareUrgency = (
+    a: Pick<Ready, 'job' | 'pending' | 'dueMs'>,
+    b: Pick<Ready, 'job' | 'pending' | 'dueMs'>,
+  ): number => compareItems(getWaiting(a), getWaiting(b), jobs.getStoreMs() ?? 0);
+
   const getName = ({ team, id }: { readonly team: string; readonly id: string }): string =>
     `${team}\n${id}`;
 
@@ -177,6 +200,7 @@
     const listError = (): void =>
       job.settle(pending, { id: item.id, state: 'errored', output: '' });
     if (end.kind === 'done') {
+      estimate.learn(job.record().route, pending.events, pending.runMs);
       job.settle(pending, { id: item.id, state: 'succeeded', output: pending.texts.join('\n') });
       return;
     }
@@ -226,7 +250,7 @@
       if (count === 0) return;
       [...runs]
         .filter(({ upstream, abort }) => upstream.id === candidate.id && !abort.signal.aborted)
-        .sort((a, b) => b.dueMs - a.dueMs)
+        .sort((a, b) => compareUrgency(b, a))
         .slice(0, count)
         .forEach(({ abort }) => abort.abort());
     });
@@ -239,13 +263,6 @@
     });
   };
 
-  interface Ready {
-    readonly job: OwnedJob;
-    readonly pending: PendingItem;
-    readonly service: string;
-    readonly dueMs: number;
-  }
-
   const giveUp = (job: OwnedJob, reason: string): void => {
     log.info({ job: job.id, reason }, 'items given up');
     job
@@ -281,9 +298,7 @@
   };
 
   const startItems = (): void => {
-    const ready = getReady().sort(
-      (a, b) => a.dueMs - b.dueMs || b.pending.texts.length - a.pending.texts.length,
-    );
+    const ready = getReady().sort(compareUrgency);
     let starts = 0;
     for (const { job, pending, service, dueMs } of ready) {
       if (starts >= STARTS_PER_TICK) return;
--- a/anvilpaddle-app/gateway/jobs/jobService.ts
+++ b/anvilpaddle-app/gateway/jobs/jobService.ts
@@ -14,6 +14,10 @@
 const MAX_PAGE_BYTES = 900_000;
 /** Wait asked of a caller when the store is away. */
 const STORE_RETRY_MS = 500;
+/** Wait asked of a caller of a gateway that is cut off: another gateway can take the job at once. */
+const CUT_OFF_RETRY_MS = 50;
+/** Time between two looks at whether a submission under way is cut off, in milliseconds. */
+const CUT_OFF_LOOK_MS = 50;
 /** Wait asked of a caller whose job does not fit. */
 const ROOM_RETRY_MS = 1000;
 /** Longest that a read waits for a result. */
@@ -43,6 +47,8 @@
   readonly board: JobBoard;
   /** Incarnation of this gateway, which runs the jobs that it accepts. */
   readonly self: string;
+  /** Whether this gateway is cut off from the store and from all others, which may not be. */
+  readonly isCutOff: () => boolean;
   /** Whether this gateway takes on new jobs. */
   readonly isTaking: () => boolean;
   readonly clock: Clock;
@@ -71,6 +77,13 @@
       error,
     );
 
+  const refuseCutOff = (request: JobRequest): void =>
+    refuse(request, {
+      status: STATUS.unavailable,
+      reason: 'cut off from the store and the other gateways',
+      retryAfterMs: CUT_OFF_RETRY_MS,
+    });
+
   const getNewRecord = (request: JobRequest, job: NewJob): JobRecord => ({
     id: request.call.id,
     team: request.team,
@@ -90,7 +103,21 @@
       refuse(request, { status: STATUS.badRequest, reason: 'the body is no batch job' });
       return;
     }
-    const submission = await store.submit(getNewRecord(request, job), job, request.route.jobs);
+    if (services.isCutOff()) {
+      refuseCutOff(request);
+      return;
+    }
+    const progress = { isGivenUp: false, isCommitting: false };
+    const look = clock.every(CUT_OFF_LOOK_MS, () => {
+      if (!progress.isCommitting && !progress.isGivenUp && services.isCutOff()) {
+        progress.isGivenUp = true;
+        refuseCutOff(request);
+      }
+    });
+    const { jobs: bounds } = request.route;
+    const submission = await store.submit(getNewRecord(request, job), job, bounds, progress);
+    look.cancel();
+    if (progress.isGivenUp) return;
     switch (submission.kind) {
       case 'accepted':
         log.info(
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -46,6 +46,14 @@
   readonly maxWaitingTokens: number;
 }
 
+/** Lets a submission be given up while nothing has been committed. */
+export interface SubmissionWatch {
+  /** Set by whoever gives it up. */
+  isGivenUp: boolean;
+  /** Set once the commit is on its way; from then on it can't be given up. */
+  isCommitting: boolean;
+}
+
 /** Changes of a job that take effect together. */
 export interface JobChange {
   /** Record in place of the old one; undefined leaves that as it is. */
@@ -57,7 +65,12 @@
 
 /** Jobs in the store. */
 export interface JobStore {
-  submit(record: JobRecord, job: NewJob, bounds: SubmissionBounds): Promise<Submission>;
+  submit(
+    record: JobRecord,
+    job: NewJob,
+    bounds: SubmissionBounds,
+    progress?: SubmissionWatch,
+  ): Promise<Submission>;
   read(team: string, id: string): Promise<Result<StoredJob | undefined, PlatformError>>;
   /** Commits changes if the job's record is still at its revision. */
   update(job: StoredJob, change: JobChange): Promise<Result<RecordCommit, PlatformError>>;
@@ -113,6 +126,11 @@
 /** Result in its record, or the name of the object that holds it. */
 type ResultValue = ItemResult | { readonly object: string };
 
+const GIVEN_UP: Submission = {
+  kind: 'unavailable',
+  error: { kind: 'unavailable', detail: 'given up before the commit' },
+};
+
 /** Jobs over a record store and an object store. */
 export const newJobStore = (records: RecordStore, objects: ObjectStore): JobStore => {
   const getName = (team: string, key: string) => ({ table: JOB_TABLE, partition: team, key });
@@ -128,6 +146,7 @@
     record: JobRecord,
     job: NewJob,
     { maxWaitingTokens }: SubmissionBounds,
+    progress: SubmissionWatch,
   ): Promise<Submission | 'again'> => {
     const { team, id, route } = record;
     const page = await records.read(JOB_TABLE, team);
@@ -142,6 +161,8 @@
     }
     const stored = await objects.put(getObjectName(team, id), getItemsObject(job.items));
     if (!stored.ok) return { kind: 'unavailable', error: stored.error };
+    if (progress.isGivenUp) return GIVEN_UP;
+    progress.isCommitting = true;
     const guard = getName(team, `${GUARD_MARK}${route}`);
     const guardRevision = page.value.records.find(({ key }) => key === guard.key)?.revision ?? 0;
     const dated = { ...record, submittedMs: page.value.storeMs };
@@ -164,9 +185,14 @@
     return { kind: 'accepted', job: { record: dated, revision: commit.value.revision } };
   };
 
-  const submit: JobStore['submit'] = async (record, job, bounds) => {
+  const submit: JobStore['submit'] = async (
+    record,
+    job,
+    bounds,
+    progress = { isGivenUp: false, isCommitting: false },
+  ) => {
     for (let tries = 0; tries < MAX_SUBMIT_TRIES; tries += 1) {
-      const submission = await trySubmit(record, job, bounds);
+      const submission = await trySubmit(record, job, bounds, progress);
       if (submission !== 'again') return submission;
     }
     return { kind: 'unavailable', error: { kind: 'unavailable', detail: 'contended submission' } };
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -68,6 +68,8 @@
   index,
   item,
   texts: checkpoint === undefined ? [] : [checkpoint.text],
+  events: checkpoint?.events ?? 0,
+  runMs: checkpoint?.runMs ?? 0,
   lastEventId: checkpoint?.lastEventId,
   storedEventId: checkpoint?.lastEventId,
   notBeforeMs: 0,
@@ -134,10 +136,12 @@
   };
 
   const getCheckpoints = (): ItemCheckpoint[] =>
-    [...waiting.values()].flatMap(({ index, texts, lastEventId, storedEventId }) => {
+    [...waiting.values()].flatMap(({ index, texts, events, runMs, lastEventId, storedEventId }) => {
       if (lastEventId === undefined || lastEventId === storedEventId) return [];
       const text = texts.join('\n');
-      return Buffer.byteLength(text) > MAX_CHECKPOINT_BYTES ? [] : [{ index, text, lastEventId }];
+      return Buffer.byteLength(text) > MAX_CHECKPOINT_BYTES
+        ? []
+        : [{ index, text, events, runMs: Math.round(runMs), lastEventId }];
     });
 
   const getNextRecord = (settled: readonly number[]): JobRecord | undefined => {
--- a/anvilpaddle-app/gateway/jobs/types.ts
+++ b/anvilpaddle-app/gateway/jobs/types.ts
@@ -54,6 +54,9 @@
 export interface ItemCheckpoint {
   readonly index: number;
   readonly text: string;
+  /** Events in the text, and the time for which the item has run for them in milliseconds. */
+  readonly events: number;
+  readonly runMs: number;
   /** Id of the last event that is in the text. */
   readonly lastEventId: string;
 }
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -37,6 +37,8 @@
 const RELAY_GRACE_MS = 200;
 /** Time between two tries of the own path while calls go through peers. */
 const PROBE_MS = MS_PER_SECOND;
+/** Time since the last answer up to which the store counts as answering; it is read each 400 ms. */
+const ANSWERED_MS = 900;
 /** Time for which no peer is asked after one has not reached the store either. */
 const PEERS_REST_MS = 300;
 
@@ -146,6 +148,12 @@
   readonly timeoutMs: number;
 }
 
+/** Client that knows whether the store answers at all. */
+export interface RelayedClient extends HttpClient {
+  /** Whether any call was answered of late, by either way. */
+  isAnswered(): boolean;
+}
+
 type Call = Parameters<HttpClient['call']>;
 type Reply = Result<Answer, PlatformError>;
 
@@ -159,8 +167,9 @@
   clock: Clock,
   random: Random,
   log: Logger,
-): HttpClient => {
+): RelayedClient => {
   let isLost = false;
+  let answeredMs = clock.monotonic();
   let nextProbeMs = 0;
   let peersRestUntilMs = 0;
 
@@ -191,18 +200,25 @@
     return reply;
   };
 
+  const callEitherWay = async (call: Call): Promise<Reply> => {
+    if (isLost) {
+      probe();
+      const reply = await callThroughPeer(call);
+      if (reply?.ok === true) return reply;
+      if (reply !== undefined && !isRepeatable(call, reply.error)) return reply;
+    }
+    const reply = await callDirect(call);
+    if (reply.ok || !isRepeatable(call, reply.error)) return reply;
+    return (await callThroughPeer(call)) ?? reply;
+  };
+
   return {
     call: async (...call) => {
-      if (isLost) {
-        probe();
-        const reply = await callThroughPeer(call);
-        if (reply?.ok === true) return reply;
-        if (reply !== undefined && !isRepeatable(call, reply.error)) return reply;
-      }
-      const reply = await callDirect(call);
-      if (reply.ok || !isRepeatable(call, reply.error)) return reply;
-      return (await callThroughPeer(call)) ?? reply;
+      const reply = await callEitherWay(call);
+      if (reply.ok) answeredMs = clock.monotonic();
+      return reply;
     },
+    isAnswered: () => clock.monotonic() - answeredMs < ANSWERED_MS,
     close: () => direct.close(),
   };
 };
