--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -55,15 +55,23 @@
 ): RecordWatch => {
   let isStopped = false;
   let isLost = false;
+  let isWatchFailing = false;
   let lastReadMs: number | undefined;
   let regainedMs: number | undefined;
   let revision = 0;
 
-  const noteLoss = (error: PlatformError | HistoryGone): void => {
+  const noteLoss = (error: PlatformError): void => {
     if (isLost) return;
     isLost = true;
+    log.warn({ table: plan.table, revision, reason: getPlatformErrorText(error) }, 'store lost');
+  };
+
+  /** A watch that fails is no loss of the store as long as whole reads are answered. */
+  const noteFailedWatch = (error: PlatformError | HistoryGone): void => {
+    if (isWatchFailing) return;
+    isWatchFailing = true;
     const reason = error.kind === 'history_gone' ? error.kind : getPlatformErrorText(error);
-    log.warn({ table: plan.table, revision, reason }, 'store lost');
+    log.info({ table: plan.table, revision, reason }, 'watch failed');
   };
 
   const noteReturn = (): void => {
@@ -109,30 +117,35 @@
     return true;
   };
 
-  /** Waits for changes until the next whole read is due. */
-  const follow = async (untilMs: number): Promise<void> => {
+  /** Waits for changes until the next whole read is due; false when the watch failed. */
+  const follow = async (untilMs: number): Promise<boolean> => {
     while (!isStopped && clock.monotonic() < untilMs) {
       const askedMs = clock.monotonic();
       const waitForMs = Math.max(1, Math.min(WATCH_WAIT_MS, Math.ceil(untilMs - askedMs)));
       const page = await store.watch(plan.table, revision, waitForMs);
       if (!page.ok) {
-        noteLoss(page.error);
-        return;
+        noteFailedWatch(page.error);
+        return false;
       }
+      isWatchFailing = false;
       if (page.value.revision >= revision) {
         revision = page.value.revision;
         onNews({ ...page.value, isWhole: false, askedMs, regainedMs });
       }
     }
+    return true;
   };
 
+  const pause = (): Promise<void> => waitMs(clock, RETRY_MS + Math.random() * RETRY_JITTER_MS);
+
   const run = async (): Promise<void> => {
     while (!isStopped) {
       const dueMs = clock.monotonic() + plan.readEveryMs;
       const isRead = await refresh();
-      if (!isRead) await waitMs(clock, RETRY_MS + Math.random() * RETRY_JITTER_MS);
-      else if (plan.isWatched) await follow(dueMs);
-      else await waitMs(clock, Math.max(0, dueMs - clock.monotonic()));
+      const isFollowed = isRead && plan.isWatched && (await follow(dueMs));
+      const isFailed = !isRead || (plan.isWatched && !isFollowed);
+      if (isFailed) await pause();
+      else if (!plan.isWatched) await waitMs(clock, Math.max(0, dueMs - clock.monotonic()));
     }
   };
 
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -2,7 +2,7 @@
  * Store calls of a gateway that can't reach the store go through one of its peers: each gateway
  * passes on the calls of others, and only by its own path.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { request } from 'undici';
 import { z } from 'zod';
 import {
@@ -93,7 +93,7 @@
   address: Address,
   client: HttpClient,
   log: Logger,
-): Promise<void> => {
+): Promise<Server> => {
   const server = createServer((message, response) => {
     passOn(client, message, response).catch((fault: unknown) => {
       log.warn({ reason: getFaultMessage(fault) }, 'relay failed');
@@ -101,6 +101,7 @@
     });
   });
   await listen(server, address);
+  return server;
 };
 
 const parseError = (body: Buffer): PlatformError => {
