A watch no longer tells the time of its last read, which nobody asked

Cause: a last read of the whole change: recordWatch kept and exposed a time that has no reader, and deploymentWatch imported one package twice. Behaviour is as it was.

--- a/anvilpaddle-app/gateway/deploymentWatch.ts
+++ b/anvilpaddle-app/gateway/deploymentWatch.ts
@@ -1,7 +1,6 @@
 /** The newest configuration that this process knows, and how long its keys may be trusted. */
-import type { Clock, Logger } from '@anvilpaddle/common';
+import { getFaultMessage, type Clock, type Logger } from '@anvilpaddle/common';
 import { newFreshness, type Freshness } from '@anvilpaddle/decisions';
-import { getFaultMessage } from '@anvilpaddle/common';
 import type { RecordStore } from '@anvilpaddle/platform';
 import { newRecordWatch } from './recordWatch';
 import type { Deployment, GatewayBounds, Team } from './types';
--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -40,8 +40,6 @@
 
 /** A running watch. */
 export interface RecordWatch {
-  /** Monotonic time of the newest whole read that was answered; undefined before the first. */
-  lastReadMs(): number | undefined;
   stop(): void;
 }
 
@@ -56,7 +54,6 @@
   let isStopped = false;
   let isLost = false;
   let isWatchFailing = false;
-  let lastReadMs: number | undefined;
   let regainedMs: number | undefined;
   let revision = 0;
 
@@ -112,7 +109,6 @@
     noteReturn();
     if (page.value.revision < revision) return true;
     revision = page.value.revision;
-    lastReadMs = askedMs;
     onNews({ ...page.value, isWhole: true, askedMs, regainedMs });
     return true;
   };
@@ -151,7 +147,6 @@
 
   run().catch((fault: unknown) => log.error({ err: fault, table: plan.table }, 'watch ended'));
   return {
-    lastReadMs: () => lastReadMs,
     stop: () => {
       isStopped = true;
     },
