Batch items use the valleys whole and no longer start where they would yield at once

With a slot kept free at each upstream (6 of 48) the valleys were used by five sixths; with none, every slot that an online request left for a moment was filled and yielded again.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -74,6 +74,7 @@
   let isStopping = false;
   let active = 0;
 
+  const runnerSlot: { runner?: JobRunner } = {};
   const peersSlot: { list?: GatewayList; gossip?: Gossip } = {};
   const client = newRelayedClient(
     {
@@ -92,7 +93,10 @@
   const records = platform.newRecords(client);
   const objects = platform.newObjects(client);
 
-  const board = newLoadBoard(() => peersSlot.gossip?.touch());
+  const board = newLoadBoard(() => {
+    peersSlot.gossip?.touch();
+    runnerSlot.runner?.onLoad();
+  });
   const items = newItemBoard();
   const limit = newWindowLimit(bounds.limitWindowMs, bounds.limitTolerance);
   const health = newHealth(HEALTH);
@@ -140,12 +144,12 @@
     reachesStore: client.isDirect(),
     isServing: isServing(),
   });
-  const gossip = newGossip(self, list, { board, items, limit }, getState, clock, log);
+  const onHeard = (): void => runnerSlot.runner?.onLoad();
+  const gossip = newGossip(self, list, { board, items, limit }, { getState, onHeard }, clock, log);
   peersSlot.list = list;
   peersSlot.gossip = gossip;
   const view = newFleetView(upstreams, board, health, times, settings.failureDomain, clock);
   const store = newJobStore(records, objects);
-  const runnerSlot: { runner?: JobRunner } = {};
   const jobs = newJobBoard(records, (job) => runnerSlot.runner?.onJob(job), clock, log);
   const runner = newJobRunner({
     self: incarnation,
@@ -164,6 +168,7 @@
         .map((other) => other.incarnation)
         .filter((other) => gossip.isTakingJobs(other)),
     ],
+    isStoreAway: () => !client.isAnswered(),
     isAlive: (other) => gossip.isHeard(other) || list.isRenewed(other),
     isSettled: () => list.isCurrent() && jobs.isCurrent(),
     retentionMs: bounds.jobRetentionMs,
@@ -252,12 +257,12 @@
       gossip.touch();
       log.info({ active }, 'gateway stopping');
       const endMs = clock.monotonic() + bounds.stopMs - STOP_MARGIN_MS;
-      await Promise.race([runner.stop(), waitMs(clock, MS_PER_SECOND)]);
+      const handedOver = runner.stop();
       await waitMs(clock, BALANCER_MS);
       server.close();
       server.closeIdleConnections();
       await Promise.race([
-        waitUntil(clock, () => active === 0),
+        Promise.all([handedOver, waitUntil(clock, () => active === 0)]),
         waitMs(clock, Math.max(0, endMs - clock.monotonic())),
       ]);
       await Promise.race([list.leave(), waitMs(clock, STOP_MARGIN_MS / 2)]);
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -103,6 +103,13 @@
   readonly limit: WindowLimit;
 }
 
+/** What the exchange needs of its gateway. */
+export interface GossipHooks {
+  getState(): GatewayState;
+  /** A peer told its loads and items. */
+  onHeard(): void;
+}
+
 const getToldItems = (groups: ItemGroups): ToldItems =>
   [...groups].map(([name, items]) => [
     name,
@@ -122,7 +129,7 @@
   self: Gateway,
   list: GatewayList,
   { board, items, limit }: SharedViews,
-  getState: () => GatewayState,
+  { getState, onHeard }: GossipHooks,
   clock: Clock,
   log: Logger,
 ): Gossip => {
@@ -160,6 +167,7 @@
     items.hear(from, told, nowMs);
     const spendings = spent.map(([team, total, window]) => [team, { total, window }] as const);
     limit.hear(from, new Map(spendings), nowMs);
+    onHeard();
   };
 
   const getDatagram = (nowMs: number): Datagram => ({
--- a/anvilpaddle-app/gateway/jobs/jobKeeper.ts
+++ b/anvilpaddle-app/gateway/jobs/jobKeeper.ts
@@ -34,8 +34,10 @@
   owned(): OwnedJob[];
   /** A record of a job changed. */
   onJob(job: StoredJob): void;
-  /** Takes no more jobs and gives those in care to the others. */
-  stop(): Promise<void>;
+  /** Takes no more jobs. */
+  close(): void;
+  /** Gives the jobs in care to the others; resolves once the store has it. */
+  handOver(): Promise<void>;
 }
 
 /** Starts looking after jobs; `onLost` is called when one is no longer in this gateway's care. */
@@ -46,7 +48,7 @@
   const { self, store, jobs, clock, log } = services;
   const owned = new Map<string, OwnedJob>();
   const adopting = new Set<string>();
-  let isStopping = false;
+  let isClosed = false;
 
   const getName = ({ team, id }: { readonly team: string; readonly id: string }): string =>
     `${team}\n${id}`;
@@ -61,7 +63,7 @@
   const adopt = async (stored: StoredJob): Promise<void> => {
     const { team, id } = stored.record;
     const name = getName(stored.record);
-    if (isStopping || owned.has(name) || adopting.has(name)) return;
+    if (isClosed || owned.has(name) || adopting.has(name)) return;
     adopting.add(name);
     const items = await store.readItems(team, id);
     const checkpoints = await store.readCheckpoints(team, id);
@@ -112,7 +114,7 @@
   };
 
   const look = (): void => {
-    if (isStopping || !services.isSettled()) return;
+    if (isClosed || !services.isSettled()) return;
     const ownership = { self, takers: services.getTakers(), isAlive: services.isAlive };
     const storeMs = jobs.getStoreMs();
     jobs.all().forEach((stored) => {
@@ -133,10 +135,8 @@
     });
   };
 
-  const timers = [
-    clock.every(CLAIM_MS, look),
-    clock.every(CHECKPOINT_MS, () => owned.forEach((job) => job.checkpoint())),
-  ];
+  clock.every(CLAIM_MS, look);
+  clock.every(CHECKPOINT_MS, () => owned.forEach((job) => job.checkpoint()));
 
   return {
     owned: () => [...owned.values()],
@@ -144,9 +144,10 @@
       owned.get(getName(stored.record))?.refresh(stored);
       if (stored.record.owner === self && isOpen(stored)) guard(adopt(stored), 'job not taken');
     },
-    stop: async () => {
-      isStopping = true;
-      timers.forEach((timer) => timer.cancel());
+    close: () => {
+      isClosed = true;
+    },
+    handOver: async () => {
       await Promise.all([...owned.values()].map((job) => job.handOver()));
     },
   };
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -12,6 +12,7 @@
   type ItemDemand,
   type LoadBoard,
 } from '@anvilpaddle/decisions';
+import { waitUntil } from '../../process/program';
 import type { CallerProtocol } from '../callerProtocol';
 import type { DeploymentWatch } from '../deploymentWatch';
 import type { FleetView } from '../fleetView';
@@ -41,6 +42,8 @@
   readonly items: ItemBoard;
   readonly jobs: JobBoard;
   readonly health: Health;
+  /** Whether the store answers neither this gateway nor a peer that would pass calls on. */
+  readonly isStoreAway: () => boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -72,7 +75,9 @@
   onJob(job: StoredJob): void;
   /** Number of jobs in this gateway's care. */
   getJobCount(): number;
-  /** Ends all runs and gives the jobs back. */
+  /** The load of the upstreams changed. */
+  onLoad(): void;
+  /** Gives the jobs back once the store can take them; until then the items run on. */
   stop(): Promise<void>;
 }
 
@@ -90,7 +95,7 @@
 export const newJobRunner = (services: RunnerServices): JobRunner => {
   const { jobs, deployment, view, items, clock, random, log } = services;
   const runs = new Set<Run>();
-  let isStopping = false;
+  let isStopped = false;
 
   const keeper = newJobKeeper(services, (lost) =>
     runs.forEach(({ job, abort }) => {
@@ -111,7 +116,7 @@
     const listError = (): void =>
       job.settle(pending, { id: item.id, state: 'errored', output: '' });
     if (end.kind === 'done') {
-      estimate.learn(job.record().route, pending.events, pending.runMs);
+      estimate.learnDone(job.record().route, pending.events);
       job.settle(pending, { id: item.id, state: 'succeeded', output: pending.texts.join('\n') });
       return;
     }
@@ -132,7 +137,10 @@
     runs.add(run);
     pending.isRunning = true;
     const target = { upstream, host: job.record().host, team: job.team };
+    const before = { events: pending.events, runMs: pending.runMs };
     const end = await runItem(pending.item, target, pending, run.abort.signal, services);
+    const events = pending.events - before.events;
+    estimate.learnRun(job.record().route, events, pending.runMs - before.runMs);
     pending.isRunning = false;
     runs.delete(run);
     if (run.abort.signal.aborted && end.kind !== 'done') return;
@@ -218,7 +226,8 @@
   };
 
   const startItems = (service: string, own: readonly Ready[]): void => {
-    const peers = items.getWaiting(service, clock.monotonic());
+    const nowMs = clock.monotonic();
+    const peers = items.getWaiting(service, nowMs);
     const candidates = view.getBatchCandidates(service);
     getStartingItems({ own, peers }, candidates, jobs.getStoreMs() ?? 0)
       .slice(0, STARTS_PER_TICK)
@@ -254,12 +263,13 @@
     });
   };
 
-  const tick = (): void => {
-    if (isStopping) return;
-    const running = getRunning();
+  const yieldWhereFull = (running: readonly Running[]): void =>
     new Set(running.map(({ run }) => run.upstream.service)).forEach((service) =>
       yieldSlots(view.getBatchCandidates(service), running),
     );
+
+  const tick = (): void => {
+    yieldWhereFull(getRunning());
     leaveGoneUpstreams();
     const ready = getGroups(getReady(), ({ service }) => service);
     ready.forEach((own, service) => startItems(service, own));
@@ -271,12 +281,20 @@
   return {
     onJob: (stored) => keeper.onJob(stored),
     getJobCount: () => keeper.owned().length,
+    onLoad: () => {
+      if (!isStopped && runs.size > 0) yieldWhereFull(getRunning());
+    },
     stop: async () => {
-      isStopping = true;
+      keeper.close();
+      if (services.isStoreAway()) {
+        log.info({ jobs: keeper.owned().length }, 'jobs kept while the store is away');
+        await waitUntil(clock, () => !services.isStoreAway());
+      }
+      isStopped = true;
       timer.cancel();
       runs.forEach(({ abort }) => abort.abort());
       items.setOwn({ running: new Map(), waiting: new Map() });
-      await keeper.stop();
+      await keeper.handOver();
     },
   };
 };
--- /dev/null
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -0,0 +1,137 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { ManualClock, newSilentLogger, type Address } from '@anvilpaddle/common';
+import { newItemBoard, newLoadBoard, newWindowLimit } from '@anvilpaddle/decisions';
+import type { Gateway, GatewayList } from '../gatewayList';
+import { newGossip, type GatewayState, type Gossip } from '../gossip';
+
+const WINDOW_MS = 5000;
+const SERVING: GatewayState = { takesJobs: true, reachesStore: true, isServing: true };
+
+const getFreeAddress = async (): Promise<Address> => {
+  const socket = createSocket('udp4');
+  socket.bind(0, '127.0.0.1');
+  await once(socket, 'listening');
+  const { address, port } = socket.address();
+  await new Promise<void>((resolve) => {
+    socket.close(() => resolve());
+  });
+  return { host: address, port };
+};
+
+const newList = (others: readonly Gateway[]): GatewayList => ({
+  others: () => others,
+  isRenewed: () => true,
+  isCurrent: () => true,
+  isRead: () => true,
+  introduce: () => undefined,
+  leave: () => Promise.resolve(),
+});
+
+const running: Gossip[] = [];
+
+afterEach(() => running.splice(0).forEach((gossip) => gossip.close()));
+
+/** A gateway's exchange with all that it shares; `heard` resolves with the next datagram. */
+const newNode = (self: Gateway, others: readonly Gateway[], state: GatewayState = SERVING) => {
+  const clock = new ManualClock();
+  const views = {
+    board: newLoadBoard(),
+    items: newItemBoard(),
+    limit: newWindowLimit(WINDOW_MS),
+  };
+  let onHeard = (): void => undefined;
+  const hooks = { getState: () => state, onHeard: () => onHeard() };
+  const gossip = newGossip(self, newList(others), views, hooks, clock, newSilentLogger());
+  running.push(gossip);
+  const heard = (): Promise<void> =>
+    new Promise((resolve) => {
+      onHeard = resolve;
+    });
+  return { clock, gossip, heard, ...views };
+};
+
+const newGateway = async (vm: string, incarnation: string): Promise<Gateway> => ({
+  vm,
+  incarnation,
+  address: await getFreeAddress(),
+});
+
+type Node = ReturnType<typeof newNode>;
+
+/** Lets one node send a datagram and the other take it in. */
+const tell = async (from: Node, to: Node): Promise<void> => {
+  const isHeard = to.heard();
+  from.gossip.touch();
+  from.clock.advance(100);
+  await isHeard;
+};
+
+describe('gossip', () => {
+  it('tells loads, items and admissions', async () => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const sender = newNode(a, [b]);
+    const receiver = newNode(b, [a]);
+    sender.board.begin('u1', 'online');
+    sender.board.begin('u1', 'batch');
+    sender.items.setOwn({
+      running: new Map([['u1', [{ dueMs: 18_000.4, remainingMs: 3000 }]]]),
+      waiting: new Map([['engines', [{ dueMs: 19_000, remainingMs: 5000 }]]]),
+    });
+    const rate = { rate: 10, burst: 10 };
+    sender.limit.take('team', rate, { members: 2, heard: 2, oldestMs: Infinity }, 0);
+    await tell(sender, receiver);
+
+    expect({
+      load: receiver.board.getLoad('u1', 0),
+      running: receiver.items.getRunning('u1', 0),
+      waiting: receiver.items.getWaiting('engines', 0),
+      admitted: receiver.limit.all(0).has('team'),
+    }).toMatchSnapshot();
+  });
+
+  it.each<[string, GatewayState]>([
+    ['serves', SERVING],
+    ['is stopping', { takesJobs: false, reachesStore: true, isServing: false }],
+    ['has lost its path to the store', { takesJobs: true, reachesStore: false, isServing: true }],
+  ])('tells that a gateway %s', async (_, state) => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const receiver = newNode(b, [a]);
+    await tell(newNode(a, [b], state), receiver);
+
+    expect({
+      takesJobs: receiver.gossip.isTakingJobs('a'),
+      reachesStore: receiver.gossip.isReachingStore('a'),
+      isServing: receiver.gossip.isAnyServing(),
+    }).toEqual(state);
+  });
+
+  it('believes nothing of a gateway that has fallen silent', async () => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const receiver = newNode(b, [a]);
+    await tell(newNode(a, [b]), receiver);
+    receiver.clock.advance(1000);
+
+    expect([
+      receiver.gossip.isHeard('a'),
+      receiver.gossip.isTakingJobs('a'),
+      receiver.gossip.isReachingStore('a'),
+      receiver.gossip.isAnyServing(),
+    ]).toEqual([false, false, false, false]);
+    expect(receiver.gossip.isAlone()).toBe(true);
+  });
+
+  it('forgets the load of a process once its VM has a new one', async () => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const receiver = newNode(b, [a]);
+    const first = newNode(a, [b]);
+    first.board.begin('u1', 'online');
+    first.board.begin('u1', 'batch');
+    await tell(first, receiver);
+    expect(receiver.board.getLoad('u1', 0)).toEqual({ online: 1, batch: 1 });
+
+    const successor = newNode({ ...(await newGateway('vm-a', 'a2')) }, [b]);
+    await tell(successor, receiver);
+    expect(receiver.board.getLoad('u1', 0)).toEqual({ online: 0, batch: 0 });
+  });
+});
--- a/packages/decisions/batch/itemOrder.ts
+++ b/packages/decisions/batch/itemOrder.ts
@@ -5,9 +5,12 @@
   readonly remainingMs: number;
 }
 
-/** Whether an item can still be done by its due time if it runs from now on. */
+/** Time that an item takes with its interruptions, as a multiple of the time for which it runs. */
+const STRETCH = 1.5;
+
+/** Whether an item can still be done by its due time if it is started now. */
 const isInTime = ({ dueMs, remainingMs }: ItemDemand, nowMs: number): boolean =>
-  nowMs + remainingMs <= dueMs;
+  nowMs + remainingMs * STRETCH <= dueMs;
 
 /**
  * Orders two items: those that can still be in time go before those that can't, the earlier due
@@ -18,33 +21,44 @@
   a.dueMs - b.dueMs ||
   a.remainingMs - b.remainingMs;
 
-/** Estimate of the run time that items need, learned from those that were done. */
+/** Estimate of the run time that items need, learned from their runs. */
 export interface ItemEstimate {
-  /** An item of a route was done with a number of events in a run time. */
-  learn(route: string, events: number, runMs: number): void;
-  /** Expected run time left of an item with a number of events; 0 before anything is learned. */
+  /** A run of an item of a route gave a number of events in a time, whether it ended or yielded. */
+  learnRun(route: string, events: number, runMs: number): void;
+  /** An item of a route was done with a number of events. */
+  learnDone(route: string, events: number): void;
+  /** Expected run time left of an item with a number of events, in milliseconds. */
   getRemainingMs(route: string, events: number): number;
 }
 
 const SAMPLE_SHARE = 0.1;
 /** Part of the mean that an item past it is still expected to need. */
 const LEAST_SHARE = 0.1;
+/** Fewest events of a run that tell its speed: before them lies the reading of the prompt. */
+const FEWEST_EVENTS = 10;
+/** What items are taken to be before one has run. */
+const FIRST_EVENTS = 250;
+const FIRST_EVENT_MS = 20;
+
+const getMoved = (mean: number, sample: number): number => mean + (sample - mean) * SAMPLE_SHARE;
 
 /** Estimate that knows nothing yet. */
 export const newItemEstimate = (): ItemEstimate => {
-  const means = new Map<string, { readonly events: number; readonly runMs: number }>();
+  const eventsDone = new Map<string, number>();
+  const eventMs = new Map<string, number>();
   return {
-    learn: (route, events, runMs) => {
-      const known = means.get(route) ?? { events, runMs };
-      means.set(route, {
-        events: known.events + (events - known.events) * SAMPLE_SHARE,
-        runMs: known.runMs + (runMs - known.runMs) * SAMPLE_SHARE,
-      });
+    learnRun: (route, events, runMs) => {
+      if (events < FEWEST_EVENTS) return;
+      const sample = runMs / events;
+      eventMs.set(route, getMoved(eventMs.get(route) ?? sample, sample));
+    },
+    learnDone: (route, events) => {
+      eventsDone.set(route, getMoved(eventsDone.get(route) ?? events, events));
     },
     getRemainingMs: (route, events) => {
-      const mean = means.get(route);
-      if (mean === undefined || mean.events <= 0) return 0;
-      return mean.runMs * Math.max(LEAST_SHARE, 1 - events / mean.events);
+      const mean = eventsDone.get(route) ?? FIRST_EVENTS;
+      const left = Math.max(mean * LEAST_SHARE, mean - events);
+      return left * (eventMs.get(route) ?? FIRST_EVENT_MS);
     },
   };
 };
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -18,12 +18,21 @@
   readonly peers: readonly ItemDemand[];
 }
 
-/** Slots that stay free for online requests that arrive until an item has yielded. */
-const RESERVED_SLOTS = 1;
-
-/** Slots of an upstream that neither online nor batch work uses, less the reserve. */
+/** Slots of an upstream that neither online nor batch work uses; negative when it has a queue. */
 export const getSpareSlots = ({ slots, load, weight }: BatchCandidate): number =>
-  weight < 1 ? 0 : slots - RESERVED_SLOTS - load.online - load.batch;
+  weight < 1 ? 0 : slots - load.online - load.batch;
+
+/**
+ * Part of the online requests that begin or end until an item has started or yielded, some 200 ms: their
+ * number varies by the root of that.
+ */
+const TURNOVER = 0.6;
+
+/** Slots that stay free for online requests: an item that starts in them yields before it has done anything. */
+export const getReservedSlots = (candidates: readonly BatchCandidate[]): number => {
+  const online = candidates.reduce((sum, { load }) => sum + load.online, 0);
+  return Math.round(Math.sqrt(TURNOVER * online));
+};
 
 /**
  * Upstream for the next item: the one with the most spare slots; undefined when none has any.
@@ -67,7 +76,7 @@
 ): T[] => {
   const spare = candidates.reduce(
     (sum, candidate) => sum + Math.max(0, getSpareSlots(candidate)),
-    0,
+    -getReservedSlots(candidates),
   );
   return getOwnAmongFirst(waiting, spare, (a, b) => compareItems(a, b, nowMs));
 };
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -28,8 +28,8 @@
   | { readonly kind: 'send'; readonly upstream: string; readonly waitMs: number }
   | { readonly kind: 'refuse'; readonly queueMs: number };
 
-/** A batch item slows an upstream down until it has yielded. */
-const BATCH_WEIGHT = 0.35;
+/** A batch item counts nearly as a request: a free slot is better than one that has to be yielded. */
+const BATCH_WEIGHT = 0.9;
 /** Preference for an upstream in the gateway's failure domain, in requests. */
 const NEAR_BONUS = 0.2;
 /** Spread of the choice, in requests: gateways that know the same loads must not all choose alike. */
