An upstream that is another at its address is asked once, not until its entry goes

The store was back after seven seconds; entries of upstreams that had gone in between stand for up to two seconds more, and others had their addresses. An answer "not run" says nothing of health, so each request tried them anew, up to three times, and was then refused. Now the incarnation gets no work for 5 s, after which its entry is trusted again. Ruled out: a wrong id on our side (the upstreams' entries were those of before the outage).

--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -51,6 +51,8 @@
   getCallerHeaders(rawHeaders: readonly string[]): string[];
   /** Whether an upstream says that it has not run the request. */
   isNotRun(status: number, headers: IncomingHttpHeaders): boolean;
+  /** Whether an answer says that its sender is not the upstream that was meant. */
+  isMisdirected(status: number): boolean;
   /** Whether an answer belongs to the request with an id. */
   isAnswerTo(headers: IncomingHttpHeaders, requestId: string): boolean;
   /** Job in the body of a submission; undefined when it is none. */
--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -15,6 +15,8 @@
   getCandidates(service: string, except: ReadonlySet<string>): Candidate[];
   getBatchCandidates(service: string): BatchCandidate[];
   getUpstream(id: string): Upstream | undefined;
+  /** Another process answered at an upstream's address. */
+  reportGone(upstream: Upstream): void;
   /** Time in which a share of a service's upstreams takes in one more online request, in ms. */
   getSpacingMs(service: string, share: number): number;
 }
@@ -53,6 +55,7 @@
     }));
   },
   getUpstream: (id) => watch.all().find((upstream) => upstream.id === id),
+  reportGone: (upstream) => watch.reportGone(upstream),
   getSpacingMs: (service, share) => {
     const slots = watch.getUsable(service).reduce((sum, upstream) => sum + upstream.slots, 0);
     return times.getServiceMs(service) / Math.max(1, slots * share);
--- a/anvilpaddle-app/gateway/jobs/itemRun.ts
+++ b/anvilpaddle-app/gateway/jobs/itemRun.ts
@@ -10,6 +10,7 @@
   isEventAfter,
   newEventSplitter,
 } from '../eventSplitter';
+import type { FleetView } from '../fleetView';
 import type { Upstream } from '../types';
 import { callUpstream } from '../upstreamCall';
 import type { JobItem } from './types';
@@ -44,6 +45,7 @@
 /** What a run uses. */
 export interface ItemServices {
   readonly protocol: CallerProtocol;
+  readonly view: FleetView;
   readonly board: LoadBoard;
   readonly health: Health;
   readonly clock: Clock;
@@ -56,7 +58,7 @@
   target: { readonly upstream: Upstream; readonly host: string; readonly team: string },
   progress: ItemProgress,
   signal: AbortSignal,
-  { protocol, board, health, clock }: ItemServices,
+  { protocol, view, board, health, clock }: ItemServices,
 ): Promise<RunEnd> => {
   const { upstream, host, team } = target;
   const silence = new AbortController();
@@ -98,6 +100,7 @@
     if (reply.kind !== 'answered') return { kind: 'broken', detail: reply.detail };
     const { message } = reply;
     const status = message.statusCode ?? 0;
+    if (protocol.isMisdirected(status)) view.reportGone(upstream);
     if (status !== 200 || !protocol.isAnswerTo(message.headers, item.id)) {
       message.destroy();
       if (status === IMPOSSIBLE) return { kind: 'impossible' };
--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -44,7 +44,7 @@
   { upstream, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   answer: CallerAnswer,
   signal: AbortSignal,
-  { protocol, times, board, health, clock, log }: OnlineServices,
+  { protocol, view, times, board, health, clock, log }: OnlineServices,
 ): Promise<AttemptOutcome> => {
   const sentMs = clock.monotonic();
   const silence = new AbortController();
@@ -99,6 +99,9 @@
       clock,
     );
     const delayMs = clock.monotonic() - sentMs;
+    if (reply.kind === 'answered' && protocol.isMisdirected(reply.message.statusCode ?? 0)) {
+      view.reportGone(upstream);
+    }
     const outcome =
       reply.kind === 'answered'
         ? await answer.pass(reply.message, isLast, attemptSignal, onProgress)
--- a/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
+++ b/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
@@ -94,4 +94,16 @@
 
     expect(getIds()).toEqual(['a']);
   });
+
+  it('gives no work for a while to an upstream whose address belongs to another', async () => {
+    const { clock, watch, getIds } = start([newPage(1, ['a', 'b'])]);
+    await pass(clock, 100);
+    const upstream = watch.all().find(({ id }) => id === 'a');
+    if (upstream === undefined) throw new Error('not listed');
+    watch.reportGone(upstream);
+
+    expect(getIds()).toEqual(['b']);
+    await pass(clock, 5000);
+    expect(getIds()).toEqual(['a', 'b']);
+  });
 });
--- a/anvilpaddle-app/gateway/upstreamWatch.ts
+++ b/anvilpaddle-app/gateway/upstreamWatch.ts
@@ -10,6 +10,9 @@
 /** Time after the store's return in which entries that lapsed while it was away come back. */
 const LAPSE_MS = 2000;
 
+/** Time for which an upstream gets no work after another process answered at its address. */
+const GONE_MS = 5000;
+
 /** How the platform keeps the list of upstreams. */
 export interface UpstreamSource {
   readonly table: string;
@@ -22,6 +25,8 @@
   /** Upstreams of a service that take work. */
   getUsable(service: string): readonly Upstream[];
   all(): readonly Upstream[];
+  /** Another process answered at an upstream's address; its entry has yet to go. */
+  reportGone(upstream: Upstream): void;
   stop(): void;
 }
 
@@ -40,6 +45,8 @@
 ): UpstreamWatch => {
   const upstreams = new Map<string, Upstream>();
   let byService = new Map<string, Upstream[]>();
+  /** Time until which incarnations that were reported as gone get no work. */
+  const gone = new Map<string, number>();
 
   const index = (): void => {
     byService = new Map();
@@ -109,7 +116,21 @@
   );
 
   return {
-    getUsable: (service) => byService.get(service) ?? [],
+    getUsable: (service) => {
+      const usable = byService.get(service) ?? [];
+      if (gone.size === 0) return usable;
+      const nowMs = clock.monotonic();
+      return usable.filter(({ incarnation }) => (gone.get(incarnation) ?? 0) <= nowMs);
+    },
+    reportGone: ({ id, service, incarnation }) => {
+      const nowMs = clock.monotonic();
+      gone.forEach((untilMs, known) => {
+        if (untilMs <= nowMs) gone.delete(known);
+      });
+      if (gone.has(incarnation)) return;
+      gone.set(incarnation, nowMs + GONE_MS);
+      log.warn({ upstream: id, service, forMs: GONE_MS }, 'upstream replaced at its address');
+    },
     all: () => [...upstreams.values()],
     stop: () => watch.stop(),
   };
