--- a/anvilpaddle-app/dev/dev.ts
+++ b/anvilpaddle-app/dev/dev.ts
@@ -29,6 +29,10 @@
   readonly operatorKey: string;
 }
 
+const DEMO_TEAM = 'demo';
+/** Requests a second and at once that trying out does not meet. */
+const DEMO_LIMITS = { 'limits.rate': '1000', 'limits.burst': '2000' };
+
 const getPeerAddress = (index: number): string => `127.0.0.1:${FIRST_PEER_PORT + index}`;
 
 const seed = async (url: string, operatorKey: string): Promise<string> => {
@@ -38,8 +42,9 @@
   const created = await client.post('/changes', {
     author: 'dev',
     changes: [
-      create('team', 'demo', {}),
-      create('key', newId('key'), { team: 'demo', hash: getSecretHash(teamKey) }),
+      create('team', DEMO_TEAM, {}),
+      create('settings', `team/${DEMO_TEAM}`, DEMO_LIMITS),
+      create('key', newId('key'), { team: DEMO_TEAM, hash: getSecretHash(teamKey) }),
       create('route', 'chat', {
         kind: 'model',
         path: '/v1/chat/completions',
@@ -127,6 +132,7 @@
   if (getAddress(listen) === undefined) throw new Error(`--listen: expected HOST:PORT`);
   const dev = await newDev(listen, newLogger('anvilpaddle-dev', 'warn'));
   const { url, teamKey, operatorKey } = dev;
-  process.stdout.write(`${JSON.stringify({ event: 'ready', url, teamKey, operatorKey })}\n`);
+  const next = "README.md has calls to try; `anvilpaddle --help` lists the operators' commands";
+  process.stdout.write(`${JSON.stringify({ event: 'ready', url, teamKey, operatorKey, next })}\n`);
   return dev;
 };
