--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -168,7 +168,6 @@
         .map((other) => other.incarnation)
         .filter((other) => gossip.isTakingJobs(other)),
     ],
-    isStoreAway: () => !client.isAnswered(),
     isAlive: (other) => gossip.isHeard(other) || list.isRenewed(other),
     isSettled: () => list.isCurrent() && jobs.isCurrent(),
     retentionMs: bounds.jobRetentionMs,
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -12,7 +12,7 @@
   type ItemDemand,
   type LoadBoard,
 } from '@anvilpaddle/decisions';
-import { waitUntil } from '../../process/program';
+import { waitMs } from '../../process/program';
 import type { CallerProtocol } from '../callerProtocol';
 import type { DeploymentWatch } from '../deploymentWatch';
 import type { FleetView } from '../fleetView';
@@ -30,6 +30,8 @@
 const STARTS_PER_TICK = 2;
 /** Waiting items of a service that the other gateways are told of. */
 const MAX_TOLD_ITEMS = 8;
+/** Time between two tries of the store by a gateway that is to hand over its jobs. */
+const STORE_TRY_MS = 200;
 /** Pause of an item after a run that broke or was refused. */
 const PAUSE_MS = 150;
 
@@ -42,8 +44,6 @@
   readonly items: ItemBoard;
   readonly jobs: JobBoard;
   readonly health: Health;
-  /** Whether the store answers neither this gateway nor a peer that would pass calls on. */
-  readonly isStoreAway: () => boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -278,6 +278,22 @@
 
   const timer = clock.every(TICK_MS, tick);
 
+  /** Resolves once the store answers, or when there is nothing to hand over. */
+  const waitForStore = async (): Promise<void> => {
+    let isAway = false;
+    for (;;) {
+      const [job] = keeper.owned();
+      if (job === undefined) return;
+      const answer = await services.store.read(job.team, job.id);
+      if (answer.ok) return;
+      if (!isAway) {
+        log.info({ jobs: keeper.owned().length }, 'jobs kept while the store is away');
+      }
+      isAway = true;
+      await waitMs(clock, STORE_TRY_MS);
+    }
+  };
+
   return {
     onJob: (stored) => keeper.onJob(stored),
     getJobCount: () => keeper.owned().length,
@@ -286,10 +302,7 @@
     },
     stop: async () => {
       keeper.close();
-      if (services.isStoreAway()) {
-        log.info({ jobs: keeper.owned().length }, 'jobs kept while the store is away');
-        await waitUntil(clock, () => !services.isStoreAway());
-      }
+      await waitForStore();
       isStopped = true;
       timer.cancel();
       runs.forEach(({ abort }) => abort.abort());
