--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -1,5 +1,5 @@
 /** Runs the items of the jobs in this gateway's care in the slots that online requests leave. */
-import { getFaultMessage, type Clock, type Logger, type Random } from '@anvilpaddle/common';
+import { getFaultMessage, type Random } from '@anvilpaddle/common';
 import {
   compareItems,
   getItemPlace,
@@ -18,7 +18,6 @@
 import type { FleetView } from '../fleetView';
 import { getService } from '../routeTable';
 import type { Route, Upstream } from '../types';
-import type { JobBoard } from './jobBoard';
 import { newJobKeeper, type KeeperServices } from './jobKeeper';
 import { runItem, type RunEnd } from './itemRun';
 import type { StoredJob } from './jobRecords';
@@ -42,11 +41,8 @@
   readonly protocol: CallerProtocol;
   readonly board: LoadBoard;
   readonly items: ItemBoard;
-  readonly jobs: JobBoard;
   readonly health: Health;
-  readonly clock: Clock;
   readonly random: Random;
-  readonly log: Logger;
 }
 
 interface Run {
