How an upstream's response ended is logged and counted

The lines request, attempt failed and run broken now have the delimiter, the end and the bytes of an unfinished event; a counter has the same. No decision changes.

--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -1,10 +1,11 @@
 /** Response to one caller, relayed from one or more upstreams. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BODY_END, getBodyDelimiter } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from './callerProtocol';
 import { newCallerStream } from './callerStream';
 import { sendRefusal, STATUS, type Refusal } from './refusal';
-import { ROUTE_KIND, type Route } from './types';
+import { ROUTE_KIND, type ResponseEnd, type Route } from './types';
 import { readResponseBody } from './upstreamCall';
 
 const UNKNOWN: AttemptOutcome = { run: 'unknown', answered: false };
@@ -17,6 +18,11 @@
 /** Lowest HTTP status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
+/** Outcome of an attempt, with how the body of its response ended if it was read. */
+export interface AttemptReport extends AttemptOutcome {
+  readonly responseEnd?: ResponseEnd;
+}
+
 /** Response to one caller. */
 export interface CallerResponse {
   /** Relays an upstream's response; `isLast` when no other upstream may be tried after it. */
@@ -25,7 +31,7 @@
     isLast: boolean,
     signal: AbortSignal,
     onProgress: () => void,
-  ): Promise<AttemptOutcome>;
+  ): Promise<AttemptReport>;
   /** Id of the event after which another upstream can resume; undefined before the first event. */
   lastEventId(): string | undefined;
   /** Whether the request can be sent to another upstream to complete the response. */
@@ -55,17 +61,19 @@
   const relayBuffered = async (
     message: IncomingMessage,
     isLast: boolean,
-  ): Promise<AttemptOutcome> => {
-    const content = await readResponseBody(message);
-    if (content === undefined) return UNKNOWN;
+  ): Promise<AttemptReport> => {
+    const { content, end: bodyEnd } = await readResponseBody(message);
+    const delimiter = getBodyDelimiter(message.headers);
+    const responseEnd = { delimiter, bodyEnd, unfinishedBytes: 0 };
+    if (bodyEnd !== BODY_END.complete) return { ...UNKNOWN, responseEnd };
     const status = message.statusCode ?? STATUS.badGateway;
-    if (status >= FIRST_SERVER_ERROR_STATUS && !isLast) return RAN;
+    if (status >= FIRST_SERVER_ERROR_STATUS && !isLast) return { ...RAN, responseEnd };
     onFirstByte();
     const headers = getCallerHeaders(message);
     const length = hasContentLength(headers) ? [] : ['Content-Length', String(content.length)];
     response.writeHead(status, [...headers, ...length]);
     response.end(content);
-    return ANSWERED;
+    return { ...ANSWERED, responseEnd };
   };
 
   const isStarted = (): boolean => stream?.isStarted() === true;
@@ -82,8 +90,9 @@
       if (stream === undefined || status >= FIRST_NON_SUCCESS_STATUS) {
         return isStarted() ? UNKNOWN : relayBuffered(message, isLast);
       }
-      const end = await stream.relay(message, signal, onProgress);
-      return end === 'ended' ? ANSWERED : RAN;
+      const responseEnd = await stream.relay(message, signal, onProgress);
+      const isComplete = responseEnd.bodyEnd === BODY_END.complete;
+      return { ...(isComplete ? ANSWERED : RAN), responseEnd };
     },
     lastEventId: () => stream?.lastEventId(),
     canRetry: () => {
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -1,15 +1,18 @@
 /** Event stream to one caller, relayed from one upstream or from several in turn. */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BODY_END, getBodyDelimiter, waitForBodyEnd } from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
-
-/** How the response of one upstream ended: complete, or cut off. */
-export type StreamEnd = 'ended' | 'cut';
+import type { ResponseEnd } from './types';
 
 /** Stream to one caller. */
 export interface CallerStream {
   /** Relays an upstream's complete events until its response ends or is cut off. */
-  relay(message: IncomingMessage, signal: AbortSignal, onProgress: () => void): Promise<StreamEnd>;
+  relay(
+    message: IncomingMessage,
+    signal: AbortSignal,
+    onProgress: () => void,
+  ): Promise<ResponseEnd>;
   isStarted(): boolean;
   /** Id of the last relayed event. */
   lastEventId(): string | undefined;
@@ -54,34 +57,30 @@
     return write(message, unseenEvents);
   };
 
-  const relayUntilEnd = (
+  const relayUntilEnd = async (
     message: IncomingMessage,
     signal: AbortSignal,
     onProgress: () => void,
-  ): Promise<StreamEnd> =>
-    new Promise((resolve) => {
-      const splitter = newEventSplitter();
-      message.on('data', (chunk: Buffer) => {
-        onProgress();
-        if (relayEvents(message, splitter.feed(chunk))) return;
-        message.pause();
-        once(response, 'drain', { signal }).then(
-          () => message.resume(),
-          () => message.destroy(),
-        );
-      });
-      message.on('end', () => {
-        if (!message.complete) {
-          resolve('cut');
-          return;
-        }
-        write(message, splitter.rest());
-        response.end();
-        resolve('ended');
-      });
-      message.on('error', () => resolve('cut'));
-      message.on('close', () => resolve('cut'));
+  ): Promise<ResponseEnd> => {
+    const splitter = newEventSplitter();
+    message.on('data', (chunk: Buffer) => {
+      onProgress();
+      if (relayEvents(message, splitter.feed(chunk))) return;
+      message.pause();
+      once(response, 'drain', { signal }).then(
+        () => message.resume(),
+        () => message.destroy(),
+      );
     });
+    const bodyEnd = await waitForBodyEnd(message);
+    const rest = splitter.rest();
+    if (bodyEnd === BODY_END.complete) {
+      write(message, rest);
+      response.end();
+    }
+    const delimiter = getBodyDelimiter(message.headers);
+    return { delimiter, bodyEnd, unfinishedBytes: rest.length };
+  };
 
   return {
     relay: (message, signal, onProgress) => {
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -171,7 +171,13 @@
     clock,
     log,
   );
+  const metrics = newGatewayMetrics({
+    getActive: () => activeRequests,
+    getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
+    getPeers: () => gatewayList.getOthers().length,
+  });
   const jobRunner = newJobRunner({
+    metrics,
     self: incarnation,
     store: jobStore,
     jobs: jobCache,
@@ -205,11 +211,6 @@
   const canOthersServe = (): boolean => isPartitioned() || gossip.isAnyServing();
   const isReady = (): boolean => isServing() && !isPartitioned();
 
-  const metrics = newGatewayMetrics({
-    getActive: () => activeRequests,
-    getJobs: () => jobRunner.getOwnedJobCount(),
-    getPeers: () => gatewayList.getOthers().length,
-  });
   const handleRequest = newCallerHandler({
     protocol,
     configWatch,
@@ -230,6 +231,7 @@
       clock,
       random,
       log,
+      metrics,
       retrySchedule: newRetryAfterSchedule(),
       getGatewayCount: () => gatewayList.getOthers().length + 1,
     },
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -3,7 +3,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { getErrorMessage, listen, type Address, type Logger } from '@anvilpaddle/common';
 import type { OnlineOutcome } from './onlineRequest';
-import type { Route } from './types';
+import type { ResponseEnd, Route } from './types';
 
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
@@ -13,6 +13,8 @@
   countRequest(route: Route, outcome: OnlineOutcome): void;
   /** Counts a request that was refused before it reached an upstream. */
   countRefusal(status: number): void;
+  /** Counts how the body of an upstream's response ended. */
+  countResponseEnd(end: ResponseEnd): void;
   /** All metrics in Prometheus's text format. */
   text(): Promise<string>;
 }
@@ -40,6 +42,12 @@
     labelNames: ['status'],
     registers,
   });
+  const responseEnds = new Counter({
+    name: 'anvilpaddle_response_ends_total',
+    help: 'Bodies of upstreams’ responses by delimiter, end and whether a stream stopped inside an event',
+    labelNames: ['delimiter', 'end', 'inside_event'],
+    registers,
+  });
   const firstByte = new Histogram({
     name: 'anvilpaddle_first_byte_ms',
     help: 'Time to the first byte of the answer in milliseconds',
@@ -66,6 +74,8 @@
       if (firstByteMs !== undefined) firstByte.observe({ kind }, firstByteMs);
     },
     countRefusal: (status) => refusals.inc({ status: String(status) }),
+    countResponseEnd: ({ delimiter, bodyEnd, unfinishedBytes }) =>
+      responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
     text: () => registry.metrics(),
   };
 };
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -16,6 +16,7 @@
 import type { CallerProtocol } from '../callerProtocol';
 import type { ConfigWatch } from '../configWatch';
 import type { FleetView } from '../fleetView';
+import type { GatewayMetrics } from '../gatewayMetrics';
 import { pickService } from '../routeTable';
 import type { Route, Upstream } from '../types';
 import { newJobClaimer, type JobClaimerDependencies } from './jobClaimer';
@@ -45,6 +46,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly items: ItemTracker;
   readonly health: Health;
+  readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
   readonly random: Random;
 }
 
@@ -160,7 +162,13 @@
     if (run.abort.signal.aborted && outcome.kind !== 'done') return;
     if (outcome.kind === 'broken') {
       log.info(
-        { job: job.id, item: pending.item.id, upstream: upstream.id, detail: outcome.detail },
+        {
+          job: job.id,
+          item: pending.item.id,
+          upstream: upstream.id,
+          detail: outcome.detail,
+          ...outcome.responseEnd,
+        },
         'run broken',
       );
     }
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,5 +1,11 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
-import { SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  BODY_END,
+  getBodyDelimiter,
+  SERVICE_CLASS,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
 import type { Health, LoadTracker } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
@@ -11,7 +17,8 @@
   newEventSplitter,
 } from '../eventSplitter';
 import type { FleetView } from '../fleetView';
-import type { Upstream } from '../types';
+import type { GatewayMetrics } from '../gatewayMetrics';
+import type { ResponseEnd, Upstream } from '../types';
 import { callUpstream } from '../upstreamCall';
 import type { JobItem } from './types';
 
@@ -41,7 +48,12 @@
   /** The upstream ran the item and failed; counts towards the item's attempts. */
   | { readonly kind: 'failed'; readonly detail: string }
   /** The run ended early, for example by a lost connection; another run resumes the item. */
-  | { readonly kind: 'broken'; readonly detail: string };
+  | {
+      readonly kind: 'broken';
+      readonly detail: string;
+      /** How the body of the response ended, if it was read. */
+      readonly responseEnd?: ResponseEnd;
+    };
 
 /** Dependencies of a run. */
 export interface RunItemDependencies {
@@ -51,6 +63,7 @@
   readonly health: Health;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
 }
 
 /** Runs an item until it is done, fails, breaks or is aborted; updates `progress` as events arrive. */
@@ -59,7 +72,7 @@
   target: { readonly upstream: Upstream; readonly host: string; readonly team: string },
   progress: ItemProgress,
   signal: AbortSignal,
-  { protocol, view, upstreamLoads, health, clock }: RunItemDependencies,
+  { protocol, view, upstreamLoads, health, clock, metrics }: RunItemDependencies,
 ): Promise<RunOutcome> => {
   const { upstream, host, team } = target;
   const idleTimeout = new AbortController();
@@ -109,7 +122,7 @@
       return { kind: status === SERVER_ERROR ? 'failed' : 'broken', detail: `status ${status}` };
     }
     const splitter = newEventSplitter();
-    const isComplete = await readInBulk(
+    const bodyEnd = await readInBulk(
       message,
       (chunk) => {
         resetIdleTimer();
@@ -118,7 +131,12 @@
       abortSignal,
       clock,
     );
-    if (!isComplete) return { kind: 'broken', detail: 'the stream was cut' };
+    const delimiter = getBodyDelimiter(message.headers);
+    const responseEnd = { delimiter, bodyEnd, unfinishedBytes: splitter.rest().length };
+    if (!signal.aborted) metrics.countResponseEnd(responseEnd);
+    if (bodyEnd !== BODY_END.complete) {
+      return { kind: 'broken', detail: 'the stream was cut', responseEnd };
+    }
     return { kind: 'done' };
   };
 
--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -1,7 +1,7 @@
 /** One attempt to serve an online request on one upstream. */
 import { SERVICE_CLASS } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
-import type { CallerResponse } from './callerResponse';
+import type { AttemptReport, CallerResponse } from './callerResponse';
 import type { OnlineRequest, OnlineDependencies } from './onlineRequest';
 import type { Upstream } from './types';
 import { callUpstream, type UpstreamCallResult } from './upstreamCall';
@@ -48,8 +48,8 @@
   { upstream, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
-  { protocol, view, serviceTimes, upstreamLoads, health, clock, log }: OnlineDependencies,
-): Promise<AttemptOutcome> => {
+  { protocol, view, serviceTimes, upstreamLoads, health, clock, log, metrics }: OnlineDependencies,
+): Promise<AttemptReport> => {
   const sentMs = clock.monotonic();
   const stallController = new AbortController();
   const attemptSignal = AbortSignal.any([signal, stallController.signal]);
@@ -70,7 +70,7 @@
 
   const recordAttempt = (
     callResult: UpstreamCallResult,
-    outcome: AttemptOutcome,
+    outcome: AttemptReport,
     firstByteMs: number,
   ): void => {
     const result = getHealthResult(callResult, outcome);
@@ -84,7 +84,13 @@
     }
     const detail = getDetail(callResult);
     log.warn(
-      { request: head.id, upstream: upstream.id, run: outcome.run, detail },
+      {
+        request: head.id,
+        upstream: upstream.id,
+        run: outcome.run,
+        detail,
+        ...outcome.responseEnd,
+      },
       'attempt failed',
     );
   };
@@ -116,10 +122,11 @@
     ) {
       view.reportReplaced(upstream);
     }
-    const outcome =
+    const outcome: AttemptReport =
       callResult.kind === 'answered'
         ? await callerResponse.relay(callResult.message, isLast, attemptSignal, onProgress)
         : getFailedOutcome(callResult);
+    if (outcome.responseEnd !== undefined) metrics.countResponseEnd(outcome.responseEnd);
     // A disconnected caller or an exceeded time limit says nothing about the upstream's health.
     if (!attemptSignal.aborted) recordAttempt(callResult, outcome, firstByteMs);
     return outcome;
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -16,7 +16,8 @@
 import type { FleetView } from './fleetView';
 import { runAttempt } from './onlineAttempt';
 import { pickService } from './routeTable';
-import type { Route, Upstream } from './types';
+import type { GatewayMetrics } from './gatewayMetrics';
+import type { ResponseEnd, Route, Upstream } from './types';
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
 const MAX_REJECTIONS = 3;
@@ -33,6 +34,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
+  readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
   readonly retrySchedule: RetryAfterSchedule;
   /** Number of gateways that may be running, including this one. */
   readonly getGatewayCount: () => number;
@@ -63,7 +65,7 @@
 }
 
 /** How a request ended, for the log and the metrics. */
-export interface OnlineOutcome extends Partial<PlacementChoice> {
+export interface OnlineOutcome extends Partial<PlacementChoice>, Partial<ResponseEnd> {
   readonly result: 'served' | 'refused' | 'failed' | 'left';
   readonly reason: string;
   readonly attempts: number;
@@ -94,6 +96,7 @@
   let rejectionCount = 0;
   let firstByteMs: number | undefined;
   let lastChoice: PlacementChoice | undefined;
+  let lastResponseEnd: ResponseEnd | undefined;
 
   const callerResponse = newCallerResponse(head.id, route, response, protocol, () => {
     firstByteMs = getElapsedMs();
@@ -102,7 +105,16 @@
   const finish = (result: OnlineOutcome['result'], reason: string): OnlineOutcome => {
     timer.cancel();
     const attempts = runCount + rejectionCount;
-    return { result, reason, attempts, firstByteMs, durationMs: getElapsedMs(), ...lastChoice };
+    const durationMs = getElapsedMs();
+    return {
+      result,
+      reason,
+      attempts,
+      firstByteMs,
+      durationMs,
+      ...lastChoice,
+      ...lastResponseEnd,
+    };
   };
 
   const fail = (status: number, reason: string): OnlineOutcome => {
@@ -175,6 +187,7 @@
     };
     const outcome = await runAttempt(request, plan, callerResponse, abortSignal, dependencies);
     countAttempt(outcome);
+    lastResponseEnd = outcome.responseEnd;
     if (outcome.answered) return finish('served', 'answered');
     if (signal.aborted) return finish('left', 'the caller has left');
     if (timeout.signal.aborted) return fail(STATUS.timeout, 'the time for the answer is up');
--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -1,6 +1,13 @@
 /** Sends one request to one upstream on a new connection. */
 import { Agent, request as newRequest, type IncomingMessage } from 'node:http';
-import { getErrorMessage, type Address, type Clock } from '@anvilpaddle/common';
+import {
+  getErrorMessage,
+  ResetWithDataError,
+  waitForBodyEnd,
+  type Address,
+  type BodyEnd,
+  type Clock,
+} from '@anvilpaddle/common';
 
 /**
  * Connections are not reused: bytes that an upstream sends late or after a response can't be taken
@@ -54,7 +61,7 @@
   startTurn();
   socket.on('data', startTurn);
   socket.prependListener('end', () => {
-    if (!isLaterTurn) message.destroy(new Error('connection reset with the last data'));
+    if (!isLaterTurn) message.destroy(new ResetWithDataError());
   });
 };
 
@@ -114,13 +121,16 @@
     outgoing.end(body);
   });
 
-/** Whole body of a response; undefined when it was truncated. */
-export const readResponseBody = async (message: IncomingMessage): Promise<Buffer | undefined> => {
+/** Body of a response as far as it arrived. */
+export interface ReceivedBody {
+  readonly content: Buffer;
+  readonly end: BodyEnd;
+}
+
+/** Reads a response's body to its end. */
+export const readResponseBody = async (message: IncomingMessage): Promise<ReceivedBody> => {
   const chunks: Buffer[] = [];
-  try {
-    for await (const chunk of message as AsyncIterable<Buffer>) chunks.push(chunk);
-  } catch {
-    return undefined;
-  }
-  return message.complete ? Buffer.concat(chunks) : undefined;
+  message.on('data', (chunk: Buffer) => chunks.push(chunk));
+  const end = await waitForBodyEnd(message);
+  return { content: Buffer.concat(chunks), end };
 };
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -11,5 +11,6 @@
 export * from './manualClock';
 export * from './metrics';
 export * from './random';
+export * from './responseEnd';
 export * from './result';
 export * from './units';
