A stream that stops inside an event is broken off, not complete

Cause: for a response without a length or chunks the end of the connection was taken for the end of the stream, and bytes of an unfinished event were relayed in front of a proper end. Items of jobs ended the same way and were listed without their last events.

Change: one function decides whether a stream is complete, for callers and for items: what its delimiter announces has arrived, no event is unfinished and, where only the connection delimits it, there was an event. A caller that resumes after its last event may still get an empty stream. Lines may end with LF, CRLF or CR, and blank lines and comments may follow the last event, so that a complete stream is not cut. A body that is no event stream is relayed as it is. A stream that was cut goes on at another upstream if it can be resumed, and else ends with a closed connection.

--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -29,6 +29,8 @@
   readonly key: string | undefined;
   /** Time for which the caller waits, in milliseconds; undefined when the request names none. */
   readonly budgetMs: number | undefined;
+  /** Id of the event after which the caller resumes a stream; undefined if it resumes none. */
+  readonly resumesAfterId: string | undefined;
 }
 
 /** Values for the headers that the gateway sets on a request to an upstream. */
--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -1,11 +1,11 @@
 /** Response to one caller, relayed from one or more upstreams. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { BODY_END, getBodyDelimiter } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
-import type { CallerProtocol } from './callerProtocol';
+import type { CallerProtocol, RequestHead } from './callerProtocol';
 import { newCallerStream } from './callerStream';
 import { sendRefusal, STATUS, type Refusal } from './refusal';
-import { ROUTE_KIND, type ResponseEnd, type Route } from './types';
+import { getResponseEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
+import { ROUTE_KIND, type Route } from './types';
 import { readResponseBody } from './upstreamCall';
 
 const UNKNOWN: AttemptOutcome = { run: 'unknown', answered: false };
@@ -13,6 +13,7 @@
 const RAN: AttemptOutcome = { run: 'ran', answered: false };
 const ANSWERED: AttemptOutcome = { run: 'ran', answered: true };
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
 /** Lowest HTTP status of a server error. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Lowest HTTP status that is not a success. */
@@ -40,12 +41,16 @@
   refuse(refusal: Refusal): void;
 }
 
+/** Whether the headers announce an event stream; a response without a media type may be one. */
+const isEventStream = ({ headers }: IncomingMessage): boolean =>
+  headers['content-type']?.startsWith(EVENT_STREAM_TYPE) ?? true;
+
 const hasContentLength = (headers: readonly string[]): boolean =>
   headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length');
 
 /** Creates the response to a request; `onFirstByte` is called when its head is sent. */
 export const newCallerResponse = (
-  requestId: string,
+  head: RequestHead,
   route: Route,
   response: ServerResponse,
   protocol: CallerProtocol,
@@ -55,7 +60,7 @@
     protocol.getCallerHeaders(message.rawHeaders);
   const stream =
     route.kind === ROUTE_KIND.stream
-      ? newCallerStream(response, getCallerHeaders, onFirstByte)
+      ? newCallerStream(response, head.resumesAfterId !== undefined, getCallerHeaders, onFirstByte)
       : undefined;
 
   const relayBuffered = async (
@@ -63,9 +68,8 @@
     isLast: boolean,
   ): Promise<AttemptReport> => {
     const { content, end: bodyEnd } = await readResponseBody(message);
-    const delimiter = getBodyDelimiter(message.headers);
-    const responseEnd = { delimiter, bodyEnd, unfinishedBytes: 0 };
-    if (bodyEnd !== BODY_END.complete) return { ...UNKNOWN, responseEnd };
+    const responseEnd = getResponseEnd(message, bodyEnd);
+    if (!isResponseComplete(responseEnd)) return { ...UNKNOWN, responseEnd };
     const status = message.statusCode ?? STATUS.badGateway;
     if (status >= FIRST_SERVER_ERROR_STATUS && !isLast) return { ...RAN, responseEnd };
     onFirstByte();
@@ -81,18 +85,18 @@
   return {
     relay: async (message, isLast, signal, onProgress) => {
       const status = message.statusCode ?? STATUS.badGateway;
-      const isForThisRequest = protocol.isResponseTo(message.headers, requestId);
+      const isForThisRequest = protocol.isResponseTo(message.headers, head.id);
       const isNotRun = protocol.isNotRun(status, message.headers);
       if (!isForThisRequest || isNotRun) {
         message.destroy();
         return isForThisRequest ? NOT_RUN : UNKNOWN;
       }
-      if (stream === undefined || status >= FIRST_NON_SUCCESS_STATUS) {
+      const isStream = status < FIRST_NON_SUCCESS_STATUS && isEventStream(message);
+      if (stream === undefined || !isStream) {
         return isStarted() ? UNKNOWN : relayBuffered(message, isLast);
       }
       const responseEnd = await stream.relay(message, signal, onProgress);
-      const isComplete = responseEnd.bodyEnd === BODY_END.complete;
-      return { ...(isComplete ? ANSWERED : RAN), responseEnd };
+      return { ...(isResponseComplete(responseEnd) ? ANSWERED : RAN), responseEnd };
     },
     lastEventId: () => stream?.lastEventId(),
     canRetry: () => {
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -1,9 +1,9 @@
 /** Event stream to one caller, relayed from one upstream or from several in turn. */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { BODY_END, getBodyDelimiter, waitForBodyEnd } from '@anvilpaddle/common';
+import { waitForBodyEnd } from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
-import type { ResponseEnd } from './types';
+import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 
 /** Stream to one caller. */
 export interface CallerStream {
@@ -20,9 +20,13 @@
   abort(): void;
 }
 
-/** Creates the stream; `getHeaders` derives its headers from the first upstream's response. */
+/**
+ * Creates the stream; `getHeaders` derives its headers from the first upstream's response.
+ * `isResumption` tells whether the caller resumes an earlier stream, of which nothing may be left.
+ */
 export const newCallerStream = (
   response: ServerResponse,
+  isResumption: boolean,
   getHeaders: (message: IncomingMessage) => string[],
   onFirstEvent: () => void,
 ): CallerStream => {
@@ -73,13 +77,13 @@
       );
     });
     const bodyEnd = await waitForBodyEnd(message);
-    const rest = splitter.rest();
-    if (bodyEnd === BODY_END.complete) {
-      write(message, rest);
+    const hasEvents = isResumption || lastEvents !== undefined;
+    const end = getStreamEnd(message, bodyEnd, splitter, hasEvents);
+    if (isResponseComplete(end)) {
+      write(message, splitter.rest());
       response.end();
     }
-    const delimiter = getBodyDelimiter(message.headers);
-    return { delimiter, bodyEnd, unfinishedBytes: rest.length };
+    return end;
   };
 
   return {
--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -6,24 +6,37 @@
   feed(chunk: Buffer): Buffer;
   /** Bytes after the last complete event. */
   rest(): Buffer;
+  /** Number of these bytes if they begin an event; 0 if they are only blank lines and comments. */
+  getUnfinishedBytes(): number;
 }
 
 const EMPTY: Buffer = Buffer.alloc(0);
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EVENT_ID = /^id:[ ]?(.*?)\r?$/gm;
-const EVENT_END = /\r?\n\r?\n/;
+const LINE_END = /\r\n|\n|\r(?!\n)/;
+const EVENT_END = new RegExp(`(?:${LINE_END.source}){2}`);
+/** Complete lines that are blank or comments. */
+const LINES_WITHOUT_FIELD = new RegExp(`^(?:(?::[^\\r\\n]*)?(?:${LINE_END.source}))*$`);
+
+const isLineEnd = (byte: number | undefined): boolean =>
+  byte === LINE_FEED || byte === CARRIAGE_RETURN;
 
 /** Whether a blank line, and thus an event, ends at this position. */
 const isEventEnd = (bytes: Buffer, end: number): boolean => {
-  if (bytes[end - 1] !== LINE_FEED) return false;
-  const previousLineEnd = bytes[end - 2] === CARRIAGE_RETURN ? end - 3 : end - 2;
-  return bytes[previousLineEnd] === LINE_FEED;
+  if (!isLineEnd(bytes[end - 1])) return false;
+  const isTwoBytes = bytes[end - 1] === LINE_FEED && bytes[end - 2] === CARRIAGE_RETURN;
+  return isLineEnd(bytes[end - (isTwoBytes ? 3 : 2)]);
 };
 
+/** Whether the bytes end between the two of a CRLF, in a stream whose lines end with LF. */
+const isInsideLineEnd = (bytes: Buffer): boolean =>
+  bytes[bytes.length - 1] === CARRIAGE_RETURN && bytes[bytes.length - 2] === LINE_FEED;
+
 /** Length of the bytes up to the end of the last complete event. */
 const getCompleteLength = (bytes: Buffer): number => {
-  for (let end = bytes.length; end >= 2; end = bytes.lastIndexOf(LINE_FEED, end - 2) + 1) {
+  const length = isInsideLineEnd(bytes) ? bytes.length - 1 : bytes.length;
+  for (let end = length; end >= 2; end -= 1) {
     if (isEventEnd(bytes, end)) return end;
   }
   return 0;
@@ -40,6 +53,8 @@
       return bytes.subarray(0, length);
     },
     rest: () => pending,
+    getUnfinishedBytes: () =>
+      LINES_WITHOUT_FIELD.test(pending.toString('latin1')) ? 0 : pending.length,
   };
 };
 
@@ -60,7 +75,7 @@
 export const getEventData = (event: Buffer): string =>
   event
     .toString()
-    .split(/\r?\n/)
+    .split(LINE_END)
     .filter((line) => line.startsWith('data:'))
     .map((line) => line.slice('data:'.length).replace(/^ /, ''))
     .join('\n');
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -3,7 +3,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { getErrorMessage, listen, type Address, type Logger } from '@anvilpaddle/common';
 import type { OnlineOutcome } from './onlineRequest';
-import type { ResponseEnd, Route } from './types';
+import type { ResponseEnd } from './responseEnd';
+import type { Route } from './types';
 
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,11 +1,5 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
-import {
-  BODY_END,
-  getBodyDelimiter,
-  SERVICE_CLASS,
-  type Clock,
-  type Logger,
-} from '@anvilpaddle/common';
+import { SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
 import type { Health, LoadTracker } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
@@ -18,7 +12,8 @@
 } from '../eventSplitter';
 import type { FleetView } from '../fleetView';
 import type { GatewayMetrics } from '../gatewayMetrics';
-import type { ResponseEnd, Upstream } from '../types';
+import { getStreamEnd, isResponseComplete, type ResponseEnd } from '../responseEnd';
+import type { Upstream } from '../types';
 import { callUpstream } from '../upstreamCall';
 import type { JobItem } from './types';
 
@@ -131,10 +126,9 @@
       abortSignal,
       clock,
     );
-    const delimiter = getBodyDelimiter(message.headers);
-    const responseEnd = { delimiter, bodyEnd, unfinishedBytes: splitter.rest().length };
+    const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
-    if (bodyEnd !== BODY_END.complete) {
+    if (!isResponseComplete(responseEnd)) {
       return { kind: 'broken', detail: 'the stream was cut', responseEnd };
     }
     return { kind: 'done' };
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -17,7 +17,8 @@
 import { runAttempt } from './onlineAttempt';
 import { pickService } from './routeTable';
 import type { GatewayMetrics } from './gatewayMetrics';
-import type { ResponseEnd, Route, Upstream } from './types';
+import type { ResponseEnd } from './responseEnd';
+import type { Route, Upstream } from './types';
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
 const MAX_REJECTIONS = 3;
@@ -98,7 +99,7 @@
   let lastChoice: PlacementChoice | undefined;
   let lastResponseEnd: ResponseEnd | undefined;
 
-  const callerResponse = newCallerResponse(head.id, route, response, protocol, () => {
+  const callerResponse = newCallerResponse(head, route, response, protocol, () => {
     firstByteMs = getElapsedMs();
   });
 
--- /dev/null
+++ b/anvilpaddle-app/gateway/responseEnd.ts
@@ -0,0 +1,49 @@
+/** How an upstream's response ended, and whether it is complete. */
+import type { IncomingMessage } from 'node:http';
+import {
+  BODY_DELIMITER,
+  BODY_END,
+  getBodyDelimiter,
+  type BodyDelimiter,
+  type BodyEnd,
+} from '@anvilpaddle/common';
+import type { EventSplitter } from './eventSplitter';
+
+/** How an upstream's response ended, for decisions and the log. */
+export interface ResponseEnd {
+  readonly delimiter: BodyDelimiter;
+  readonly bodyEnd: BodyEnd;
+  /** Bytes of an event that a stream did not finish; 0 for other responses. */
+  readonly unfinishedBytes: number;
+}
+
+/** Whether nothing of the response is missing. */
+export const isResponseComplete = ({ bodyEnd, unfinishedBytes }: ResponseEnd): boolean =>
+  bodyEnd === BODY_END.complete && unfinishedBytes === 0;
+
+/** End of a response that is not a stream. */
+export const getResponseEnd = ({ headers }: IncomingMessage, bodyEnd: BodyEnd): ResponseEnd => ({
+  delimiter: getBodyDelimiter(headers),
+  bodyEnd,
+  unfinishedBytes: 0,
+});
+
+/**
+ * End of an event stream; `hasEvents` tells whether the reader has any event, of this response or
+ * of one that it resumes. Where only the connection delimits the stream, an end before the first
+ * event comes too early.
+ */
+export const getStreamEnd = (
+  { headers }: IncomingMessage,
+  bodyEnd: BodyEnd,
+  splitter: EventSplitter,
+  hasEvents: boolean,
+): ResponseEnd => {
+  const delimiter = getBodyDelimiter(headers);
+  const isTooEarly = delimiter === BODY_DELIMITER.close && !hasEvents;
+  return {
+    delimiter,
+    bodyEnd: isTooEarly && bodyEnd === BODY_END.complete ? BODY_END.closed : bodyEnd,
+    unfinishedBytes: splitter.getUnfinishedBytes(),
+  };
+};
--- a/anvilpaddle-app/gateway/tests/eventSplitter.test.ts
+++ b/anvilpaddle-app/gateway/tests/eventSplitter.test.ts
@@ -7,7 +7,7 @@
   newEventSplitter,
 } from '../eventSplitter';
 
-const lineEnd = fc.constantFrom('\n', '\r\n');
+const lineEnd = fc.constantFrom('\n', '\r\n', '\r');
 const event = fc
   .tuple(fc.nat(999), fc.string({ unit: 'binary', maxLength: 20 }), lineEnd)
   .map(([id, data, end]) => `id: ${id}${end}data: ${data.replace(/[\r\n]/g, ' ')}${end}${end}`);
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -1,5 +1,5 @@
 /** Types of a gateway's configuration and settings, independent of the platform's formats. */
-import type { Address, BodyDelimiter, BodyEnd } from '@anvilpaddle/common';
+import type { Address } from '@anvilpaddle/common';
 import type { LimitTolerance } from '@anvilpaddle/decisions';
 
 /** How the requests of a route are answered, and whether they may be retried. */
@@ -103,14 +103,6 @@
   readonly isDraining: boolean;
 }
 
-/** How an upstream's response ended, for decisions and the log. */
-export interface ResponseEnd {
-  readonly delimiter: BodyDelimiter;
-  readonly bodyEnd: BodyEnd;
-  /** Bytes after the last complete event of a stream; 0 for other responses. */
-  readonly unfinishedBytes: number;
-}
-
 /** Limits that the platform guarantees or requires. */
 export interface GatewayBounds {
   /** Time after which a revoked API key must no longer be accepted. */
