A reset of a response with a transfer encoding other than chunks is noticed

Such a response ends with its connection like one without a length, but the gateway looked for a reset only where neither header was there, so that a reset read together with the last data counted as the end. The delimiter is now decided in one place, by the last transfer encoding.

--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -1,6 +1,8 @@
 /** Sends one request to one upstream on a new connection. */
 import { Agent, request as newRequest, type IncomingMessage } from 'node:http';
 import {
+  BODY_DELIMITER,
+  getBodyDelimiter,
   getErrorMessage,
   ResetWithDataError,
   waitForBodyEnd,
@@ -40,10 +42,6 @@
 export type UpstreamCallResult =
   { readonly kind: 'answered'; readonly message: IncomingMessage } | UpstreamFailure;
 
-/** Whether the headers delimit the body; otherwise it ends when the connection closes. */
-const isFramed = ({ headers }: IncomingMessage): boolean =>
-  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-
 /**
  * Detects a connection reset at the end of a response that is delimited by the close of its
  * connection. Node.js reports a reset that it reads together with data as a normal end, but in the
@@ -106,7 +104,9 @@
     let response: IncomingMessage | undefined;
     outgoing.on('response', (message) => {
       response = message;
-      if (!isFramed(message)) watchCloseDelimitedEnd(message);
+      if (getBodyDelimiter(message.headers) === BODY_DELIMITER.close) {
+        watchCloseDelimitedEnd(message);
+      }
       // `readInBulk` closes the connection itself, after it has read the data that has arrived.
       if (isBulk) signal.removeEventListener('abort', abort);
       resolve({ kind: 'answered', message });
