An object of a job that was truncated on its way is a failed read

Such an object, without a length or chunks, made the parser throw: the owner of the job stayed in the state of loading it, so that its items never ran there, and a caller's connection was closed without a response. It is now a failed read like any other, which is tried again or answered 503.

--- a/anvilpaddle-app/gateway/jobs/jobRecords.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRecords.ts
@@ -93,6 +93,10 @@
     body: Buffer.from(item.body, 'base64'),
   }));
 
+/** Result in the content of its object. */
+export const parseItemResult = (content: Buffer): ItemResult =>
+  JSON.parse(content.toString()) as ItemResult;
+
 /** Content of a result's record: the result itself, or the name of the object that holds it. */
 export type StoredResult = ItemResult | { readonly object: string };
 
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -21,6 +21,7 @@
   getResultName,
   getPositionRange,
   JOB_TABLE,
+  parseItemResult,
   parseItems,
   parseStoredResult,
   parseStoredJob,
@@ -105,6 +106,19 @@
   error: { kind: 'unavailable', detail: 'submission cancelled before the commit' },
 };
 
+/** Value in an object's content, which may have been truncated on its way. */
+const parseObject = <T>(
+  object: string,
+  content: Buffer,
+  parse: (content: Buffer) => T,
+): Result<T, PlatformError> => {
+  try {
+    return newOk(parse(content));
+  } catch {
+    return newFailure({ kind: 'invalid_answer', detail: `object ${object} can not be parsed` });
+  }
+};
+
 /** Job store on top of a record store and an object store. */
 export const newJobStore = (records: RecordStore, objects: ObjectStore): JobStore => {
   const read: JobStore['read'] = async (team, id) => {
@@ -226,7 +240,7 @@
     if (content.value === undefined) {
       return newFailure({ kind: 'invalid_answer', detail: `object ${parsed.object} is missing` });
     }
-    return newOk(JSON.parse(content.value.toString()) as ItemResult);
+    return parseObject(parsed.object, content.value, parseItemResult);
   };
 
   const readResultRecords = (team: string, id: string, from: number) =>
@@ -249,9 +263,11 @@
   };
 
   const readItems: JobStore['readItems'] = async (team, id) => {
-    const content = await objects.get(getItemsObjectName(team, id));
+    const object = getItemsObjectName(team, id);
+    const content = await objects.get(object);
     if (!content.ok) return content;
-    return newOk(content.value && parseItems(content.value));
+    if (content.value === undefined) return newOk(undefined);
+    return parseObject(object, content.value, parseItems);
   };
 
   /** Removes the objects of all results that are too large for their records. */
