A peer's response to a store call needs its length

A relayed call was taken for answered whatever part of the content had come, if the peer's response had no length; peers always send one. Such a response, like one that can't be read, now leaves the outcome unknown: the peer may have made the call.

--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -6,7 +6,9 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import {
+  BODY_DELIMITER,
   formatAddress,
+  getBodyDelimiter,
   getErrorMessage,
   getRandomElement,
   listen,
@@ -107,11 +109,17 @@
   return server;
 };
 
+/** The peer may have sent the call to the store. */
+const INVALID_RELAY_RESPONSE: PlatformError = {
+  kind: 'unknown',
+  detail: 'invalid response of a store relay',
+};
+
 const parseError = (body: Buffer): PlatformError => {
   try {
     return errorSchema.parse(JSON.parse(body.toString()));
   } catch {
-    return { kind: 'invalid_answer', detail: 'invalid response of a store relay' };
+    return INVALID_RELAY_RESPONSE;
   }
 };
 
@@ -134,6 +142,9 @@
     });
     const content = Buffer.from(await response.body.arrayBuffer());
     const status = getText(response.headers[STATUS_HEADER]);
+    // A peer always sends a length: without one, the end of the content does not show.
+    const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
+    if (!isDelimited) return newFailure(INVALID_RELAY_RESPONSE);
     if (response.statusCode !== 200 || status === undefined) return newFailure(parseError(content));
     return newOk({ status: Number(status), body: content });
   } catch (error) {
