A response that is broken off ends by a reset where it has no chunks

A caller that speaks HTTP/1.0 gets neither chunks nor, for a stream, a length. When gateway or entry broke such a response off, they closed its connection in the usual way, which is how a complete one ends. It is now reset.

--- a/anvilpaddle-app/entry/actions/files.ts
+++ b/anvilpaddle-app/entry/actions/files.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import type { File, Job } from '@anvilpaddle/decisions';
-import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+import { breakOffResponse, newFailure, newOk, type Result } from '@anvilpaddle/common';
 import { newApiError, type ApiError } from '@anvilpaddle/protocol';
 import { ACTION_ACCESS } from '../action';
 import type { Action, EntryDependencies, Exchange } from '../types';
@@ -99,7 +99,7 @@
     for (const key of otherKeys) {
       const body = await readObject(key);
       if (!body.ok) {
-        response.destroy();
+        breakOffResponse(response);
         return body;
       }
       await writeBody(response, body.value, signal);
--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { AffinityRouter, getEffectiveSettings, type Router } from '@anvilpaddle/decisions';
 import {
+  breakOffResponse,
   listen,
   newId,
   newMetrics,
@@ -188,7 +189,7 @@
   const server = newCallerServer(processSettings.callers, (request, response) => {
     handleRequest(request, response).catch((error: unknown) => {
       log.error({ err: error }, 'request failed outside of the filters');
-      response.destroy();
+      breakOffResponse(response);
     });
   });
   const callers = await listen(server, processSettings.callers.listen);
--- a/anvilpaddle-app/entry/filters/requestLog.ts
+++ b/anvilpaddle-app/entry/filters/requestLog.ts
@@ -1,5 +1,11 @@
 /** Filter that logs requests and sends error responses. */
-import { HISTOGRAM, SERVICE_CLASS, newFailure, sendJson } from '@anvilpaddle/common';
+import {
+  breakOffResponse,
+  HISTOGRAM,
+  SERVICE_CLASS,
+  newFailure,
+  sendJson,
+} from '@anvilpaddle/common';
 import { getErrorBody, getErrorHeaders, ERROR_STATUS, newApiError } from '@anvilpaddle/protocol';
 import type { EntryDependencies, Filter } from '../types';
 
@@ -19,7 +25,7 @@
     if (!result.ok) {
       // A request whose caller closed the connection does not count as refused.
       if (result.error.code !== 'caller_gone') metrics.count('refusals', team, result.error.code);
-      if (exchange.response.headersSent) exchange.response.destroy();
+      if (exchange.response.headersSent) breakOffResponse(exchange.response);
       else {
         sendJson(
           exchange.response,
--- a/anvilpaddle-app/entry/streamRelay.ts
+++ b/anvilpaddle-app/entry/streamRelay.ts
@@ -1,7 +1,7 @@
 /** Relay of server-sent events from upstreams to the caller. */
 import { once } from 'node:events';
 import { createParser } from 'eventsource-parser';
-import { BYTES_PER_MIB, HISTOGRAM, SERVICE_CLASS } from '@anvilpaddle/common';
+import { breakOffResponse, BYTES_PER_MIB, HISTOGRAM, SERVICE_CLASS } from '@anvilpaddle/common';
 import { getErrorBody, type ApiError } from '@anvilpaddle/protocol';
 import {
   getCallerResponseHeaders,
@@ -144,13 +144,13 @@
           return;
         }
         // A caller that has stopped reading must not keep the request open.
-        const timer = dependencies.clock.after(FLUSH_TIMEOUT_MS, () => response.destroy());
+        const timer = dependencies.clock.after(FLUSH_TIMEOUT_MS, () => breakOffResponse(response));
         response.once('close', () => {
           timer.cancel();
           resolve();
         });
         response.write(`data: ${JSON.stringify(getErrorBody(error))}\n\n`, () =>
-          response.destroy(),
+          breakOffResponse(response),
         );
       }),
   };
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -1,7 +1,7 @@
 /** Event stream to one caller, relayed from one upstream or from several in turn. */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { waitForBodyEnd } from '@anvilpaddle/common';
+import { breakOffResponse, waitForBodyEnd } from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 
@@ -93,8 +93,6 @@
     },
     isStarted: () => isStarted,
     lastEventId,
-    abort: () => {
-      response.destroy();
-    },
+    abort: () => breakOffResponse(response),
   };
 };
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** A gateway: sends callers' requests directly to upstreams and gossips its state to its peers. */
 import { createServer, type Server } from 'node:http';
 import {
+  breakOffResponse,
   getErrorMessage,
   listen,
   MS_PER_SECOND,
@@ -261,7 +262,7 @@
     if (!isReady() && (isStopping || canOthersServe())) response.setHeader('connection', 'close');
     handleRequest(message, response).catch((error: unknown) => {
       log.error({ reason: getErrorMessage(error), err: error }, 'request failed');
-      response.destroy();
+      breakOffResponse(response);
     });
   });
 
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -1,5 +1,5 @@
 /** How HTTP/1.1 responses mark the end of their bodies, and how a body that was read ended. */
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 
 /** What marks the end of a response's body. */
 export const BODY_DELIMITER = {
@@ -49,3 +49,12 @@
     message.on('error', (error) => resolve(isReset(error) ? BODY_END.reset : BODY_END.closed));
     message.once('close', () => resolve(BODY_END.closed));
   });
+
+/**
+ * Closes the connection of a response so that its receiver can tell that it is incomplete. A missing
+ * last chunk shows that; without chunks, only a reset is sure to.
+ */
+export const breakOffResponse = (response: ServerResponse): void => {
+  if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
+  response.destroy();
+};
