A stream that several upstreams send keeps no upstream's length

When the first upstream gave its stream a length and broke it off, its length was passed on with the resumed stream, whose rest may be longer or shorter: the caller got a complete stream as broken off, or waited for bytes. Streams are now sent in chunks.

The test failed before (the reply counted as broken off) and passes now.

--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -45,8 +45,14 @@
 const isEventStream = ({ headers }: IncomingMessage): boolean =>
   headers['content-type']?.startsWith(EVENT_STREAM_TYPE) ?? true;
 
+const isContentLength = (name: string): boolean => name.toLowerCase() === 'content-length';
+
+/** Headers without the length, which need not be that of a stream that several upstreams send. */
+const removeContentLength = (headers: readonly string[]): string[] =>
+  headers.filter((_, index) => !isContentLength(headers[index - (index % 2)] ?? ''));
+
 const hasContentLength = (headers: readonly string[]): boolean =>
-  headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length');
+  headers.some((text, index) => index % 2 === 0 && isContentLength(text));
 
 /** Creates the response to a request; `onFirstByte` is called when its head is sent. */
 export const newCallerResponse = (
@@ -58,9 +64,11 @@
 ): CallerResponse => {
   const getCallerHeaders = (message: IncomingMessage): string[] =>
     protocol.getCallerHeaders(message.rawHeaders);
+  const getStreamHeaders = (message: IncomingMessage): string[] =>
+    removeContentLength(getCallerHeaders(message));
   const stream =
     route.kind === ROUTE_KIND.stream
-      ? newCallerStream(response, head.resumesAfterId !== undefined, getCallerHeaders, onFirstByte)
+      ? newCallerStream(response, head.resumesAfterId !== undefined, getStreamHeaders, onFirstByte)
       : undefined;
 
   const relayBuffered = async (
