A sidecar notices the reset of a response without a length or chunks

Callers and items of a sidecar got a truncated response as complete when their upstream had sent neither a length nor chunks and its connection was reset.

Cause: the library of the sidecar's client takes a reset of such a response for its end. The gateway's way of calling an upstream, which tells the two apart, moves to packages/common as callHttp; gateway and sidecar both use it. The sidecar keeps its connections and their number.

--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -1,10 +1,10 @@
 /** One attempt to serve an online request on one upstream. */
-import { SERVICE_CLASS } from '@anvilpaddle/common';
+import { SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from './callerResponse';
 import type { OnlineRequest, OnlineDependencies } from './onlineRequest';
 import type { Upstream } from './types';
-import { callUpstream, type UpstreamCallResult } from './upstreamCall';
+import { callUpstream } from './upstreamCall';
 
 /**
  * Time without data from an upstream after which a failure is recorded in its health, and after
@@ -24,22 +24,19 @@
   readonly isLast: boolean;
 }
 
-const getFailedOutcome = (callResult: UpstreamCallResult): AttemptOutcome => ({
+const getFailedOutcome = (callResult: HttpCallResult): AttemptOutcome => ({
   run: callResult.kind === 'not_sent' ? 'not_run' : 'unknown',
   answered: false,
 });
 
 /** How an attempt counts in its upstream's health. */
-const getHealthResult = (
-  callResult: UpstreamCallResult,
-  outcome: AttemptOutcome,
-): AttemptResult => {
+const getHealthResult = (callResult: HttpCallResult, outcome: AttemptOutcome): AttemptResult => {
   if (outcome.answered) return ATTEMPT_RESULT.ok;
   const isRejected = callResult.kind === 'answered' && outcome.run === 'not_run';
   return isRejected ? ATTEMPT_RESULT.refused : ATTEMPT_RESULT.failed;
 };
 
-const getDetail = (callResult: UpstreamCallResult): string =>
+const getDetail = (callResult: HttpCallResult): string =>
   callResult.kind === 'answered' ? `status ${callResult.message.statusCode}` : callResult.detail;
 
 /** Sends the request to the upstream and relays its response; `signal` aborts the attempt. */
@@ -69,7 +66,7 @@
   };
 
   const recordAttempt = (
-    callResult: UpstreamCallResult,
+    callResult: HttpCallResult,
     outcome: AttemptReport,
     firstByteMs: number,
   ): void => {
--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -1,12 +1,15 @@
 /** HTTP client of a sidecar for its upstream. */
+import { Agent, type IncomingHttpHeaders } from 'node:http';
+import { Agent as SecureAgent } from 'node:https';
 import type { Readable } from 'node:stream';
-import { Agent, request, type Dispatcher } from 'undici';
 import {
-  getErrorMessage,
+  callHttp,
   newFailure,
   newOk,
+  SystemClock,
+  type Address,
+  type HttpCall,
   type Result,
-  isConnectError,
 } from '@anvilpaddle/common';
 
 /** Request to the upstream. */
@@ -22,7 +25,8 @@
 /** Response of the upstream; the caller of `send` has to read or destroy its body. */
 export interface UpstreamResponse {
   readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly headers: IncomingHttpHeaders;
+  /** Fails unless the response arrives whole. */
   readonly body: Readable;
 }
 
@@ -46,55 +50,107 @@
 
 const CONNECT_TIMEOUT_MS = 2000;
 const MODELS_TIMEOUT_MS = 2000;
+/** Time after which an idle connection is closed, before the upstream is likely to close it. */
+const IDLE_TIMEOUT_MS = 4000;
+const DEFAULT_PORTS: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
+/** Methods whose requests have a body, which may be empty. */
+const METHODS_WITH_BODY = new Set(['POST', 'PUT', 'PATCH']);
+const clock = new SystemClock();
+
+/** Where an upstream's URLs begin. */
+interface BaseUrl {
+  readonly isSecure: boolean;
+  readonly host: string;
+  readonly address: Address;
+}
+
+const parseBaseUrl = (url: URL): BaseUrl => ({
+  isSecure: url.protocol === 'https:',
+  host: url.host,
+  address: {
+    host: url.hostname,
+    port: url.port === '' ? (DEFAULT_PORTS[url.protocol] ?? 0) : Number(url.port),
+  },
+});
+
+const newAgent = (isSecure: boolean, maxSockets: number): Agent => {
+  const options = { keepAlive: true, maxSockets, timeout: IDLE_TIMEOUT_MS };
+  return isSecure ? new SecureAgent(options) : new Agent(options);
+};
+
+const readJson = async (body: Readable): Promise<unknown> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body as AsyncIterable<Buffer>) chunks.push(chunk);
+  return JSON.parse(Buffer.concat(chunks).toString());
+};
 
 /** Creates a client for the upstream at a base URL, with at most `connections` connections. */
 export const newUpstreamClient = (baseUrl: string, connections: number): UpstreamClient => {
-  const connect = { timeout: CONNECT_TIMEOUT_MS };
-  // Without pipelining, a lost connection affects one attempt only, and no request that was sent is
-  // sent again.
-  const requestAgent = new Agent({
-    connections,
-    pipelining: 1,
-    connect,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  const { isSecure, host, address } = parseBaseUrl(new URL(baseUrl));
+  // A connection carries one request at a time, and no request that was sent is sent again.
+  const requestAgent = newAgent(isSecure, connections);
   // Model lists have their own connection, so that they don't wait behind long responses.
-  const modelsAgent = new Agent({ connections: 1, pipelining: 1, connect });
+  const modelsAgent = newAgent(isSecure, 1);
+  const closing = new AbortController();
+
+  const getCall = (agent: Agent, path: string): Omit<HttpCall, 'method' | 'headers' | 'body'> => {
+    const url = new URL(`${baseUrl}${path}`);
+    return {
+      agent,
+      isSecure,
+      address,
+      path: `${url.pathname}${url.search}`,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    };
+  };
+
   return {
     send: async ({ id, method, path, headers, body, signal }) => {
-      try {
-        const response = await request(`${baseUrl}${path}`, {
-          method: method as Dispatcher.HttpMethod,
-          headers: { ...headers, 'x-request-id': id },
-          body: body.length === 0 ? null : body,
-          dispatcher: requestAgent,
-          signal,
-        });
-        return newOk({
-          status: response.statusCode,
-          headers: response.headers,
-          body: response.body,
-        });
-      } catch (error) {
-        const kind = isConnectError(error) ? 'not_sent' : 'no_answer';
-        return newFailure({ kind, detail: getErrorMessage(error) });
+      const hasLength = body.length > 0 || METHODS_WITH_BODY.has(method);
+      const callHeaders = {
+        ...headers,
+        host,
+        'x-request-id': id,
+        ...(hasLength ? { 'content-length': String(body.length) } : {}),
+      };
+      const result = await callHttp(
+        {
+          ...getCall(requestAgent, path),
+          method,
+          headers: Object.entries(callHeaders).flat(),
+          body,
+        },
+        AbortSignal.any([signal, closing.signal]),
+        clock,
+      );
+      if (result.kind === 'answered') {
+        const { statusCode = 0, headers: responseHeaders } = result.message;
+        return newOk({ status: statusCode, headers: responseHeaders, body: result.message });
       }
+      const kind = result.kind === 'not_sent' ? 'not_sent' : 'no_answer';
+      return newFailure({ kind, detail: result.detail });
     },
     listModels: async () => {
+      const call = {
+        ...getCall(modelsAgent, '/v1/models'),
+        method: 'GET',
+        headers: ['host', host],
+        body: Buffer.alloc(0),
+      };
+      const signal = AbortSignal.any([AbortSignal.timeout(MODELS_TIMEOUT_MS), closing.signal]);
+      const result = await callHttp(call, signal, clock);
+      if (result.kind !== 'answered') return undefined;
       try {
-        const response = await request(`${baseUrl}/v1/models`, {
-          dispatcher: modelsAgent,
-          signal: AbortSignal.timeout(MODELS_TIMEOUT_MS),
-        });
-        const { data } = (await response.body.json()) as { data: { id: string }[] };
+        const { data } = (await readJson(result.message)) as { data: { id: string }[] };
         return data.map(({ id }) => id);
       } catch {
         return undefined;
       }
     },
     close: async () => {
-      await Promise.all([requestAgent.destroy(), modelsAgent.destroy()]);
+      closing.abort();
+      requestAgent.destroy();
+      modelsAgent.destroy();
     },
   };
 };
--- /dev/null
+++ b/packages/common/httpCall.ts
@@ -0,0 +1,128 @@
+/**
+ * Sends single HTTP requests. The body of a response is a stream that fails unless the response
+ * arrived whole, also where only the end of its connection delimits it.
+ */
+import { request as newHttpRequest, type Agent, type IncomingMessage } from 'node:http';
+import { request as newHttpsRequest } from 'node:https';
+import type { Socket } from 'node:net';
+import type { Clock, Timer } from './clock';
+import type { Address } from './http';
+import { BODY_DELIMITER, getBodyDelimiter, ResetWithDataError } from './responseEnd';
+import { getErrorMessage } from './logging';
+
+/** A request and the connections that it may use. */
+export interface HttpCall {
+  readonly agent: Agent;
+  readonly isSecure?: boolean;
+  readonly address: Address;
+  readonly method: string;
+  readonly path: string;
+  /** Alternating names and values; the host is not added. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Timeout for establishing a connection. */
+  readonly connectTimeoutMs: number;
+  /**
+   * Whether the connection reads nothing ahead of its reader, which closes it after an abort once it
+   * has read what had arrived.
+   */
+  readonly isBulk?: boolean;
+}
+
+/** Reason why there is no response. */
+export type HttpCallFailure =
+  /** No connection was established, so nothing was sent. */
+  | { readonly kind: 'not_sent'; readonly detail: string }
+  /** The request was sent and may have run. */
+  | { readonly kind: 'lost'; readonly detail: string };
+
+/** Result of a call up to the head of the response. */
+export type HttpCallResult =
+  { readonly kind: 'answered'; readonly message: IncomingMessage } | HttpCallFailure;
+
+/**
+ * Detects a connection reset at the end of a response that is delimited by the close of its
+ * connection. Node.js reports a reset that it reads together with data as a normal end, but in the
+ * same turn of the event loop as that data; a normal end comes in a later turn.
+ */
+const watchCloseDelimitedEnd = (message: IncomingMessage): void => {
+  const { socket } = message;
+  let isLaterTurn = false;
+  const startTurn = (): void => {
+    isLaterTurn = false;
+    setImmediate(() => {
+      isLaterTurn = true;
+    });
+  };
+  startTurn();
+  socket.on('data', startTurn);
+  socket.prependListener('end', () => {
+    if (!isLaterTurn) message.destroy(new ResetWithDataError());
+  });
+};
+
+/** Sends a request and waits for the head of its response; aborting closes the connection. */
+export const callHttp = (
+  call: HttpCall,
+  signal: AbortSignal,
+  clock: Clock,
+): Promise<HttpCallResult> =>
+  new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve({ kind: 'not_sent', detail: 'aborted' });
+      return;
+    }
+    const { agent, address, method, path, headers, body, isBulk = false } = call;
+    let isConnected = false;
+    let response: IncomingMessage | undefined;
+    const newRequest = call.isSecure === true ? newHttpsRequest : newHttpRequest;
+    const outgoing = newRequest({
+      agent,
+      host: address.host,
+      port: address.port,
+      method,
+      path,
+      headers: headers as unknown as string[],
+      setHost: false,
+      // Passed through to the socket, which then reads no data ahead.
+      ...(isBulk ? { highWaterMark: 1 } : {}),
+    });
+    let connectTimer: Timer | undefined;
+    const abort = (): void => {
+      outgoing.destroy(new Error('aborted'));
+    };
+    const setConnected = (): void => {
+      isConnected = true;
+      connectTimer?.cancel();
+    };
+    const waitForConnection = (socket: Socket): void => {
+      connectTimer = clock.after(call.connectTimeoutMs, () =>
+        outgoing.destroy(new Error('connect timeout')),
+      );
+      socket.once('connect', setConnected);
+    };
+    signal.addEventListener('abort', abort, { once: true });
+    outgoing.on('close', () => signal.removeEventListener('abort', abort));
+    outgoing.on('socket', (socket) => {
+      socket.setNoDelay(true);
+      if (socket.connecting) waitForConnection(socket);
+      else setConnected();
+    });
+    outgoing.on('response', (message) => {
+      response = message;
+      if (getBodyDelimiter(message.headers) === BODY_DELIMITER.close) {
+        watchCloseDelimitedEnd(message);
+      }
+      // A reader in bulk closes the connection itself, after it has read what has arrived.
+      if (isBulk) signal.removeEventListener('abort', abort);
+      resolve({ kind: 'answered', message });
+    });
+    outgoing.on('error', (error) => {
+      connectTimer?.cancel();
+      // The parser takes a reset for the end of a response without a length. An error after the end
+      // of a response is harmless.
+      if (response?.complete === false) response.destroy(error);
+      resolve({ kind: isConnected ? 'lost' : 'not_sent', detail: getErrorMessage(error) });
+    });
+    outgoing.end(body);
+  });
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -4,6 +4,7 @@
 export * from './constants';
 export * from './hashing';
 export * from './http';
+export * from './httpCall';
 export * from './ids';
 export * from './logging';
 export * from './logStream';
