A response without a length or chunks passes the sidecar, a broken-off stream does not

Callers of a plain service that ends its responses by closing the connection got 502 for each of them, although the service had run the request and answered it in full: the sidecar refused all such responses. They are now relayed; the sidecar notices a reset.

So that a stream that was broken off does not end as complete, the sidecar follows the events of every stream and withholds the end of one that stops inside an event, or that only its connection delimits and that has none. Streams are sent on in chunks, whose end can be withheld.

--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -1,4 +1,5 @@
 /** Splits the bytes of a server-sent event stream into complete events, without changing them. */
+import { newEventTracker } from '@anvilpaddle/common';
 
 /** Incremental splitter of one stream. */
 export interface EventSplitter {
@@ -16,8 +17,6 @@
 const EVENT_ID = /^id:[ ]?(.*?)\r?$/gm;
 const LINE_END = /\r\n|\n|\r(?!\n)/;
 const EVENT_END = new RegExp(`(?:${LINE_END.source}){2}`);
-/** Complete lines that are blank or comments. */
-const LINES_WITHOUT_FIELD = new RegExp(`^(?:(?::[^\\r\\n]*)?(?:${LINE_END.source}))*$`);
 
 const isLineEnd = (byte: number | undefined): boolean =>
   byte === LINE_FEED || byte === CARRIAGE_RETURN;
@@ -42,6 +41,13 @@
   return 0;
 };
 
+/** Whether the bytes have more than blank lines and comments. */
+const hasField = (bytes: Buffer): boolean => {
+  const tracker = newEventTracker();
+  tracker.feed(bytes);
+  return tracker.isInsideEvent() || tracker.hasEvents();
+};
+
 /** Creates a splitter for a new stream. */
 export const newEventSplitter = (): EventSplitter => {
   let pending = EMPTY;
@@ -53,8 +59,7 @@
       return bytes.subarray(0, length);
     },
     rest: () => pending,
-    getUnfinishedBytes: () =>
-      LINES_WITHOUT_FIELD.test(pending.toString('latin1')) ? 0 : pending.length,
+    getUnfinishedBytes: () => (hasField(pending) ? pending.length : 0),
   };
 };
 
--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -13,6 +13,7 @@
   type RevocationResult,
 } from '@anvilpaddle/protocol';
 import { newRefusalCounter } from '../peers/refusalCounter';
+import { isEventStream, newStreamCheck } from './streamCheck';
 import { newTokenCounter } from './tokenCounter';
 import type { UpstreamResponse, UpstreamClient } from './upstreamClient';
 import type { UpstreamDispatcher } from './upstreamDispatcher';
@@ -66,12 +67,6 @@
 const hasBody = (method: string, status: number): boolean =>
   method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
 
-/** Without a length or chunked encoding, a truncated response can't be told from a complete one. */
-const isFramed = ({ method }: Attempt, { status, headers }: UpstreamResponse): boolean =>
-  !hasBody(method, status) ||
-  headers['content-length'] !== undefined ||
-  headers['transfer-encoding'] !== undefined;
-
 const getResponseHeaders = (
   { method }: Attempt,
   { status, headers }: UpstreamResponse,
@@ -82,8 +77,9 @@
         header[1] !== undefined &&
         !HOP_BY_HOP_HEADERS.has(header[0]) &&
         !header[0].startsWith(INTERNAL_HEADER_PREFIX) &&
-        // A HEAD response states the length of a body that is not sent on this connection.
-        (header[0] !== 'content-length' || hasBody(method, status)),
+        // A HEAD response states the length of a body that is not sent on this connection. A stream
+        // is sent in chunks, whose end can still be withheld when the stream was broken off.
+        (header[0] !== 'content-length' || (hasBody(method, status) && !isEventStream(headers))),
     ),
   );
 
@@ -115,7 +111,8 @@
       [HEADER.queueWait]: String(Math.round(queueWaitMs)),
     });
     // A truncated response destroys the connection, so that the entry process detects it as well.
-    await pipeline(upstreamResponse.body, counter.stream, accepted.response).catch(() =>
+    const check = newStreamCheck(upstreamResponse);
+    await pipeline(upstreamResponse.body, check, counter.stream, accepted.response).catch(() =>
       accepted.response.destroy(),
     );
     return counter.tokens();
@@ -141,11 +138,7 @@
       sendRefusal(response, { reason: 'upstream_failed', run, detail }, attempt);
       return 0;
     }
-    if (isFramed(attempt, result.value)) return relay(accepted, result.value, queueWaitMs);
-    result.value.body.on('error', () => undefined).destroy();
-    const detail = 'the answer has neither a length nor chunks';
-    sendRefusal(response, { reason: 'upstream_failed', run: 'unknown', detail }, attempt);
-    return 0;
+    return relay(accepted, result.value, queueWaitMs);
   };
 
   const start = (accepted: AcceptedAttempt): void => {
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -2,6 +2,7 @@
 export * from './clock';
 export * from './connectError';
 export * from './constants';
+export * from './eventTracker';
 export * from './hashing';
 export * from './http';
 export * from './httpCall';
--- a/packages/standins/faults.ts
+++ b/packages/standins/faults.ts
@@ -22,6 +22,7 @@
    * - `cut_answer`: send a content length, then close the connection before that length is reached
    * - `cut_chunked`: the same with chunked encoding; a stream is cut in the middle of an event
    * - `cut_unframed`: the same with neither content length nor chunked encoding
+   * - `reset_unframed`: the same, with a reset of the connection
    * - `end_early`: end a stream without its end marker
    * - `other_id`: an engine's response carries the id of another attempt
    */
@@ -36,6 +37,7 @@
     | 'cut_answer'
     | 'cut_chunked'
     | 'cut_unframed'
+    | 'reset_unframed'
     | 'end_early'
     | 'other_id';
   /** Number of calls that it is injected into; unlimited by default. */
@@ -136,6 +138,11 @@
       sendHead(response, { connection: 'close' });
       response.end(half);
       break;
+    case 'reset_unframed':
+      response.useChunkedEncodingByDefault = false;
+      sendHead(response, { connection: 'close' });
+      response.write(half, () => response.socket?.resetAndDestroy());
+      break;
     default:
       sendJson(response, 200, value);
   }
