An entry takes no sidecar's response without a length or chunks

Sidecars always give a body one of the two, so that a response with neither is none of theirs; its end, at any byte, by FIN or by reset, counted as complete. It now counts as lost, and the entry asks the sidecar what became of the attempt.

--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -2,7 +2,13 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import { Agent, request, type Dispatcher } from 'undici';
-import { getErrorMessage, isConnectError } from '@anvilpaddle/common';
+import {
+  BODY_DELIMITER,
+  getBodyDelimiter,
+  getErrorMessage,
+  isConnectError,
+  STATUSES_WITHOUT_BODY,
+} from '@anvilpaddle/common';
 import {
   getAttemptHeader,
   HEADER,
@@ -49,6 +55,10 @@
   }
 };
 
+/** Whether the end of the response shows; sidecars always give bodies a length or chunks. */
+const isDelimited = ({ statusCode, headers }: Dispatcher.ResponseData): boolean =>
+  STATUSES_WITHOUT_BODY.has(statusCode) || getBodyDelimiter(headers) !== BODY_DELIMITER.close;
+
 /** Reads the head of a sidecar's response; a response that names another attempt counts as lost. */
 const readReply = async (
   response: Dispatcher.ResponseData,
@@ -61,6 +71,10 @@
       ? { kind: 'unreachable', detail: 'the sidecar does not accept the fleet secret' }
       : { kind: 'lost', detail: 'the response belongs to another attempt' };
   }
+  if (!isDelimited(response)) {
+    response.body.on('error', () => undefined).destroy();
+    return { kind: 'lost', detail: 'the response has neither a length nor chunks' };
+  }
   if (response.headers[HEADER.refusal] !== undefined) {
     return { kind: 'refusal', refusal: refusalSchema.parse(await response.body.json()) };
   }
--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -1,7 +1,14 @@
 /** Sidecar server that queues, runs, relays and revokes the attempts of entry processes. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import { BYTES_PER_MIB, readBody, sendJson, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  BYTES_PER_MIB,
+  readBody,
+  sendJson,
+  STATUSES_WITHOUT_BODY,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
 import type { RegistrationResult, AttemptLedger } from '@anvilpaddle/decisions';
 import {
   HEADER,
@@ -22,7 +29,6 @@
 const REFUSED_STATUS = 503;
 const FULL_LEDGER_RETRY_AFTER_MS = 1000;
 const HOP_BY_HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade']);
-const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
 /** What the attempt server needs from its sidecar. */
 export interface AttemptServerDependencies {
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -10,6 +10,9 @@
 } as const;
 export type BodyDelimiter = (typeof BODY_DELIMITER)[keyof typeof BODY_DELIMITER];
 
+/** Statuses whose responses have no body, and so no delimiter. */
+export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** How a response's body ended. */
 export const BODY_END = {
   /** All that the delimiter announces has arrived. */
