An object of lines needs its length

An object of input lines or results, read without a length or chunks, counted as whole wherever its connection ended: items whose lines were missing ended as input_lost, and callers were sent a part of a file as all of it. Lines don't show their end, so such a response is now a lost one, which is tried again.

--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -1,6 +1,8 @@
 /** HTTP client for calls to one platform service. */
 import { Agent, request } from 'undici';
 import {
+  BODY_DELIMITER,
+  getBodyDelimiter,
   getErrorMessage,
   isConnectError,
   newFailure,
@@ -24,6 +26,11 @@
   readonly contentType?: string;
   /** Time limit for the complete response, in milliseconds; the client's timeout by default. */
   readonly timeoutMs?: number;
+  /**
+   * Whether a successful response must have a length or chunks, as its content does not show its
+   * end; false by default.
+   */
+  readonly needsDelimiter?: boolean;
 }
 
 /** HTTP client of one platform service; it keeps connections alive between calls. */
@@ -69,6 +76,11 @@
           signal: AbortSignal.timeout(options.timeoutMs ?? timeoutMs),
         });
         const content = Buffer.from(await response.body.arrayBuffer());
+        const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
+        if (options.needsDelimiter === true && response.statusCode === 200 && !isDelimited) {
+          const detail = `${method} ${path}: the response has neither a length nor chunks`;
+          return newFailure({ kind: 'unknown', detail });
+        }
         if (response.statusCode === 429) {
           const seconds = Number(response.headers['retry-after'] ?? 1);
           return newFailure({ kind: 'limited', retryAfterMs: seconds * MS_PER_SECOND });
--- a/packages/platform/httpObjectStore.ts
+++ b/packages/platform/httpObjectStore.ts
@@ -25,7 +25,8 @@
   }
 
   async get(key: string): Promise<Result<Buffer | undefined, PlatformError>> {
-    const response = await this.client.call('GET', getPath(key));
+    const options = { needsDelimiter: true };
+    const response = await this.client.call('GET', getPath(key), undefined, options);
     if (!response.ok) return response;
     if (response.value.status === 404) return newOk(undefined);
     return response.value.status === 200
