The command line says that a change may have taken effect when its response is lost

An operator whose change was sent, and whose response was lost or cut, got the exit code for no effect, retry later. It is now the code for an unknown outcome, as the manual says; only a connection that never stood means no effect.

--- a/anvilpaddle-app/cli/operatorClient.ts
+++ b/anvilpaddle-app/cli/operatorClient.ts
@@ -1,6 +1,12 @@
 /** HTTP client of the operators' API. */
 import { request } from 'undici';
-import { getErrorMessage, newFailure, newOk, type Result } from '@anvilpaddle/common';
+import {
+  getErrorMessage,
+  isConnectError,
+  newFailure,
+  newOk,
+  type Result,
+} from '@anvilpaddle/common';
 
 /** Error of a call to the operators' API. */
 export interface OperatorError {
@@ -9,7 +15,7 @@
   readonly message: string;
   /** One message per problem, if there are several. */
   readonly details?: readonly string[] | undefined;
-  /** Whether a refused change took effect; `unknown` if that could not be determined. */
+  /** Whether a failed change took effect; `unknown` if that could not be determined. */
   readonly run?: string | undefined;
 }
 
@@ -40,10 +46,13 @@
       const { code, message, details, run } = json.error;
       return newFailure({ kind: 'refused', code, message, details, run });
     } catch (error) {
+      // A change that was sent may have taken effect, even if its response was lost or truncated.
+      const hasNoEffect = method === 'GET' || isConnectError(error);
       return newFailure({
         kind: 'unreachable',
         code: 'unreachable',
         message: `${baseUrl}: ${getErrorMessage(error)}`,
+        ...(hasNoEffect ? {} : { run: 'unknown' }),
       });
     }
   };
