Reading of streams, closing of servers and changes of named entries stand once

Names that needed the code below them (the first skipped number of a replay window, the VM that a relay reads from, what a part store has stored) say what they hold.

--- a/anvilpaddle-app/batch/responseBody.ts
+++ b/anvilpaddle-app/batch/responseBody.ts
@@ -1,4 +1,5 @@
 /** Reads complete responses of the upstream to batch items. */
+import { readStream } from '@anvilpaddle/common';
 import type { UpstreamResponse } from '../sidecar/upstreamClient';
 
 /** A complete response of the upstream. */
@@ -23,20 +24,6 @@
   return typeof usage?.completion_tokens === 'number' ? usage.completion_tokens : 0;
 };
 
-const readBytes = async (
-  response: UpstreamResponse,
-  maxBytes: number,
-): Promise<Buffer | undefined> => {
-  const chunks: Buffer[] = [];
-  let totalBytes = 0;
-  for await (const chunk of response.body as AsyncIterable<Buffer>) {
-    totalBytes += chunk.length;
-    if (totalBytes > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-};
-
 /**
  * Reads a response of limited size; undefined when it is truncated, too large, or a success that is
  * not JSON where JSON is expected.
@@ -46,7 +33,7 @@
   maxBytes: number,
   isJsonExpected: boolean,
 ): Promise<ResponseBody | undefined> => {
-  const content = await readBytes(response, maxBytes).catch(() => undefined);
+  const content = await readStream(response.body, maxBytes).catch(() => undefined);
   if (content === undefined) return undefined;
   const { isJson, value } = parseBody(content.toString());
   if (isJsonExpected && !isJson && response.status < 400) return undefined;
--- a/anvilpaddle-app/cli/commands/route.ts
+++ b/anvilpaddle-app/cli/commands/route.ts
@@ -4,6 +4,7 @@
 import { ROUTE_ACCESS, ROUTE_KIND, type ConfigEntry, type Route } from '@anvilpaddle/protocol';
 import {
   changeConfigEntry,
+  changeNamedEntry,
   getConfigEntriesOutput,
   readConfigEntries,
   readConfigEntry,
@@ -102,14 +103,8 @@
     'based-on': { type: 'number', describe: 'Revision of the route that the change builds on' },
   },
   examples: [['change checkin --access keyed', 'ask for a key from now on']],
-  run: async (args, client) => {
-    const id = getText(args, 'route');
-    const entry = await readConfigEntry(client, 'route', id);
-    if (!entry.ok) return entry;
-    const value = parseRoute(args, entry.value.value as Route);
-    const basedOn = Number(args['based-on'] ?? entry.value.revision);
-    return changeConfigEntry(client, { kind: 'route', id, value, basedOn }, `changed route ${id}`);
-  },
+  run: (args, client) =>
+    changeNamedEntry(client, args, 'route', (current) => parseRoute(args, current as Route)),
 };
 
 const removeRoute: OperatorCommand = {
--- a/anvilpaddle-app/cli/commands/team.ts
+++ b/anvilpaddle-app/cli/commands/team.ts
@@ -3,6 +3,7 @@
 import type { ApiKey, Team } from '@anvilpaddle/protocol';
 import {
   changeConfigEntry,
+  changeNamedEntry,
   findConfigEntry,
   getChangeOutput,
   getConfigEntriesOutput,
@@ -87,14 +88,8 @@
     'based-on': { type: 'number', describe: 'Revision of the team that the change builds on' },
   },
   examples: [['change coaches --routes chat,checkin', 'allow two routes']],
-  run: async (args, client) => {
-    const id = getText(args, 'team');
-    const entry = await readConfigEntry(client, 'team', id);
-    if (!entry.ok) return entry;
-    const value = parseTeam(args, entry.value.value as Team);
-    const basedOn = Number(args['based-on'] ?? entry.value.revision);
-    return changeConfigEntry(client, { kind: 'team', id, value, basedOn }, `changed team ${id}`);
-  },
+  run: (args, client) =>
+    changeNamedEntry(client, args, 'team', (current) => parseTeam(args, current as Team)),
 };
 
 const removeTeam: OperatorCommand = {
--- a/anvilpaddle-app/cli/configEntries.ts
+++ b/anvilpaddle-app/cli/configEntries.ts
@@ -3,7 +3,13 @@
 import type { ConfigEntry, ConfigEntryChange, ConfigEntryKind } from '@anvilpaddle/protocol';
 import { EXIT_CODE } from './exitCode';
 import type { OperatorClient } from './operatorClient';
-import { newCommandFailure, type CommandError, type Output } from './operatorCommand';
+import {
+  getText,
+  newCommandFailure,
+  type Arguments,
+  type CommandError,
+  type Output,
+} from './operatorCommand';
 import { formatTable } from './table';
 
 const MAX_ATTEMPTS = 3;
@@ -85,6 +91,21 @@
   return sent.ok ? newOk(getChangeOutput(sent.value, description)) : sent;
 };
 
+/** Changes the entry that a command's argument of the same name as its kind names. */
+export const changeNamedEntry = async <Kind extends 'team' | 'route'>(
+  client: OperatorClient,
+  args: Arguments,
+  kind: Kind,
+  getValue: (current: ConfigEntry['value']) => ConfigEntry['value'],
+): Promise<Result<Output, CommandError>> => {
+  const id = getText(args, kind);
+  const entry = await readConfigEntry(client, kind, id);
+  if (!entry.ok) return entry;
+  const value = getValue(entry.value.value);
+  const basedOn = Number(args['based-on'] ?? entry.value.revision);
+  return changeConfigEntry(client, { kind, id, value, basedOn }, `changed ${kind} ${id}`);
+};
+
 /** Output of configuration entries, as JSON and as a table. */
 export const getConfigEntriesOutput = (
   entries: readonly ConfigEntry[],
--- a/anvilpaddle-app/entry/actions/partStore.ts
+++ b/anvilpaddle-app/entry/actions/partStore.ts
@@ -82,14 +82,14 @@
       for await (const chunk of chunks) {
         bytes += chunk.length;
         if (bytes > limitBytes) return newFailure(newTooLarge(limitBytes));
-        const added = await addLines(lineSplitter.push(chunk));
-        if (!added.ok) return added;
+        const stored = await addLines(lineSplitter.push(chunk));
+        if (!stored.ok) return stored;
       }
     } catch {
       return newFailure(newApiError('invalid_request', 'file: the upload was cut'));
     }
-    const added = await addLines(lineSplitter.end());
-    return added.ok ? storePart() : added;
+    const stored = await addLines(lineSplitter.end());
+    return stored.ok ? storePart() : stored;
   };
 
   const readResult = await readContent();
--- a/anvilpaddle-app/entry/upstreamResponse.ts
+++ b/anvilpaddle-app/entry/upstreamResponse.ts
@@ -1,6 +1,12 @@
 /** Reading of upstreams' responses and sending them to the caller. */
-import type { Readable } from 'node:stream';
-import { HISTOGRAM, newFailure, newOk, SERVICE_CLASS, type Result } from '@anvilpaddle/common';
+import {
+  HISTOGRAM,
+  newFailure,
+  newOk,
+  readStream,
+  SERVICE_CLASS,
+  type Result,
+} from '@anvilpaddle/common';
 import {
   HEADER,
   INTERNAL_HEADER_PREFIX,
@@ -74,17 +80,6 @@
   metrics.record(HISTOGRAM.queueWait, exchange.team, SERVICE_CLASS.online, waitedMs);
 };
 
-const readBody = async (body: Readable, limitBytes: number): Promise<Buffer | undefined> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limitBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-};
-
 const parseJson = (body: Buffer): unknown => {
   try {
     return JSON.parse(String(body));
@@ -117,7 +112,7 @@
 ): Promise<Result<CompleteResponse, ApiError>> => {
   let body: Buffer | undefined;
   try {
-    body = await readBody(response.body, exchange.settings['request.max_answer']);
+    body = await readStream(response.body, exchange.settings['request.max_answer']);
   } catch {
     return newBadResponse("the upstream's answer was cut", 'unknown');
   }
--- a/anvilpaddle-app/peers/peerServer.ts
+++ b/anvilpaddle-app/peers/peerServer.ts
@@ -6,6 +6,7 @@
 import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import { z } from 'zod';
 import {
+  closeServer,
   BYTES_PER_KIB,
   BYTES_PER_MIB,
   listen,
@@ -189,10 +190,6 @@
   return {
     address: boundAddress,
     refusals: refusals.counts,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => closeServer(server),
   };
 };
--- a/anvilpaddle-app/peers/replayWindow.ts
+++ b/anvilpaddle-app/peers/replayWindow.ts
@@ -20,8 +20,10 @@
   let highest = 0;
 
   const advanceTo = (sequence: number): void => {
-    const first = Math.max(highest + 1, sequence - width + 1);
-    for (let skipped = first; skipped <= sequence; skipped += 1) received[skipped % width] = 0;
+    const firstSkipped = Math.max(highest + 1, sequence - width + 1);
+    for (let skipped = firstSkipped; skipped <= sequence; skipped += 1) {
+      received[skipped % width] = 0;
+    }
     highest = sequence;
   };
 
--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -6,6 +6,7 @@
   callHttp,
   newFailure,
   newOk,
+  readStream,
   SystemClock,
   type Address,
   type HttpCall,
@@ -78,12 +79,6 @@
   return isSecure ? new SecureAgent(options) : new Agent(options);
 };
 
-const readJson = async (body: Readable): Promise<unknown> => {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body as AsyncIterable<Buffer>) chunks.push(chunk);
-  return JSON.parse(Buffer.concat(chunks).toString());
-};
-
 /** Creates a client for the upstream at a base URL, with at most `connections` connections. */
 export const newUpstreamClient = (baseUrl: string, connections: number): UpstreamClient => {
   const { isSecure, host, address } = parseBaseUrl(new URL(baseUrl));
@@ -141,7 +136,8 @@
       const result = await callHttp(call, signal, clock);
       if (result.kind !== 'answered') return undefined;
       try {
-        const { data } = (await readJson(result.message)) as { data: { id: string }[] };
+        const body = await readStream(result.message);
+        const { data } = JSON.parse(String(body)) as { data: { id: string }[] };
         return data.map(({ id }) => id);
       } catch {
         return undefined;
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -1,5 +1,6 @@
 /** Helpers for HTTP servers: addresses, request bodies, JSON responses. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
 
 /** Host and port as in `127.0.0.1:8080`. */
 export interface Address {
@@ -29,6 +30,28 @@
     });
   });
 
+/** Stops a server and closes its connections; resolves once it is closed. */
+export const closeServer = (server: Server): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+
+/** Reads a stream to its end; undefined if it exceeds the limit. Rejects if the stream fails. */
+export const readStream = async (
+  stream: Readable,
+  limitBytes = Infinity,
+): Promise<Buffer | undefined> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of stream as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limitBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+};
+
 /** Why a body could not be read: it exceeds the limit, or the connection closed before its end. */
 export type BodyError =
   { readonly kind: 'body_too_large'; readonly limitBytes: number } | { readonly kind: 'body_cut' };
--- a/packages/decisions/settings/relay.ts
+++ b/packages/decisions/settings/relay.ts
@@ -81,6 +81,6 @@
   ).slice(0, domainVms.length > MAX_DIRECT_READERS ? Math.ceil(Math.sqrt(domainVms.length)) : 0);
   const readsFromRelay = relays.length > 0 && !relays.includes(self.vm);
   const directSources = (localVoters.length > 0 ? localVoters : voters).map(({ vm }) => vm);
-  const source = getRendezvousOwner(self.vm, readsFromRelay ? relays : directSources);
-  return vms.find(({ vm }) => vm === source)?.address;
+  const sourceVm = getRendezvousOwner(self.vm, readsFromRelay ? relays : directSources);
+  return vms.find(({ vm }) => vm === sourceVm)?.address;
 };
--- a/packages/standins/engineStandIn.ts
+++ b/packages/standins/engineStandIn.ts
@@ -1,6 +1,13 @@
 /** Stand-in of a model engine with an HTTP API for completions. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { BYTES_PER_MIB, listen, readBody, sendJson, type Address } from '@anvilpaddle/common';
+import {
+  closeServer,
+  BYTES_PER_MIB,
+  listen,
+  readBody,
+  sendJson,
+  type Address,
+} from '@anvilpaddle/common';
 import {
   respondOrFail,
   applyDelay,
@@ -263,10 +270,6 @@
     faults,
     requests,
     orders,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => closeServer(server),
   };
 };
--- a/packages/standins/plainStandIn.ts
+++ b/packages/standins/plainStandIn.ts
@@ -1,6 +1,6 @@
 /** Stand-in of a plain HTTP upstream. */
 import { createServer } from 'node:http';
-import { BYTES_PER_MIB, listen, readBody, type Address } from '@anvilpaddle/common';
+import { closeServer, BYTES_PER_MIB, listen, readBody, type Address } from '@anvilpaddle/common';
 import { respondOrFail, applyDelay, failBeforeEffect, newFaults, type Faults } from './faults';
 
 const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
@@ -55,10 +55,6 @@
     url: `http://${bound.host}:${bound.port}`,
     faults,
     calls,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => closeServer(server),
   };
 };
--- a/packages/standins/platformStandIn.ts
+++ b/packages/standins/platformStandIn.ts
@@ -1,6 +1,13 @@
 /** Stand-in of the platform's services. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { listen, readBody, sendJson, type Address, BYTES_PER_MIB } from '@anvilpaddle/common';
+import {
+  closeServer,
+  listen,
+  readBody,
+  sendJson,
+  type Address,
+  BYTES_PER_MIB,
+} from '@anvilpaddle/common';
 import type { RowRange, Transaction, Vm } from '@anvilpaddle/platform';
 import { applyDelay, newFaults, type Faults } from './faults';
 import { newRateLimits, type RateLimits } from './rateLimits';
@@ -112,10 +119,6 @@
     setVms: (next) => {
       vms = next;
     },
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => closeServer(server),
   };
 };
