Calls of a sidecar's client are ended one by one when it closes

Each call listened to one signal for the client's life; now each has its own, which goes with its response. An upstream's IPv6 address loses the brackets that it has in a URL, as before the change of the client.

--- a/anvilpaddle-app/sidecar/upstreamClient.ts
+++ b/anvilpaddle-app/sidecar/upstreamClient.ts
@@ -10,6 +10,7 @@
   SystemClock,
   type Address,
   type HttpCall,
+  type HttpCallResult,
   type Result,
 } from '@anvilpaddle/common';
 
@@ -69,7 +70,8 @@
   isSecure: url.protocol === 'https:',
   host: url.host,
   address: {
-    host: url.hostname,
+    // An IPv6 address stands in brackets in a URL.
+    host: url.hostname.replace(/^\[|\]$/g, ''),
     port: url.port === '' ? (DEFAULT_PORTS[url.protocol] ?? 0) : Number(url.port),
   },
 });
@@ -86,7 +88,7 @@
   const requestAgent = newAgent(isSecure, connections);
   // Model lists have their own connection, so that they don't wait behind long responses.
   const modelsAgent = newAgent(isSecure, 1);
-  const closing = new AbortController();
+  const openCalls = new Set<AbortController>();
 
   const getCall = (agent: Agent, path: string): Omit<HttpCall, 'method' | 'headers' | 'body'> => {
     const url = new URL(`${baseUrl}${path}`);
@@ -99,6 +101,19 @@
     };
   };
 
+  /** Sends a call that is aborted when the client is closed. */
+  const sendCall = async (call: HttpCall, signal: AbortSignal): Promise<HttpCallResult> => {
+    const controller = new AbortController();
+    openCalls.add(controller);
+    const result = await callHttp(call, AbortSignal.any([signal, controller.signal]), clock);
+    if (result.kind === 'answered') {
+      result.message.once('close', () => openCalls.delete(controller));
+    } else {
+      openCalls.delete(controller);
+    }
+    return result;
+  };
+
   return {
     send: async ({ id, method, path, headers, body, signal }) => {
       const hasLength = body.length > 0 || METHODS_WITH_BODY.has(method);
@@ -108,15 +123,14 @@
         'x-request-id': id,
         ...(hasLength ? { 'content-length': String(body.length) } : {}),
       };
-      const result = await callHttp(
+      const result = await sendCall(
         {
           ...getCall(requestAgent, path),
           method,
           headers: Object.entries(callHeaders).flat(),
           body,
         },
-        AbortSignal.any([signal, closing.signal]),
-        clock,
+        signal,
       );
       if (result.kind === 'answered') {
         const { statusCode = 0, headers: responseHeaders } = result.message;
@@ -132,8 +146,7 @@
         headers: ['host', host],
         body: Buffer.alloc(0),
       };
-      const signal = AbortSignal.any([AbortSignal.timeout(MODELS_TIMEOUT_MS), closing.signal]);
-      const result = await callHttp(call, signal, clock);
+      const result = await sendCall(call, AbortSignal.timeout(MODELS_TIMEOUT_MS));
       if (result.kind !== 'answered') return undefined;
       try {
         const body = await readStream(result.message);
@@ -144,7 +157,7 @@
       }
     },
     close: async () => {
-      closing.abort();
+      openCalls.forEach((controller) => controller.abort());
       requestAgent.destroy();
       modelsAgent.destroy();
     },
