--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -1,5 +1,6 @@
 /** Response to one caller, relayed from one or more upstreams. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isEventStreamType } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
 import type { CallerProtocol, RequestHead } from './callerProtocol';
 import { newCallerStream } from './callerStream';
@@ -13,7 +14,6 @@
 const RAN: AttemptOutcome = { run: 'ran', answered: false };
 const ANSWERED: AttemptOutcome = { run: 'ran', answered: true };
 
-const EVENT_STREAM_TYPE = 'text/event-stream';
 /** Lowest HTTP status of a server error. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Lowest HTTP status that is not a success. */
@@ -43,7 +43,7 @@
 
 /** Whether the headers announce an event stream; a response without a media type may be one. */
 const isEventStream = ({ headers }: IncomingMessage): boolean =>
-  headers['content-type']?.startsWith(EVENT_STREAM_TYPE) ?? true;
+  headers['content-type'] === undefined || isEventStreamType(headers['content-type']);
 
 const isContentLength = (name: string): boolean => name.toLowerCase() === 'content-length';
 
--- a/anvilpaddle-app/sidecar/streamCheck.ts
+++ b/anvilpaddle-app/sidecar/streamCheck.ts
@@ -1,14 +1,17 @@
 /** Checks that an upstream's event stream does not stop inside an event. */
 import type { IncomingHttpHeaders } from 'node:http';
 import { PassThrough, Transform } from 'node:stream';
-import { BODY_DELIMITER, getBodyDelimiter, newEventTracker } from '@anvilpaddle/common';
+import {
+  BODY_DELIMITER,
+  getBodyDelimiter,
+  isEventStreamType,
+  newEventTracker,
+} from '@anvilpaddle/common';
 import type { UpstreamResponse } from './upstreamClient';
 
-const EVENT_STREAM_TYPE = 'text/event-stream';
-
 /** Whether the headers announce a stream of events. */
 export const isEventStream = (headers: IncomingHttpHeaders): boolean =>
-  headers['content-type']?.startsWith(EVENT_STREAM_TYPE) === true;
+  isEventStreamType(headers['content-type']);
 
 /**
  * Pass-through stream that fails at the end of an event stream that was broken off. Where only the
--- a/anvilpaddle-app/sidecar/tokenCounter.ts
+++ b/anvilpaddle-app/sidecar/tokenCounter.ts
@@ -1,8 +1,8 @@
 /** Counts the output tokens of a response while it is relayed. */
 import { Transform } from 'node:stream';
+import { isEventStreamType } from '@anvilpaddle/common';
 
 const TAIL_BYTES = 4096;
-const EVENT_STREAM_TYPE = 'text/event-stream';
 const EVENT_START = 'data:';
 const COMPLETION_TOKENS = /"completion_tokens"\s*:\s*(\d+)/g;
 // The event with the finish reason and the `[DONE]` event carry no token.
@@ -17,7 +17,7 @@
 
 /** Creates a counter for a response of a content type; plain services' responses count as 0. */
 export const newTokenCounter = (contentType: string): TokenCounter => {
-  const isStream = contentType.startsWith(EVENT_STREAM_TYPE);
+  const isStream = isEventStreamType(contentType);
   let tail = '';
   let events = 0;
 
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -30,6 +30,10 @@
     });
   });
 
+/** Whether a media type is that of a stream of server-sent events. */
+export const isEventStreamType = (contentType: string | undefined): boolean =>
+  contentType?.startsWith('text/event-stream') === true;
+
 /** Stops a server and closes its connections; resolves once it is closed. */
 export const closeServer = (server: Server): Promise<void> =>
   new Promise((resolve) => {
--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -2,7 +2,12 @@
  * Sends single HTTP requests. The body of a response is a stream that fails unless the response
  * arrived whole, also where only the end of its connection delimits it.
  */
-import { request as newHttpRequest, type Agent, type IncomingMessage } from 'node:http';
+import {
+  request as newHttpRequest,
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import { request as newHttpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
 import type { Clock, Timer } from './clock';
@@ -61,6 +66,30 @@
   });
 };
 
+/** Creates the request, which is sent by its `end`. */
+const newOutgoingRequest = ({
+  agent,
+  isSecure = false,
+  address,
+  method,
+  path,
+  headers,
+  isBulk = false,
+}: HttpCall): ClientRequest => {
+  const newRequest = isSecure ? newHttpsRequest : newHttpRequest;
+  return newRequest({
+    agent,
+    host: address.host,
+    port: address.port,
+    method,
+    path,
+    headers: headers as unknown as string[],
+    setHost: false,
+    // Passed through to the socket, which then reads no data ahead.
+    ...(isBulk ? { highWaterMark: 1 } : {}),
+  });
+};
+
 /** Sends a request and waits for the head of its response; aborting closes the connection. */
 export const callHttp = (
   call: HttpCall,
@@ -72,21 +101,9 @@
       resolve({ kind: 'not_sent', detail: 'aborted' });
       return;
     }
-    const { agent, address, method, path, headers, body, isBulk = false } = call;
     let isConnected = false;
     let response: IncomingMessage | undefined;
-    const newRequest = call.isSecure === true ? newHttpsRequest : newHttpRequest;
-    const outgoing = newRequest({
-      agent,
-      host: address.host,
-      port: address.port,
-      method,
-      path,
-      headers: headers as unknown as string[],
-      setHost: false,
-      // Passed through to the socket, which then reads no data ahead.
-      ...(isBulk ? { highWaterMark: 1 } : {}),
-    });
+    const outgoing = newOutgoingRequest(call);
     let connectTimer: Timer | undefined;
     const abort = (): void => {
       outgoing.destroy(new Error('aborted'));
@@ -114,7 +131,7 @@
         watchCloseDelimitedEnd(message);
       }
       // A reader in bulk closes the connection itself, after it has read what has arrived.
-      if (isBulk) signal.removeEventListener('abort', abort);
+      if (call.isBulk === true) signal.removeEventListener('abort', abort);
       resolve({ kind: 'answered', message });
     });
     outgoing.on('error', (error) => {
@@ -124,5 +141,5 @@
       if (response?.complete === false) response.destroy(error);
       resolve({ kind: isConnected ? 'lost' : 'not_sent', detail: getErrorMessage(error) });
     });
-    outgoing.end(body);
+    outgoing.end(call.body);
   });
