Lost attempts and upstreams' crashes are logged with the parts of the prompts aboard

Change: `attempt failed` and `run broken` have the prompt's shared parts (all but the last) and whether any content had arrived. After an attempt that was lost without content, a connection to the upstream's address 20 ms later, or another request's refused connection within 2 s, tells a crash from a lost response; `upstream crashed` names what was aboard, and a counter counts it. Nothing is decided by it. What a gateway knew of a part when it sent a request is nothing so far; the field comes with the knowledge.

--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -31,6 +31,8 @@
   readonly budgetMs: number | undefined;
   /** Id of the event after which the caller resumes a stream; undefined if it resumes none. */
   readonly resumesAfterId: string | undefined;
+  /** Ids of the parts of its prompt that other requests may share, in order. */
+  readonly promptParts: readonly string[];
 }
 
 /** Values for the headers that the gateway sets on a request to an upstream. */
@@ -64,6 +66,8 @@
     item: { readonly id: string; readonly headers: readonly string[] },
     host: string,
   ): string[];
+  /** Ids of the parts of an item's prompt that other requests may share, in order. */
+  getItemPromptParts(item: { readonly headers: readonly string[] }): string[];
   /** Response body for a page of results. */
   getResultPage(page: ResultPage): unknown;
 }
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -5,13 +5,21 @@
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 
+/** Callbacks for what arrives of an upstream's response. */
+export interface ResponseProgress {
+  /** Called for any bytes of its body. */
+  onData(): void;
+  /** Called for whole events, or once for a whole body that is not a stream. */
+  onContent(): void;
+}
+
 /** Stream to one caller. */
 export interface CallerStream {
   /** Relays an upstream's complete events until its response ends or is cut off. */
   relay(
     message: IncomingMessage,
     signal: AbortSignal,
-    onProgress: () => void,
+    progress: ResponseProgress,
   ): Promise<ResponseEnd>;
   isStarted(): boolean;
   /** Id of the last relayed event. */
@@ -64,12 +72,14 @@
   const relayUntilEnd = async (
     message: IncomingMessage,
     signal: AbortSignal,
-    onProgress: () => void,
+    progress: ResponseProgress,
   ): Promise<ResponseEnd> => {
     const splitter = newEventSplitter();
     message.on('data', (chunk: Buffer) => {
-      onProgress();
-      if (relayEvents(message, splitter.feed(chunk))) return;
+      progress.onData();
+      const events = splitter.feed(chunk);
+      if (events.length > 0) progress.onContent();
+      if (relayEvents(message, events)) return;
       message.pause();
       once(response, 'drain', { signal }).then(
         () => message.resume(),
@@ -87,9 +97,9 @@
   };
 
   return {
-    relay: (message, signal, onProgress) => {
+    relay: (message, signal, progress) => {
       upstreamCount += 1;
-      return relayUntilEnd(message, signal, onProgress);
+      return relayUntilEnd(message, signal, progress);
     },
     isStarted: () => isStarted,
     lastEventId,
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -25,6 +25,8 @@
 import { newFleetView } from './fleetView';
 import { newGatewayList, type GatewayList } from './gatewayList';
 import { newGatewayMetrics, serveMetrics } from './gatewayMetrics';
+import { probeConnection } from './connectProbe';
+import { newCrashDetector } from './crashDetector';
 import { newGossip, type Gossip } from './gossip';
 import { newJobCache } from './jobs/jobCache';
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
@@ -177,6 +179,15 @@
     getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
     getPeers: () => gatewayList.getOthers().length,
   });
+  const crashDetector = newCrashDetector(
+    {
+      probe: ({ address }) => probeConnection(address, clock),
+      isLeaving: ({ id }) => fleetView.getUpstream(id)?.isDraining === true,
+      onCrash: () => metrics.countUpstreamCrash(),
+    },
+    clock,
+    log,
+  );
   const jobRunner = newJobRunner({
     metrics,
     self: incarnation,
@@ -188,6 +199,7 @@
     upstreamLoads,
     items: itemTracker,
     health,
+    crashDetector,
     getEligibleOwners: () => [
       incarnation,
       ...gatewayList
@@ -228,6 +240,7 @@
       view: fleetView,
       upstreamLoads,
       health,
+      crashDetector,
       serviceTimes,
       clock,
       random,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -16,6 +16,8 @@
   countRefusal(status: number): void;
   /** Counts how the body of an upstream's response ended. */
   countResponseEnd(end: ResponseEnd): void;
+  /** Counts an upstream whose process ended with requests of this gateway. */
+  countUpstreamCrash(): void;
   /** All metrics in Prometheus's text format. */
   text(): Promise<string>;
 }
@@ -49,6 +51,11 @@
     labelNames: ['delimiter', 'end', 'inside_event'],
     registers,
   });
+  const upstreamCrashes = new Counter({
+    name: 'anvilpaddle_upstream_crashes_total',
+    help: 'Upstreams whose process ended before the first content of a response to this gateway',
+    registers,
+  });
   const firstByte = new Histogram({
     name: 'anvilpaddle_first_byte_ms',
     help: 'Time to the first byte of the answer in milliseconds',
@@ -77,6 +84,7 @@
     countRefusal: (status) => refusals.inc({ status: String(status) }),
     countResponseEnd: ({ delimiter, bodyEnd, unfinishedBytes }) =>
       responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
+    countUpstreamCrash: () => upstreamCrashes.inc(),
     text: () => registry.metrics(),
   };
 };
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -15,6 +15,7 @@
 import { sleep } from '../../process/program';
 import type { CallerProtocol } from '../callerProtocol';
 import type { ConfigWatch } from '../configWatch';
+import type { CrashDetector } from '../crashDetector';
 import type { FleetView } from '../fleetView';
 import type { GatewayMetrics } from '../gatewayMetrics';
 import { pickService } from '../routeTable';
@@ -46,6 +47,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly items: ItemTracker;
   readonly health: Health;
+  readonly crashDetector: CrashDetector;
   readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
   readonly random: Random;
 }
@@ -99,6 +101,7 @@
     jobs: jobCache,
     configWatch,
     view,
+    protocol,
     items: itemTracker,
     clock,
     random,
@@ -167,6 +170,8 @@
           item: pending.item.id,
           upstream: upstream.id,
           detail: outcome.detail,
+          hasContent: events > 0,
+          promptParts: protocol.getItemPromptParts(pending.item),
           ...outcome.responseEnd,
         },
         'run broken',
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -10,6 +10,7 @@
   isEventAfter,
   newEventSplitter,
 } from '../eventSplitter';
+import type { CrashDetector } from '../crashDetector';
 import type { FleetView } from '../fleetView';
 import type { GatewayMetrics } from '../gatewayMetrics';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from '../responseEnd';
@@ -46,6 +47,8 @@
   | {
       readonly kind: 'broken';
       readonly detail: string;
+      /** Whether the item was sent, so that it may have run. */
+      readonly wasSent: boolean;
       /** How the body of the response ended, if it was read. */
       readonly responseEnd?: ResponseEnd;
     };
@@ -56,6 +59,7 @@
   readonly view: FleetView;
   readonly upstreamLoads: LoadTracker;
   readonly health: Health;
+  readonly crashDetector: CrashDetector;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
@@ -67,7 +71,7 @@
   target: { readonly upstream: Upstream; readonly host: string; readonly team: string },
   progress: ItemProgress,
   signal: AbortSignal,
-  { protocol, view, upstreamLoads, health, clock, metrics }: RunItemDependencies,
+  { protocol, view, upstreamLoads, health, crashDetector, clock, metrics }: RunItemDependencies,
 ): Promise<RunOutcome> => {
   const { upstream, host, team } = target;
   const idleTimeout = new AbortController();
@@ -107,14 +111,23 @@
       abortSignal,
       clock,
     );
-    if (callResult.kind !== 'answered') return { kind: 'broken', detail: callResult.detail };
+    if (callResult.kind === 'not_sent' && callResult.isRefused) {
+      crashDetector.reportRefused(upstream);
+    }
+    if (callResult.kind !== 'answered') {
+      const wasSent = callResult.kind === 'lost';
+      return { kind: 'broken', detail: callResult.detail, wasSent };
+    }
     const { message } = callResult;
     const status = message.statusCode ?? 0;
     if (protocol.isMisdirected(status)) view.reportReplaced(upstream);
     if (status !== 200 || !protocol.isResponseTo(message.headers, item.id)) {
       message.destroy();
       if (status === UNPROCESSABLE) return { kind: 'impossible' };
-      return { kind: status === SERVER_ERROR ? 'failed' : 'broken', detail: `status ${status}` };
+      const detail = `status ${status}`;
+      return status === SERVER_ERROR
+        ? { kind: 'failed', detail }
+        : { kind: 'broken', detail, wasSent: true };
     }
     const splitter = newEventSplitter();
     const bodyEnd = await readInBulk(
@@ -129,12 +142,13 @@
     const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
     if (!isResponseComplete(responseEnd)) {
-      return { kind: 'broken', detail: 'the stream was cut', responseEnd };
+      return { kind: 'broken', detail: 'the stream was cut', wasSent: true, responseEnd };
     }
     return { kind: 'done' };
   };
 
   const startedMs = clock.monotonic();
+  const eventsBefore = progress.events;
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.batch);
   try {
     const outcome = await run();
@@ -142,6 +156,10 @@
     const isUpstreamFailure =
       outcome.kind === 'broken' && !signal.aborted && !outcome.detail.startsWith('status');
     if (isUpstreamFailure) {
+      if (outcome.wasSent && progress.events === eventsBefore) {
+        const promptParts = protocol.getItemPromptParts(item);
+        crashDetector.reportLost(upstream, { id: item.id, promptParts });
+      }
       const nowMs = clock.monotonic();
       health.record(upstream.id, 'failed', nowMs - startedMs, nowMs);
     }
--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -2,7 +2,9 @@
 import { SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from './callerResponse';
+import type { ResponseProgress } from './callerStream';
 import type { OnlineRequest, OnlineDependencies } from './onlineRequest';
+import { isResponseComplete } from './responseEnd';
 import type { Upstream } from './types';
 import { callUpstream } from './upstreamCall';
 
@@ -36,6 +38,17 @@
   return isRejected ? ATTEMPT_RESULT.refused : ATTEMPT_RESULT.failed;
 };
 
+/** Whether the upstream broke off before any whole event, or any whole response, had arrived. */
+const isLostWithoutContent = (
+  callResult: HttpCallResult,
+  { responseEnd }: AttemptReport,
+  hasContent: boolean,
+): boolean => {
+  if (hasContent) return false;
+  if (callResult.kind !== 'answered') return callResult.kind === 'lost';
+  return responseEnd !== undefined && !isResponseComplete(responseEnd);
+};
+
 const getDetail = (callResult: HttpCallResult): string =>
   callResult.kind === 'answered' ? `status ${callResult.message.statusCode}` : callResult.detail;
 
@@ -45,8 +58,10 @@
   { upstream, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
-  { protocol, view, serviceTimes, upstreamLoads, health, clock, log, metrics }: OnlineDependencies,
+  dependencies: OnlineDependencies,
 ): Promise<AttemptReport> => {
+  const { protocol, view, serviceTimes, upstreamLoads, health, crashDetector } = dependencies;
+  const { clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
   const stallController = new AbortController();
   const attemptSignal = AbortSignal.any([signal, stallController.signal]);
@@ -60,9 +75,15 @@
     if (callerResponse.canRetry() && !isLast) stallController.abort();
   };
   let watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
-  const onProgress = (): void => {
-    watchdog.cancel();
-    watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
+  let hasContent = false;
+  const progress: ResponseProgress = {
+    onData: () => {
+      watchdog.cancel();
+      watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
+    },
+    onContent: () => {
+      hasContent = true;
+    },
   };
 
   const recordAttempt = (
@@ -86,6 +107,8 @@
         upstream: upstream.id,
         run: outcome.run,
         detail,
+        hasContent,
+        promptParts: head.promptParts,
         ...outcome.responseEnd,
       },
       'attempt failed',
@@ -112,6 +135,9 @@
       attemptSignal,
       clock,
     );
+    if (callResult.kind === 'not_sent' && callResult.isRefused) {
+      crashDetector.reportRefused(upstream);
+    }
     const firstByteMs = clock.monotonic() - sentMs;
     if (
       callResult.kind === 'answered' &&
@@ -121,11 +147,16 @@
     }
     const outcome: AttemptReport =
       callResult.kind === 'answered'
-        ? await callerResponse.relay(callResult.message, isLast, attemptSignal, onProgress)
+        ? await callerResponse.relay(callResult.message, isLast, attemptSignal, progress)
         : getFailedOutcome(callResult);
     if (outcome.responseEnd !== undefined) metrics.countResponseEnd(outcome.responseEnd);
     // A disconnected caller or an exceeded time limit says nothing about the upstream's health.
-    if (!attemptSignal.aborted) recordAttempt(callResult, outcome, firstByteMs);
+    if (!attemptSignal.aborted) {
+      recordAttempt(callResult, outcome, firstByteMs);
+      if (isLostWithoutContent(callResult, outcome, hasContent)) {
+        crashDetector.reportLost(upstream, { id: head.id, promptParts: head.promptParts });
+      }
+    }
     return outcome;
   } finally {
     watchdog.cancel();
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -13,6 +13,7 @@
 import { newCallerResponse } from './callerResponse';
 import type { RequestHead, CallerProtocol } from './callerProtocol';
 import { STATUS, type Refusal } from './refusal';
+import type { CrashDetector } from './crashDetector';
 import type { FleetView } from './fleetView';
 import { runAttempt } from './onlineAttempt';
 import { pickService } from './routeTable';
@@ -32,6 +33,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly health: Health;
   readonly serviceTimes: ServiceTimes;
+  readonly crashDetector: CrashDetector;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import { request as newHttpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
+import { isConnectionRefused } from './connectError';
 import type { Clock, Timer } from './clock';
 import type { Address } from './http';
 import { BODY_DELIMITER, getBodyDelimiter, ResetWithDataError } from './responseEnd';
@@ -37,7 +38,7 @@
 /** Reason why there is no response. */
 export type HttpCallFailure =
   /** No connection was established, so nothing was sent. */
-  | { readonly kind: 'not_sent'; readonly detail: string }
+  | { readonly kind: 'not_sent'; readonly detail: string; readonly isRefused: boolean }
   /** The request was sent and may have run. */
   | { readonly kind: 'lost'; readonly detail: string };
 
@@ -98,7 +99,7 @@
 ): Promise<HttpCallResult> =>
   new Promise((resolve) => {
     if (signal.aborted) {
-      resolve({ kind: 'not_sent', detail: 'aborted' });
+      resolve({ kind: 'not_sent', detail: 'aborted', isRefused: false });
       return;
     }
     let isConnected = false;
@@ -139,7 +140,12 @@
       // The parser takes a reset for the end of a response without a length. An error after the end
       // of a response is harmless.
       if (response?.complete === false) response.destroy(error);
-      resolve({ kind: isConnected ? 'lost' : 'not_sent', detail: getErrorMessage(error) });
+      const detail = getErrorMessage(error);
+      resolve(
+        isConnected
+          ? { kind: 'lost', detail }
+          : { kind: 'not_sent', detail, isRefused: isConnectionRefused(error) },
+      );
     });
     outgoing.end(call.body);
   });
