A fault that arrives with a response's head no longer leaves its request waiting for ever

What callers saw: nothing, until they left. An upstream whose bytes go wrong right after the head (a chunk extension or a trailer without end, seen in a new table of endless bytes) ended the response before its reader listened; the reader waited for an end that had been, beyond the route's timeout, and its slot counted as taken.

Cause: waitForBodyEnd waited for events of a message that was closed already.

Change: a message that is closed has ended.

--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -14,5 +14,6 @@
 export * from './metrics';
 export * from './random';
 export * from './responseEnd';
+export * from './responseTooLargeError';
 export * from './result';
 export * from './units';
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -1,5 +1,6 @@
 /** How HTTP/1.1 responses mark the end of their bodies, and how a body that was read ended. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { ResponseTooLargeError } from './responseTooLargeError';
 
 /** What marks the end of a response's body. */
 export const BODY_DELIMITER = {
@@ -21,6 +22,8 @@
   closed: 'closed',
   /** The connection was reset before. */
   reset: 'reset',
+  /** The reader stopped: more arrived than a response may have. */
+  tooLarge: 'tooLarge',
 } as const;
 export type BodyEnd = (typeof BODY_END)[keyof typeof BODY_END];
 
@@ -45,11 +48,18 @@
 const isReset = (error: NodeJS.ErrnoException): boolean =>
   error instanceof ResetWithDataError || (error.code === 'ECONNRESET' && error.syscall === 'read');
 
+const getBodyEndAtError = (error: NodeJS.ErrnoException | null): BodyEnd => {
+  if (error instanceof ResponseTooLargeError) return BODY_END.tooLarge;
+  return error !== null && isReset(error) ? BODY_END.reset : BODY_END.closed;
+};
+
 /** Resolves when the body has been read to its end or can't be read any further. */
 export const waitForBodyEnd = (message: IncomingMessage): Promise<BodyEnd> =>
   new Promise((resolve) => {
+    // A fault that arrives together with the head ends the body before anyone can listen.
+    if (message.closed) resolve(getBodyEndAtError(message.errored));
     message.once('end', () => resolve(message.complete ? BODY_END.complete : BODY_END.closed));
-    message.on('error', (error) => resolve(isReset(error) ? BODY_END.reset : BODY_END.closed));
+    message.on('error', (error) => resolve(getBodyEndAtError(error)));
     message.once('close', () => resolve(BODY_END.closed));
   });
 
