An entry breaks off a plain service's stream whose event is too large

What callers saw: a stream of a plain service with an event of over 1 MiB stopped before that event and ended as complete.

Cause: the relay took any end without an end mark for a plain stream's end, also its own refusal to read on.

Change: only a stream that is still open when the upstream ends it is whole.

--- a/anvilpaddle-app/entry/streamRelay.ts
+++ b/anvilpaddle-app/entry/streamRelay.ts
@@ -126,7 +126,8 @@
       recordTokenIntervals();
     }
     // A plain service's stream has no end mark: it ends with its last chunk.
-    const isEnded = reader.state() === 'ended' || (!isModelRoute && !signal.aborted);
+    const isPlainEnd = !isModelRoute && reader.state() === 'open' && !signal.aborted;
+    const isEnded = reader.state() === 'ended' || isPlainEnd;
     if (!isEnded) return 'cut';
     if (!isStarted) write(segment, '');
     response.end();
