Upstreams' bytes without end are given up at a bound

What callers and operators would have seen: a gateway that collects a body without end until its memory is gone, an item of a job that never ends, and an entry that waits for its deadline.

Cause: buffered responses, an event in a gateway's stream, an item's run and interim responses had no bound; a stream's or an item's stall was measured from its last byte, so that a byte now and then kept it.

Change: 4 MiB for a response that is not a stream and for one run of an item, 1 MiB for an event, 16 interim responses; then the connection is closed, the log says bodyEnd tooLarge, and the caller gets 502, the answer was too large. A stall counts from the last whole event. The splitter of events no longer copies what it holds for each chunk. Reports of prompt parts in datagrams are checked by hand instead of by a schema, for the processor time of large fleets.

--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
 import { isEventStreamType } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
 import type { CallerProtocol, RequestHead } from './callerProtocol';
-import { newCallerStream, type ResponseProgress } from './callerStream';
+import { newCallerStream, type OnContent } from './callerStream';
 import { sendRefusal, STATUS, type Refusal } from './refusal';
 import { getResponseEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 import { ROUTE_KIND, type Route } from './types';
@@ -33,7 +33,7 @@
     message: IncomingMessage,
     isLast: boolean,
     signal: AbortSignal,
-    progress: ResponseProgress,
+    onContent: OnContent,
   ): Promise<AttemptReport>;
   /** Id of the event after which another upstream can resume; undefined before the first event. */
   lastEventId(): string | undefined;
@@ -76,12 +76,12 @@
   const relayBuffered = async (
     message: IncomingMessage,
     isLast: boolean,
-    progress: ResponseProgress,
+    onContent: OnContent,
   ): Promise<AttemptReport> => {
     const { content, end: bodyEnd } = await readResponseBody(message);
     const responseEnd = getResponseEnd(message, bodyEnd);
     if (!isResponseComplete(responseEnd)) return { ...UNKNOWN, responseEnd };
-    progress.onContent();
+    onContent();
     const status = message.statusCode ?? STATUS.badGateway;
     if (status >= FIRST_SERVER_ERROR_STATUS && !isLast) return { ...RAN, responseEnd };
     onFirstByte();
@@ -95,7 +95,7 @@
   const isStarted = (): boolean => stream?.isStarted() === true;
 
   return {
-    relay: async (message, isLast, signal, progress) => {
+    relay: async (message, isLast, signal, onContent) => {
       const status = message.statusCode ?? STATUS.badGateway;
       const isForThisRequest = protocol.isResponseTo(message.headers, head.id);
       const isNotRun = protocol.isNotRun(status, message.headers);
@@ -105,9 +105,9 @@
       }
       const isStream = status < FIRST_NON_SUCCESS_STATUS && isEventStream(message);
       if (stream === undefined || !isStream) {
-        return isStarted() ? UNKNOWN : relayBuffered(message, isLast, progress);
+        return isStarted() ? UNKNOWN : relayBuffered(message, isLast, onContent);
       }
-      const responseEnd = await stream.relay(message, signal, progress);
+      const responseEnd = await stream.relay(message, signal, onContent);
       return { ...(isResponseComplete(responseEnd) ? ANSWERED : RAN), responseEnd };
     },
     lastEventId: () => stream?.lastEventId(),
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -1,26 +1,18 @@
 /** Event stream to one caller, relayed from one upstream or from several in turn. */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { breakOffResponse, waitForBodyEnd } from '@anvilpaddle/common';
+import { breakOffResponse, ResponseTooLargeError, waitForBodyEnd } from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
+import { MAX_EVENT_BYTES } from './upstreamCall';
 
-/** Callbacks for what arrives of an upstream's response. */
-export interface ResponseProgress {
-  /** Called for any bytes of its body. */
-  onData(): void;
-  /** Called for whole events, or once for a whole body that is not a stream. */
-  onContent(): void;
-}
+/** Called for whole events of a response, or once for a whole body that is not a stream. */
+export type OnContent = () => void;
 
 /** Stream to one caller. */
 export interface CallerStream {
   /** Relays an upstream's complete events until its response ends or is cut off. */
-  relay(
-    message: IncomingMessage,
-    signal: AbortSignal,
-    progress: ResponseProgress,
-  ): Promise<ResponseEnd>;
+  relay(message: IncomingMessage, signal: AbortSignal, onContent: OnContent): Promise<ResponseEnd>;
   isStarted(): boolean;
   /** Id of the last relayed event. */
   lastEventId(): string | undefined;
@@ -72,13 +64,15 @@
   const relayUntilEnd = async (
     message: IncomingMessage,
     signal: AbortSignal,
-    progress: ResponseProgress,
+    onContent: OnContent,
   ): Promise<ResponseEnd> => {
     const splitter = newEventSplitter();
     message.on('data', (chunk: Buffer) => {
-      progress.onData();
       const events = splitter.feed(chunk);
-      if (events.length > 0) progress.onContent();
+      if (events.length > 0) onContent();
+      if (splitter.getPendingBytes() > MAX_EVENT_BYTES) {
+        message.destroy(new ResponseTooLargeError());
+      }
       if (relayEvents(message, events)) return;
       message.pause();
       once(response, 'drain', { signal }).then(
@@ -97,9 +91,9 @@
   };
 
   return {
-    relay: (message, signal, progress) => {
+    relay: (message, signal, onContent) => {
       upstreamCount += 1;
-      return relayUntilEnd(message, signal, progress);
+      return relayUntilEnd(message, signal, onContent);
     },
     isStarted: () => isStarted,
     lastEventId,
--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -7,6 +7,8 @@
   feed(chunk: Buffer): Buffer;
   /** Bytes after the last complete event. */
   rest(): Buffer;
+  /** Number of these bytes. */
+  getPendingBytes(): number;
   /** Number of these bytes if they begin an event; 0 if they are only blank lines and comments. */
   getUnfinishedBytes(): number;
 }
@@ -32,6 +34,9 @@
 const isInsideLineEnd = (bytes: Buffer): boolean =>
   bytes[bytes.length - 1] === CARRIAGE_RETURN && bytes[bytes.length - 2] === LINE_FEED;
 
+/** Number of bytes before a chunk that can be part of a blank line at its start. */
+const MAX_LINE_END_BYTES = 3;
+
 /** Length of the bytes up to the end of the last complete event. */
 const getCompleteLength = (bytes: Buffer): number => {
   const length = isInsideLineEnd(bytes) ? bytes.length - 1 : bytes.length;
@@ -50,16 +55,42 @@
 
 /** Creates a splitter for a new stream. */
 export const newEventSplitter = (): EventSplitter => {
-  let pending = EMPTY;
+  /** Chunks after the last complete event; joined only when an event is complete. */
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
+  let tail = EMPTY;
+
+  const getRest = (): Buffer => {
+    if (pending.length > 1) pending = [Buffer.concat(pending)];
+    return pending[0] ?? EMPTY;
+  };
+
+  const setRest = (rest: Buffer): void => {
+    pending = rest.length === 0 ? [] : [rest];
+    pendingBytes = rest.length;
+    tail = rest.subarray(-MAX_LINE_END_BYTES);
+  };
+
+  const addChunk = (chunk: Buffer): void => {
+    pending.push(chunk);
+    pendingBytes += chunk.length;
+    tail = Buffer.concat([tail, chunk.subarray(-MAX_LINE_END_BYTES)]).subarray(-MAX_LINE_END_BYTES);
+  };
+
   return {
     feed: (chunk) => {
-      const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const length = getCompleteLength(bytes);
-      pending = bytes.subarray(length);
-      return bytes.subarray(0, length);
+      const before = pendingBytes - tail.length;
+      const searched = Buffer.concat([tail, chunk]);
+      const length = getCompleteLength(searched);
+      addChunk(chunk);
+      if (length === 0) return EMPTY;
+      const bytes = getRest();
+      setRest(bytes.subarray(before + length));
+      return bytes.subarray(0, before + length);
     },
-    rest: () => pending,
-    getUnfinishedBytes: () => (hasField(pending) ? pending.length : 0),
+    rest: getRest,
+    getPendingBytes: () => pendingBytes,
+    getUnfinishedBytes: () => (hasField(getRest()) ? pendingBytes : 0),
   };
 };
 
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,5 +1,5 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
-import { SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
+import { ResponseTooLargeError, SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
 import type { Health, LoadTracker, PromptQuarantine } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
@@ -15,13 +15,13 @@
 import type { GatewayMetrics } from '../gatewayMetrics';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from '../responseEnd';
 import type { Upstream } from '../types';
-import { callUpstream } from '../upstreamCall';
+import { callUpstream, MAX_EVENT_BYTES, MAX_RUN_BYTES } from '../upstreamCall';
 import type { JobItem } from './types';
 
 /** Status with which an upstream says that an item can never succeed. */
 const UNPROCESSABLE = 422;
 const SERVER_ERROR = 500;
-/** Time without data from the upstream after which the run is aborted and can resume elsewhere. */
+/** Time without a whole event after which the run is aborted and can resume elsewhere. */
 const IDLE_TIMEOUT_MS = 2500;
 
 /** Output of an item so far, over all of its runs. */
@@ -140,11 +140,18 @@
         : { kind: 'broken', detail, wasSent: true };
     }
     const splitter = newEventSplitter();
+    let runBytes = 0;
     const bodyEnd = await readInBulk(
       message,
       (chunk) => {
-        resetIdleTimer();
-        addEvents(splitter.feed(chunk));
+        runBytes += chunk.length;
+        if (runBytes > MAX_RUN_BYTES || splitter.getPendingBytes() > MAX_EVENT_BYTES) {
+          message.destroy(new ResponseTooLargeError());
+          return;
+        }
+        const events = splitter.feed(chunk);
+        if (events.length > 0) resetIdleTimer();
+        addEvents(events);
       },
       abortSignal,
       clock,
--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -2,14 +2,13 @@
 import { SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from './callerResponse';
-import type { ResponseProgress } from './callerStream';
 import type { OnlineRequest, OnlineDependencies } from './onlineRequest';
 import { isResponseComplete } from './responseEnd';
 import type { Upstream } from './types';
 import { callUpstream } from './upstreamCall';
 
 /**
- * Time without data from an upstream after which a failure is recorded in its health, and after
+ * Time without a whole event from an upstream after which a failure is recorded in its health, and after
  * which the attempt ends if another upstream can be tried. It is many times the time to a first
  * event with a short queue.
  */
@@ -77,15 +76,11 @@
   };
   let watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
   let hasContent = false;
-  const progress: ResponseProgress = {
-    onData: () => {
-      watchdog.cancel();
-      watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
-    },
-    onContent: () => {
-      if (!hasContent) quarantine.recordSurvival(head.promptParts, clock.monotonic());
-      hasContent = true;
-    },
+  const onContent = (): void => {
+    watchdog.cancel();
+    watchdog = clock.after(STALL_TIMEOUT_MS, onStall);
+    if (!hasContent) quarantine.recordSurvival(head.promptParts, clock.monotonic());
+    hasContent = true;
   };
 
   const recordAttempt = (
@@ -149,7 +144,7 @@
     }
     const outcome: AttemptReport =
       callResult.kind === 'answered'
-        ? await callerResponse.relay(callResult.message, isLast, attemptSignal, progress)
+        ? await callerResponse.relay(callResult.message, isLast, attemptSignal, onContent)
         : getFailedOutcome(callResult);
     if (outcome.responseEnd !== undefined) metrics.countResponseEnd(outcome.responseEnd);
     // A disconnected caller or an exceeded time limit says nothing about the upstream's health.
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -1,6 +1,6 @@
 /** Serves one online request, trying upstreams in turn until one responds. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, Logger, Random } from '@anvilpaddle/common';
+import { BODY_END, type Clock, type Logger, type Random } from '@anvilpaddle/common';
 import {
   getIsolatedCandidates,
   getPlacement,
@@ -86,6 +86,10 @@
   readonly durationMs: number;
 }
 
+/** Why there is no whole response, for the caller and the log. */
+const getLossReason = ({ responseEnd }: AttemptReport): string =>
+  responseEnd?.bodyEnd === BODY_END.tooLarge ? 'the answer was too large' : 'the answer was lost';
+
 type PlacementStep =
   | { readonly kind: 'send'; readonly upstream: Upstream; readonly choice: PlacementChoice }
   | { readonly kind: 'refuse'; readonly queueMs: number };
@@ -227,6 +231,6 @@
     if (shouldRetry(outcome, assessment)) continue;
     return outcome.run === 'not_run'
       ? refuse('the upstreams are full', getRetryAfterMs(service, 0))
-      : fail(STATUS.badGateway, 'the answer was lost');
+      : fail(STATUS.badGateway, getLossReason(outcome));
   }
 };
--- a/anvilpaddle-app/gateway/partReport.ts
+++ b/anvilpaddle-app/gateway/partReport.ts
@@ -1,5 +1,7 @@
-/** Reports of prompt parts as gateways send them to each other and store them. */
-import { z } from 'zod';
+/**
+ * Reports of prompt parts as gateways send them to each other and store them. Datagrams with them
+ * are frequent, so they are checked by hand.
+ */
 import type { PartReport } from '@anvilpaddle/decisions';
 
 const MAX_PART_CHARS = 64;
@@ -8,21 +10,34 @@
 /** Longest list of reports that is read of one sender. */
 const MAX_REPORTS = 64;
 
-const reportSchema = z.object({
-  part: z.string().min(1).max(MAX_PART_CHARS),
-  position: z.int().nonnegative(),
-  isQuarantined: z.boolean(),
-  survivals: z.int().nonnegative(),
-  served: z.object({ withPart: z.int().nonnegative(), all: z.int().nonnegative() }),
-  crashes: z.array(z.tuple([z.string().max(MAX_UPSTREAM_CHARS), z.number()])).max(MAX_CRASHES),
-});
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null;
+
+const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
+
+const isText = (value: unknown, maxChars: number): boolean =>
+  typeof value === 'string' && value.length > 0 && value.length <= maxChars;
+
+const isCrash = (value: unknown): boolean =>
+  Array.isArray(value) && isText(value[0], MAX_UPSTREAM_CHARS) && Number.isFinite(value[1]);
+
+const isPartReport = (value: unknown): value is PartReport =>
+  isObject(value) &&
+  isText(value.part, MAX_PART_CHARS) &&
+  isCount(value.position) &&
+  typeof value.isQuarantined === 'boolean' &&
+  isCount(value.survivals) &&
+  isObject(value.served) &&
+  isCount(value.served.withPart) &&
+  isCount(value.served.all) &&
+  Array.isArray(value.crashes) &&
+  value.crashes.length <= MAX_CRASHES &&
+  value.crashes.every(isCrash);
 
 /** Parses one report; undefined when it is invalid. */
 export const parsePartReport = (value: unknown): PartReport | undefined =>
-  reportSchema.safeParse(value).data;
+  isPartReport(value) ? value : undefined;
 
 /** Parses a peer's reports without the invalid ones; a peer of an earlier version sends none. */
 export const parsePartReports = (value: unknown): PartReport[] =>
-  Array.isArray(value)
-    ? value.slice(0, MAX_REPORTS).flatMap((report) => parsePartReport(report) ?? [])
-    : [];
+  Array.isArray(value) ? value.slice(0, MAX_REPORTS).filter(isPartReport) : [];
--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -1,7 +1,9 @@
 /** Sends one request to one upstream on a new connection. */
 import { Agent, type IncomingMessage } from 'node:http';
 import {
+  BYTES_PER_MIB,
   callHttp,
+  ResponseTooLargeError,
   waitForBodyEnd,
   type BodyEnd,
   type Clock,
@@ -17,6 +19,13 @@
 /** Timeout for establishing a connection; within a data centre that takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
 
+/** Size of the largest response that is not a stream: a VM holds several at a time. */
+const MAX_RESPONSE_BYTES = 4 * BYTES_PER_MIB;
+/** Size of the largest event of a stream. */
+export const MAX_EVENT_BYTES = BYTES_PER_MIB;
+/** Size of the largest stream that one run of a batch item may send. */
+export const MAX_RUN_BYTES = 4 * BYTES_PER_MIB;
+
 /** Request as it is sent to the upstream. */
 export type UpstreamRequest = Omit<HttpCall, 'agent' | 'connectTimeoutMs' | 'isSecure'>;
 
@@ -34,10 +43,15 @@
   readonly end: BodyEnd;
 }
 
-/** Reads a response's body to its end. */
+/** Reads a response's body to its end, or until it is too large. */
 export const readResponseBody = async (message: IncomingMessage): Promise<ReceivedBody> => {
   const chunks: Buffer[] = [];
-  message.on('data', (chunk: Buffer) => chunks.push(chunk));
+  let size = 0;
+  message.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_RESPONSE_BYTES) message.destroy(new ResponseTooLargeError());
+    else chunks.push(chunk);
+  });
   const end = await waitForBodyEnd(message);
   return { content: Buffer.concat(chunks), end };
 };
--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -16,6 +16,9 @@
 import { BODY_DELIMITER, getBodyDelimiter, ResetWithDataError } from './responseEnd';
 import { getErrorMessage } from './logging';
 
+/** Number of interim responses (status 1xx) to one request before its response. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** A request and the connections that it may use. */
 export interface HttpCall {
   readonly agent: Agent;
@@ -126,6 +129,13 @@
       if (socket.connecting) waitForConnection(socket);
       else setConnected();
     });
+    let interimResponses = 0;
+    outgoing.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        outgoing.destroy(new Error('too many interim responses'));
+      }
+    });
     outgoing.on('response', (message) => {
       response = message;
       if (getBodyDelimiter(message.headers) === BODY_DELIMITER.close) {
