Shares of parts and rates of lost requests weigh a part's crashes apart

Cause: the probability that a sound part is aboard at a crash by chance also made each served request count less, and a harmful part that lets some requests through has such a share itself.

Change: a crash counts by the smaller of two odds (that of a lost request, that of a part aboard), a served request by the rate of lost ones alone. The log of a quarantine has both rates; a `request` line has what was known of a part only if it was suspect.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -149,9 +149,9 @@
     clock,
     log,
   );
-  const onQuarantineChange = ({ report, soundRate }: QuarantineChange): void => {
+  const onQuarantineChange = ({ report, soundRates }: QuarantineChange): void => {
     const change = report.isQuarantined ? 'part quarantined' : 'part released';
-    log.warn({ ...report, soundRate }, change);
+    log.warn({ ...report, soundRates }, change);
     peersRef.gossip?.scheduleSend();
   };
   const quarantine = newStoredQuarantine(recordStore, onQuarantineChange, clock, log);
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -72,7 +72,7 @@
   readonly batch: number;
   /** Expected wait for a slot, in milliseconds. */
   readonly waitMs: number;
-  /** What was known of the prompt's parts. */
+  /** What was known of the prompt's parts, if any of them was suspect. */
   readonly assessment?: PromptAssessment;
 }
 
@@ -215,7 +215,8 @@
     }
     const { upstream } = step;
     triedUpstreams.add(upstream.id);
-    lastChoice = { ...step.choice, assessment };
+    lastChoice =
+      assessment.state === PART_STATE.clear ? step.choice : { ...step.choice, assessment };
     const plan = {
       upstream,
       timeLeftMs: getTimeLeftMs(),
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -1,5 +1,7 @@
 /** Least probability that a request with a harmful part crashes the upstream that runs it. */
 export const HARMFUL_LOSS_RATE = 0.5;
+/** Fraction of the crashes that a harmful part causes while it comes. */
+export const HARMFUL_PRESENCE = 0.9;
 /** Rate at which sound requests are taken to be lost with crashes of upstreams at least. */
 export const MIN_SOUND_LOSS_RATE = 0.03;
 /** Largest such rate that counts: at the rate of a harmful part, crashes would say nothing. */
--- a/packages/decisions/quarantine/crashEvidence.ts
+++ b/packages/decisions/quarantine/crashEvidence.ts
@@ -1,6 +1,12 @@
 /** How strongly crashes and survivals of upstreams speak against a part of prompts. */
-import { COMMON_CAUSE_MS, HARMFUL_LOSS_RATE, REQUESTS_AT_CRASH } from './constants';
-import type { ServedCount } from './types';
+import {
+  COMMON_CAUSE_MS,
+  HARMFUL_LOSS_RATE,
+  HARMFUL_PRESENCE,
+  MIN_SOUND_LOSS_RATE,
+  REQUESTS_AT_CRASH,
+} from './constants';
+import type { ServedCount, SoundRates } from './types';
 
 /** Requests with a part that may exist although none was served. */
 const UNSEEN_REQUESTS = 0.1;
@@ -45,10 +51,17 @@
   return 1 - (1 - share) ** REQUESTS_AT_CRASH;
 };
 
-/**
- * Logarithm of the odds that a part is harmful rather than sound. `soundLossRate` is the fraction of
- * sound requests that are lost with crashes of upstreams.
- */
-export const getEvidence = (crashes: number, survivals: number, soundLossRate: number): number =>
-  crashes * Math.log(HARMFUL_LOSS_RATE / soundLossRate) +
-  survivals * Math.log((1 - HARMFUL_LOSS_RATE) / (1 - soundLossRate));
+/** Rates of a rare part where little crashes. */
+export const RARE_PART_RATES: SoundRates = {
+  loss: MIN_SOUND_LOSS_RATE,
+  presence: MIN_SOUND_LOSS_RATE,
+};
+
+/** Logarithm of the odds by which one crash with a part aboard speaks against the part. */
+const getCrashEvidence = ({ loss, presence }: SoundRates): number =>
+  Math.min(Math.log(HARMFUL_LOSS_RATE / loss), Math.log(HARMFUL_PRESENCE / presence));
+
+/** Logarithm of the odds that a part is harmful rather than sound. */
+export const getEvidence = (crashes: number, survivals: number, sound: SoundRates): number =>
+  crashes * getCrashEvidence(sound) +
+  survivals * Math.log((1 - HARMFUL_LOSS_RATE) / (1 - sound.loss));
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -19,7 +19,12 @@
   RELEASE_EVIDENCE,
   SUSPECT_EVIDENCE,
 } from './constants';
-import { countSeparateCrashes, getChancePresence, getEvidence } from './crashEvidence';
+import {
+  countSeparateCrashes,
+  getChancePresence,
+  getEvidence,
+  RARE_PART_RATES,
+} from './crashEvidence';
 import { newSoundLossRate } from './soundLossRate';
 import {
   addCrash,
@@ -38,6 +43,7 @@
   type PromptAssessment,
   type QuarantineChange,
   type ServedCount,
+  type SoundRates,
 } from './types';
 
 /** Quarantine of one gateway; all times are monotonic milliseconds. */
@@ -90,28 +96,29 @@
     all: servedCount,
   });
 
-  /** Probability with which a sound part would be aboard at a crash. */
-  const getSoundRate = (suspect: Suspect, nowMs: number): number => {
-    if (suspect.isQuarantined || suspect.isClaimed) return MIN_SOUND_LOSS_RATE;
+  const getSoundRates = (suspect: Suspect, nowMs: number): SoundRates => {
+    if (suspect.isQuarantined || suspect.isClaimed) return RARE_PART_RATES;
     const served = getServedCount(suspect, getOwnServed(suspect.part));
-    const rate = Math.max(lossRate.getRate(suspect.ownLosses, nowMs), getChancePresence(served));
-    return Math.min(MAX_SOUND_LOSS_RATE, rate);
+    return {
+      loss: Math.min(MAX_SOUND_LOSS_RATE, lossRate.getRate(suspect.ownLosses, nowMs)),
+      presence: Math.max(MIN_SOUND_LOSS_RATE, getChancePresence(served)),
+    };
   };
 
   /** Odds that a part is harmful, without the crashes that other parts explain. */
   const getOdds = (suspect: Suspect, explained: ReadonlySet<string>, nowMs: number): number => {
     const crashes = countSeparateCrashes(suspect.crashTimes, explained);
-    return getEvidence(crashes, countSurvivals(suspect), getSoundRate(suspect, nowMs));
+    return getEvidence(crashes, countSurvivals(suspect), getSoundRates(suspect, nowMs));
   };
 
   const decide = (record: Suspect, explained: ReadonlySet<string>, nowMs: number): void => {
     const threshold = record.isQuarantined ? RELEASE_EVIDENCE : QUARANTINE_EVIDENCE;
-    const soundRate = getSoundRate(record, nowMs);
+    const soundRates = getSoundRates(record, nowMs);
     const isQuarantined = getOdds(record, explained, nowMs) >= threshold;
     if (isQuarantined === record.isQuarantined) return;
     record.isQuarantined = isQuarantined;
     record.changedMs = nowMs;
-    onChange({ report: getReport(record, getOwnServed(record.part), nowMs), soundRate });
+    onChange({ report: getReport(record, getOwnServed(record.part), nowMs), soundRates });
   };
 
   /** Forgets suspects that are long unused, and beyond the largest number the least used ones. */
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -1,6 +1,6 @@
 /** A part of prompts that was aboard at a crash, with what speaks for and against it. */
-import { MAX_CRASHES_PER_PART, MIN_SOUND_LOSS_RATE } from './constants';
-import { countSeparateCrashes, getEvidence } from './crashEvidence';
+import { MAX_CRASHES_PER_PART } from './constants';
+import { countSeparateCrashes, getEvidence, RARE_PART_RATES } from './crashEvidence';
 import type { PartReport, ServedCount } from './types';
 
 /** Survivals that a peer has reported. */
@@ -106,11 +106,7 @@
 
 /** Evidence against a part if all its crashes count and nothing else explains them. */
 export const getFullEvidence = (suspect: Suspect): number =>
-  getEvidence(
-    countSeparateCrashes(suspect.crashTimes),
-    countSurvivals(suspect),
-    MIN_SOUND_LOSS_RATE,
-  );
+  getEvidence(countSeparateCrashes(suspect.crashTimes), countSurvivals(suspect), RARE_PART_RATES);
 
 /** Served requests of all gateways, from this gateway's own and its peers'. */
 export const getServedCount = ({ peerServed }: Suspect, own: ServedCount): ServedCount =>
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -1,5 +1,13 @@
 /** Types of the quarantine of prompt parts. */
 
+/** How often a sound part has what speaks against a part. */
+export interface SoundRates {
+  /** Fraction of sound requests that are lost with crashes of upstreams. */
+  readonly loss: number;
+  /** Probability that a sound part is aboard at a crash. */
+  readonly presence: number;
+}
+
 /** What is known of the most suspicious part of a prompt. */
 export const PART_STATE = {
   clear: 'clear',
@@ -46,6 +54,6 @@
 /** Change of a part's quarantine. */
 export interface QuarantineChange {
   readonly report: PartReport;
-  /** Probability with which a sound part would have been aboard at each crash. */
-  readonly soundRate: number;
+  /** Rates of a sound part by which it was decided. */
+  readonly soundRates: SoundRates;
 }
