Names and comments of the quarantine, read as a newcomer

Cause: metaphors in comments and tests, one comment for two constants, a type without users, and two words for the requests that were served. No behaviour changes.

No check was removed or changed; a test's title changed with its line in the proofs.

--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -34,7 +34,7 @@
   readonly running: EncodedItems;
   /** The most urgent waiting batch items, by service. */
   readonly waiting: EncodedItems;
-  /** Prompt parts that were aboard at crashes of upstreams; a peer of an earlier version sends none. */
+  /** Prompt parts that were present at crashes of upstreams; a peer of an earlier version sends none. */
   readonly suspects?: readonly PartReport[];
 }
 
--- a/anvilpaddle-app/gateway/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/onlineAttempt.ts
@@ -8,9 +8,9 @@
 import { callUpstream } from './upstreamCall';
 
 /**
- * Time without a whole event from an upstream after which a failure is recorded in its health, and after
- * which the attempt ends if another upstream can be tried. It is many times the time to a first
- * event with a short queue.
+ * Time without a whole event from an upstream after which a failure is recorded in its health, and
+ * after which the attempt ends if another upstream can be tried. It is many times the time to a
+ * first event with a short queue.
  */
 const STALL_TIMEOUT_MS = 1000;
 
--- a/anvilpaddle-app/gateway/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/onlineRequest.ts
@@ -146,6 +146,7 @@
     return finish('refused', reason);
   };
 
+  /** Places the request; a suspect goes to the upstream of its part if that has room. */
   const place = (
     service: string,
     assessment: PromptAssessment,
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -6,7 +6,7 @@
 export const MIN_SOUND_LOSS_RATE = 0.03;
 /** Largest such rate that counts: at the rate of a harmful part, crashes would say nothing. */
 export const MAX_SOUND_LOSS_RATE = 0.9 * HARMFUL_LOSS_RATE;
-/** Requests without content that are aboard at a crash, as a rule. */
+/** Requests without content that are present at a crash, as a rule. */
 export const REQUESTS_AT_CRASH = 3;
 /** Odds, as a natural logarithm, at which a part is quarantined: one wrong in 30,000 parts. */
 export const QUARANTINE_EVIDENCE = Math.log(30_000);
@@ -14,8 +14,9 @@
 export const RELEASE_EVIDENCE = QUARANTINE_EVIDENCE / 2;
 /** Odds below which a part is cleared, and evidence against it starts anew. */
 export const EXONERATION_EVIDENCE = -3;
-/** Odds and crashes from which a part is a suspect whose requests are kept apart. */
+/** Odds from which the requests with a part are kept apart. */
 export const SUSPECT_EVIDENCE = 4;
+/** Crashes from which they are. */
 export const MIN_SUSPECT_CRASHES = 2;
 /** Crashes of several upstreams within this time count once: they have a common cause. */
 export const COMMON_CAUSE_MS = 50;
@@ -27,12 +28,13 @@
 export const MAX_SUSPECTS = 512;
 /** Number of crashes that are remembered of one part. */
 export const MAX_CRASHES_PER_PART = 16;
-/** Number of parts whose survivals are remembered before any crash. */
-export const MAX_SURVIVORS = 4096;
+/** Number of parts of which the served requests are counted. */
+export const MAX_SERVED_PARTS = 4096;
 /** Survivals from before the first crash that count at most: about those that clear a part. */
 export const MAX_EARLIER_SURVIVALS = 4;
 /** Time for which a change is reported each time. */
 export const RECENT_CHANGE_MS = 3000;
-/** Number of suspects that changed lately, and of others in turn, in one report at most. */
+/** Number of suspects that changed lately in one report at most. */
 export const MAX_RECENT_REPORTED = 8;
+/** Number of other suspects, in turn, in one report at most. */
 export const MAX_OTHERS_REPORTED = 1;
--- a/packages/decisions/quarantine/crashEvidence.ts
+++ b/packages/decisions/quarantine/crashEvidence.ts
@@ -11,16 +11,9 @@
 /** Requests with a part that may exist although none was served. */
 const UNSEEN_REQUESTS = 0.1;
 
-/** Crashes at which a part was aboard: time in monotonic milliseconds by upstream. */
+/** Crashes at which a part was present: time in monotonic milliseconds by upstream. */
 export type CrashTimes = ReadonlyMap<string, number>;
 
-/** What is known of a part. */
-export interface PartRecord {
-  readonly crashTimes: CrashTimes;
-  /** Requests with the part that an upstream began to answer without crashing. */
-  readonly survivals: number;
-}
-
 const NO_UPSTREAMS: ReadonlySet<string> = new Set();
 
 /** Number of crashes with causes of their own; those of the excluded upstreams don't count. */
@@ -43,7 +36,7 @@
 };
 
 /**
- * Probability that a sound part is aboard at a crash: that of one of the requests there having it. The
+ * Probability that a sound part is present at a crash: that of one of the requests there having it. The
  * share of requests with the part is taken a little higher than it was seen.
  */
 export const getChancePresence = ({ withPart, all }: ServedCount): number => {
@@ -57,7 +50,7 @@
   presence: MIN_SOUND_LOSS_RATE,
 };
 
-/** Logarithm of the odds by which one crash with a part aboard speaks against the part. */
+/** Logarithm of the odds by which one crash with a part present speaks against the part. */
 const getCrashEvidence = ({ loss, presence }: SoundRates): number =>
   Math.min(Math.log(HARMFUL_LOSS_RATE / loss), Math.log(HARMFUL_PRESENCE / presence));
 
--- a/packages/decisions/quarantine/isolation.ts
+++ b/packages/decisions/quarantine/isolation.ts
@@ -1,4 +1,4 @@
-/** Placement of suspect requests, so that they end few upstreams and little company. */
+/** Placement of suspect requests, so that they crash few upstreams and few other requests. */
 import { getRendezvousOwner } from '@anvilpaddle/common';
 
 /**
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -1,6 +1,6 @@
 /**
  * Finds the parts of prompts that crash the upstreams that begin to answer them. A crash breaks off
- * all that runs at an upstream, so a part counts as harmful only once it was aboard, before any
+ * all that runs at an upstream, so a part counts as harmful only once it was present, before any
  * content, at more crashes than sound requests are by chance, and when no other part explains them.
  */
 import {
@@ -9,7 +9,7 @@
   MAX_OTHERS_REPORTED,
   MAX_RECENT_REPORTED,
   MAX_SOUND_LOSS_RATE,
-  MAX_SURVIVORS,
+  MAX_SERVED_PARTS,
   MAX_SUSPECTS,
   MEMORY_MS,
   MIN_SOUND_LOSS_RATE,
@@ -76,8 +76,8 @@
   onChange: (change: QuarantineChange) => void = () => undefined,
 ): PromptQuarantine => {
   const suspects = new Map<string, Suspect>();
-  /** Survivals by part, the parts that survived last at the end. */
-  const survivors = new Map<string, number>();
+  /** Served requests by part, the parts that were served last at the end. */
+  const servedByPart = new Map<string, number>();
   const lossRate = newSoundLossRate();
   let servedCount = 0;
   let reportOffset = 0;
@@ -85,17 +85,19 @@
   const getOrAddSuspect = (part: string, position: number, nowMs: number): Suspect => {
     const known = suspects.get(part);
     if (known !== undefined) return known;
-    const earlierSurvivals = Math.min(MAX_EARLIER_SURVIVALS, survivors.get(part) ?? 0);
+    const earlierSurvivals = Math.min(MAX_EARLIER_SURVIVALS, servedByPart.get(part) ?? 0);
     const suspect = newSuspect(part, position, earlierSurvivals, nowMs);
     suspects.set(part, suspect);
     return suspect;
   };
 
+  /** Requests that this gateway has had served. */
   const getOwnServed = (part: string): ServedCount => ({
-    withPart: survivors.get(part) ?? 0,
+    withPart: servedByPart.get(part) ?? 0,
     all: servedCount,
   });
 
+  /** Rates by which a part is judged; a part that a gateway has judged harmful counts as rare. */
   const getSoundRates = (suspect: Suspect, nowMs: number): SoundRates => {
     if (suspect.isQuarantined || suspect.isClaimed) return RARE_PART_RATES;
     const served = getServedCount(suspect, getOwnServed(suspect.part));
@@ -195,9 +197,9 @@
 
   /** Counts a survival of a part; the part if it is a suspect. */
   const addSurvival = (part: string): Suspect[] => {
-    const survivals = survivors.get(part) ?? 0;
-    survivors.delete(part);
-    survivors.set(part, survivals + 1);
+    const survivals = servedByPart.get(part) ?? 0;
+    servedByPart.delete(part);
+    servedByPart.set(part, survivals + 1);
     const record = suspects.get(part);
     if (record === undefined) return [];
     record.survivals += 1;
@@ -209,7 +211,7 @@
       lossRate.recordSurvival(nowMs);
       servedCount += 1;
       review(promptParts.flatMap(addSurvival), nowMs);
-      removeOldest(survivors, MAX_SURVIVORS);
+      removeOldest(servedByPart, MAX_SERVED_PARTS);
     },
     recordCrash: (upstream, promptParts, nowMs) => {
       lossRate.recordLoss(nowMs);
--- a/packages/decisions/quarantine/tests/crashSimulation.ts
+++ b/packages/decisions/quarantine/tests/crashSimulation.ts
@@ -33,7 +33,7 @@
 /** Outcome of a simulation. */
 export interface SimulationResult {
   readonly harmfulArrivals: number;
-  /** Harmful requests that arrived later than 3 s after the fifth crash with one aboard. */
+  /** Harmful requests that arrived later than 3 s after the fifth crash with one present. */
   readonly lateArrivals: number;
   readonly crashes: number;
   /** Sound requests that were refused by the quarantine, and all sound requests. */
--- a/packages/decisions/quarantine/tests/promptQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/promptQuarantine.test.ts
@@ -22,7 +22,7 @@
 const runAll = (scenario: Partial<Scenario>) =>
   SEEDS.map((seed) => simulate({ ...CALM, ...scenario }, newSeededRandom(seed)));
 
-/** Records crashes of different upstreams, each with these parts aboard. */
+/** Records crashes of different upstreams, each with these parts present. */
 const crash = (
   quarantine: PromptQuarantine,
   parts: readonly string[],
@@ -104,12 +104,12 @@
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
   });
 
-  it('takes the part, not its company that is aboard each time but is served elsewhere', () => {
+  it('takes the part, not another that is present each time but is served elsewhere', () => {
     const quarantine = newUsedQuarantine();
-    crash(quarantine, ['company', 'part'], 4);
-    quarantine.recordSurvival(['company'], 10_000);
-    expect(getState(quarantine, ['company'])).not.toBe(PART_STATE.quarantined);
-    expect(getState(quarantine, ['company', 'part'])).toBe(PART_STATE.quarantined);
+    crash(quarantine, ['neighbour', 'part'], 4);
+    quarantine.recordSurvival(['neighbour'], 10_000);
+    expect(getState(quarantine, ['neighbour'])).not.toBe(PART_STATE.quarantined);
+    expect(getState(quarantine, ['neighbour', 'part'])).toBe(PART_STATE.quarantined);
   });
 
   it('takes the later of two parts that were only seen together, which fewer requests share', () => {
@@ -121,10 +121,10 @@
 
   it('moves to the part that explains more crashes', () => {
     const quarantine = newUsedQuarantine();
-    crash(quarantine, ['part', 'company'], 4);
+    crash(quarantine, ['part', 'neighbour'], 4);
     crash(quarantine, ['part', 'other'], 1, 10_000);
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.quarantined);
-    expect(getState(quarantine, ['company'])).not.toBe(PART_STATE.quarantined);
+    expect(getState(quarantine, ['neighbour'])).not.toBe(PART_STATE.quarantined);
   });
 
   it('needs more crashes where sound requests are lost often', () => {
@@ -145,7 +145,7 @@
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.quarantined);
   });
 
-  it('does not begin for a part that most requests have: it is aboard at any crash', () => {
+  it('does not begin for a part that most requests have: it is present at any crash', () => {
     const quarantine = newUsedQuarantine();
     Array.from({ length: 200 }, (_, index) => quarantine.recordSurvival(['part'], index));
     crash(quarantine, ['part'], 12, 1000);
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -4,14 +4,14 @@
 export interface SoundRates {
   /** Fraction of sound requests that are lost with crashes of upstreams. */
   readonly loss: number;
-  /** Probability that a sound part is aboard at a crash. */
+  /** Probability that a sound part is present at a crash. */
   readonly presence: number;
 }
 
 /** What is known of the most suspicious part of a prompt. */
 export const PART_STATE = {
   clear: 'clear',
-  /** Aboard at several crashes, not proved harmful. */
+  /** Present at several crashes, not proved harmful. */
   suspect: 'suspect',
   /** Crashes upstreams; requests with it must not reach any. */
   quarantined: 'quarantined',
@@ -25,7 +25,7 @@
   | {
       readonly state: typeof PART_STATE.suspect | typeof PART_STATE.quarantined;
       readonly part: string;
-      /** Crashes with causes of their own at which the part was aboard. */
+      /** Crashes with causes of their own at which the part was present. */
       readonly crashes: number;
       /** Time since the last of them was known here, in milliseconds. */
       readonly ageMs: number;
