Move the window counter out of the sliding window limiter

Requests to upstreams with a limit are counted in a window too, so the counter gets a module of its own; no change of behaviour. The limiter's 9 tests pass.

--- a/packages/decisions/limits/slidingWindowLimiter.ts
+++ b/packages/decisions/limits/slidingWindowLimiter.ts
@@ -1,6 +1,12 @@
 /** Limit on each team's requests in a sliding window, shared by all gateways. */
 import { MS_PER_SECOND } from '@anvilpaddle/common';
 import type { RateLimit } from './tokenBucket';
+import {
+  newWindowCounter,
+  SLOTS_PER_WINDOW,
+  type WindowCounter,
+  type WindowSlots,
+} from './windowCounter';
 
 /** Decision on one request; a refusal names the admissions in the window and the limit. */
 export type WindowAdmission =
@@ -21,7 +27,7 @@
 }
 
 /** Admissions of a team in each time slot of the window, oldest slot first. */
-export type AdmissionSlots = readonly number[];
+export type AdmissionSlots = WindowSlots;
 
 /** Which gateways share the limits, and how many of them this gateway gets reports from. */
 export interface GatewayVisibility {
@@ -72,7 +78,6 @@
   restore(admissions: ReadonlyMap<string, AdmissionSlots>, ageMs: number, nowMs: number): void;
 }
 
-const SLOTS_PER_WINDOW = 20;
 const MIN_RETRY_AFTER_MS = 50;
 /**
  * Fraction of the tolerance that offsets the limit reserved for gateways not seen recently; the rest
@@ -81,68 +86,6 @@
 const UNSEEN_TOLERANCE_FRACTION = 0.4;
 const NO_TOLERANCE: LimitTolerance = { share: 0, count: 0 };
 
-/** Counter of events in a sliding window, in slots of a fixed width. */
-const newWindowCounter = (windowMs: number) => {
-  const slotMs = windowMs / SLOTS_PER_WINDOW;
-  // One slot more than the window has, so that the slots always cover at least the whole window.
-  const slots = new Array<number>(SLOTS_PER_WINDOW + 1).fill(0);
-  let sum = 0;
-  let newestSlot = 0;
-
-  const advance = (nowMs: number): void => {
-    const slot = Math.floor(nowMs / slotMs);
-    const steps = Math.min(slot - newestSlot, slots.length);
-    for (let step = 1; step <= steps; step += 1) {
-      const index = (newestSlot + step) % slots.length;
-      sum -= slots[index] ?? 0;
-      slots[index] = 0;
-    }
-    if (steps >= slots.length) slots.fill(0);
-    newestSlot = Math.max(newestSlot, slot);
-  };
-
-  return {
-    add: (count: number, nowMs: number): void => {
-      advance(nowMs);
-      const index = newestSlot % slots.length;
-      slots[index] = (slots[index] ?? 0) + count;
-      sum += count;
-    },
-    get: (nowMs: number): number => {
-      advance(nowMs);
-      return sum;
-    },
-    getSlots: (nowMs: number): AdmissionSlots => {
-      advance(nowMs);
-      return slots.map((_, index) => slots[(newestSlot + 1 + index) % slots.length] ?? 0);
-    },
-    /** Raises each slot to at least the count of another counter, as it was `ageMs` ago. */
-    raise: (other: AdmissionSlots, ageMs: number, nowMs: number): void => {
-      advance(nowMs);
-      const slotShift = Math.floor(Math.max(0, ageMs) / slotMs);
-      other.slice(slotShift).forEach((count, index) => {
-        const slot = (newestSlot + 1 + index) % slots.length;
-        const missing = count - (slots[slot] ?? 0);
-        if (missing <= 0) return;
-        slots[slot] = count;
-        sum += missing;
-      });
-    },
-    /** Time until the window contains no more than `count` events. */
-    getDrainMs: (count: number, nowMs: number): number => {
-      advance(nowMs);
-      let left = sum;
-      for (let age = slots.length - 1; age >= 0; age -= 1) {
-        if (left <= count) return (slots.length - 1 - age) * slotMs;
-        left -= slots[(newestSlot - age + slots.length * 2) % slots.length] ?? 0;
-      }
-      return windowMs;
-    },
-  };
-};
-
-type WindowCounter = ReturnType<typeof newWindowCounter>;
-
 /** Limiter of a gateway that knows of no admissions yet. */
 export const newSlidingWindowLimiter = (
   windowMs: number,
