Log and count what upstreams say of their limits, and what they get

All requests to upstreams, online and items, now go through newUpstreamClient, which counts them by reason and reads what each response says of its upstream; the header's name stands in platform/ alone. Gateways report limits and their sends to each other in datagrams. Lines 'upstream limit' and, each 4 s for at most 60 upstreams, 'sent to limited upstream'; counters by reason, gauge of limited upstreams. Nothing is decided by it yet.

On the way: onlineRequest is split into the loop, the placement and the types (the circle with gatewayMetrics and onlineAttempt is gone), jobRunner into selection, execution and ticks.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -14,7 +14,8 @@
 import { QUARANTINE_REFUSAL, sendRefusal, STATUS, type Refusal } from './refusal';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { JobService } from './jobs/jobService';
-import { serveOnlineRequest, type OnlineDependencies } from './onlineRequest';
+import { serveOnlineRequest } from './online/onlineRequest';
+import type { OnlineDependencies } from './online/types';
 import { findRoute } from './routeTable';
 import { ROUTE_KIND, type GatewayConfig, type Route, type Team } from './types';
 
--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -49,6 +49,20 @@
   readonly bodyBytes: number;
 }
 
+/** What an upstream says of itself in a response. */
+export interface UpstreamStatus {
+  /** Requests per second that it takes from all gateways together; undefined without a limit. */
+  readonly requestsPerSecond: number | undefined;
+}
+
+/** What a response says of its upstream. */
+export type StatusReading =
+  | { readonly kind: 'status'; readonly status: UpstreamStatus }
+  /** Nothing, as the response doesn't come from the expected upstream. */
+  | { readonly kind: 'none' }
+  /** A status that makes no sense, or is not of the expected upstream. */
+  | { readonly kind: 'unusable'; readonly detail: string };
+
 /** Translation between the platform's HTTP messages and the gateway's types. */
 export interface CallerProtocol {
   parseHead(method: string, url: string, headers: IncomingHttpHeaders): RequestHead;
@@ -60,6 +74,8 @@
   isNotRun(status: number, headers: IncomingHttpHeaders): boolean;
   /** Whether a response states that another process than the intended upstream has its address. */
   isMisdirected(status: number): boolean;
+  /** What a response says of its upstream, from its status code and headers. */
+  getUpstreamStatus(status: number, headers: IncomingHttpHeaders): StatusReading;
   /** Whether a response belongs to the request with this id. */
   isResponseTo(headers: IncomingHttpHeaders, requestId: string): boolean;
   /** Job in the body of a submission; undefined when the body is invalid. */
--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,5 +1,6 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
 import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
+import type { EncodedLimitReport } from './limitReport';
 
 /**
  * Batch items by group. Each item is a pair in milliseconds: its due time on the store's clock and
@@ -36,6 +37,8 @@
   readonly waiting: EncodedItems;
   /** Prompt parts that were present at crashes of upstreams; a peer of an earlier version sends none. */
   readonly suspects?: readonly PartReport[];
+  /** Limits that upstreams named; a peer of an earlier version sends none. */
+  readonly limits?: readonly EncodedLimitReport[];
 }
 
 /**
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -18,6 +18,7 @@
   newRetryAfterSchedule,
   newServiceTimes,
   newSlidingWindowLimiter,
+  newUpstreamLimits,
   type QuarantineChange,
 } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
@@ -33,12 +34,14 @@
 import { newCrashDetector } from './crashDetector';
 import { newGossip, type Gossip } from './gossip';
 import { newStoredQuarantine } from './storedQuarantine';
+import { logLimitChange, startLimitLog } from './limitLog';
 import { newJobCache } from './jobs/jobCache';
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
 import { newJobService } from './jobs/jobService';
 import { newJobStore } from './jobs/jobStore';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
 import type { GatewaySettings, Upstream } from './types';
+import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamWatch, type UpstreamSource } from './upstreamWatch';
 
 const CONFIG_READ_INTERVAL_MS = 400;
@@ -110,6 +113,11 @@
     runnerRef.runner?.onLoadChange();
   });
   const itemTracker = newItemTracker();
+  const upstreamLimits = newUpstreamLimits((upstream, limit) => {
+    logLimitChange(log, upstream, limit);
+    peersRef.gossip?.scheduleSend();
+  });
+  startLimitLog(upstreamLimits, clock, log);
   const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
   const health = newHealth(HEALTH_SETTINGS);
   const serviceTimes = newServiceTimes();
@@ -117,9 +125,11 @@
     recordStore,
     platform.upstreamSource,
     () => {
-      const known = new Set(upstreamWatch.getAll().map(({ id }) => id));
+      const upstreams = upstreamWatch.getAll();
+      const known = new Set(upstreams.map(({ id }) => id));
       health.retain(known);
       serviceTimes.retain(known);
+      upstreamLimits.retain(new Set(upstreams.map((upstream) => upstream.incarnation)));
     },
     clock,
     log,
@@ -164,7 +174,7 @@
   const gossip = newGossip(
     self,
     gatewayList,
-    { upstreamLoads, items: itemTracker, limit: limiter, quarantine },
+    { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits },
     { getState, onPeerUpdate },
     clock,
     log,
@@ -191,7 +201,9 @@
     getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
     getPeers: () => gatewayList.getOthers().length,
     getQuarantinedParts: () => quarantine.getQuarantinedCount(),
+    getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
   });
+  const upstreamClient = newUpstreamClient(protocol, upstreamLimits, metrics, clock, log);
   const crashDetector = newCrashDetector(
     {
       probe: ({ address }) => probeConnection(address, clock),
@@ -215,6 +227,7 @@
     configWatch,
     view: fleetView,
     protocol,
+    upstreamClient,
     upstreamLoads,
     items: itemTracker,
     health,
@@ -258,6 +271,7 @@
     online: {
       protocol,
       view: fleetView,
+      upstreamClient,
       upstreamLoads,
       health,
       crashDetector,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -2,22 +2,18 @@
 import { createServer } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { getErrorMessage, listen, type Address, type Logger } from '@anvilpaddle/common';
-import type { OnlineOutcome } from './onlineRequest';
-import type { ResponseEnd } from './responseEnd';
+import type { AttemptMetrics, OnlineOutcome } from './online/types';
 import type { Route } from './types';
+import type { UpstreamMetrics } from './upstreamClient';
 
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
 /** Metrics of one gateway. */
-export interface GatewayMetrics {
+export interface GatewayMetrics extends AttemptMetrics, UpstreamMetrics {
   /** Counts an online request that has ended. */
   countRequest(route: Route, outcome: OnlineOutcome): void;
   /** Counts a request that was refused before it reached an upstream. */
   countRefusal(status: number): void;
-  /** Counts how the body of an upstream's response ended. */
-  countResponseEnd(end: ResponseEnd): void;
-  /** Counts an upstream's silence during an online attempt. */
-  countSilence(): void;
   /** Counts an upstream whose process ended with requests of this gateway. */
   countUpstreamCrash(): void;
   /** All metrics in Prometheus's text format. */
@@ -30,6 +26,7 @@
   readonly getJobs: () => number;
   readonly getPeers: () => number;
   readonly getQuarantinedParts: () => number;
+  readonly getLimitedUpstreams: () => number;
 }
 
 /** Creates the metrics in a registry of their own. */
@@ -64,6 +61,17 @@
     help: 'Silences of upstreams during online attempts',
     registers,
   });
+  const sends = new Counter({
+    name: 'anvilpaddle_upstream_sends_total',
+    help: 'Requests sent to upstreams, by reason and whether the upstream had named a limit',
+    labelNames: ['reason', 'limited'],
+    registers,
+  });
+  const unusableStatuses = new Counter({
+    name: 'anvilpaddle_unusable_upstream_statuses_total',
+    help: 'Responses whose statement about their upstream makes no sense or is of another process',
+    registers,
+  });
   const firstByte = new Histogram({
     name: 'anvilpaddle_first_byte_ms',
     help: 'Time to the first byte of the answer in milliseconds',
@@ -88,6 +96,11 @@
     'Parts of prompts that are kept from all upstreams',
     gauges.getQuarantinedParts,
   );
+  addGauge(
+    'anvilpaddle_limited_upstreams',
+    'Upstreams that name a limit for the requests of all gateways',
+    gauges.getLimitedUpstreams,
+  );
 
   return {
     countRequest: ({ kind }, { result, firstByteMs }) => {
@@ -99,6 +112,8 @@
       responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
     countSilence: () => silences.inc(),
     countUpstreamCrash: () => upstreamCrashes.inc(),
+    countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
+    countUnusableStatus: () => unusableStatuses.inc(),
     text: () => registry.metrics(),
   };
 };
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -14,6 +14,7 @@
   PromptQuarantine,
   GatewayVisibility,
   SlidingWindowLimiter,
+  UpstreamLimits,
 } from '@anvilpaddle/decisions';
 import {
   decodeItems,
@@ -23,6 +24,7 @@
   type GatewayState,
 } from './datagram';
 import type { Gateway, GatewayList } from './gatewayList';
+import { decodeLimitReports, encodeLimitReports } from './limitReport';
 import { parsePartReports } from './partReport';
 
 /** Minimum time between two datagrams to the same peer. */
@@ -69,6 +71,7 @@
   readonly items: ItemTracker;
   readonly limit: SlidingWindowLimiter;
   readonly quarantine: PromptQuarantine;
+  readonly upstreamLimits: UpstreamLimits;
 }
 
 /** Connections of the gossip to its gateway. */
@@ -89,7 +92,7 @@
 export const newGossip = (
   self: Gateway,
   gatewayList: GatewayList,
-  { upstreamLoads, items: itemTracker, limit: limiter, quarantine }: SharedState,
+  { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits }: SharedState,
   { getState, onPeerUpdate }: GossipHooks,
   clock: Clock,
   log: Logger,
@@ -138,6 +141,7 @@
     );
     limiter.updatePeer(from, new Map(admissionCounts), nowMs);
     quarantine.updatePeer(from, parsePartReports(datagram.suspects), nowMs);
+    upstreamLimits.updatePeer(from, decodeLimitReports(datagram.limits), nowMs);
     onPeerUpdate();
   };
 
@@ -152,6 +156,7 @@
     running: encodeItems(itemTracker.getOwn().running),
     waiting: encodeItems(itemTracker.getOwn().waiting),
     suspects: quarantine.getReports(nowMs),
+    limits: encodeLimitReports(upstreamLimits.getReports(nowMs)),
     ...getState(),
   });
 
@@ -187,6 +192,7 @@
       if (nowMs - lastSeenMs < 10 * MS_PER_SECOND) return;
       peers.delete(peer);
       limiter.removePeer(peer);
+      upstreamLimits.removePeer(peer);
     });
   };
 
--- /dev/null
+++ b/anvilpaddle-app/gateway/jobs/itemExecution.ts
@@ -0,0 +1,103 @@
+/** Runs batch items at upstreams, and adds their results to their jobs. */
+import type { Logger, Random } from '@anvilpaddle/common';
+import type { RunTimeEstimator } from '@anvilpaddle/decisions';
+import type { Route, Upstream } from '../types';
+import type { ItemRuns, Run } from './itemRuns';
+import type { ReadyItem } from './itemSelection';
+import type { OwnedJob, PendingItem } from './ownedJob';
+import { runItem, SUPERSEDED, type RunItemDependencies, type RunOutcome } from './runItem';
+import type { ItemResult } from './types';
+
+/** Minimum pause of an item after a run that broke, failed or was refused; jitter can double it. */
+const MIN_RESTART_PAUSE_MS = 150;
+
+/** Dependencies of the execution. */
+export interface ItemExecutionDependencies extends RunItemDependencies {
+  readonly random: Random;
+  readonly log: Logger;
+}
+
+/** State of the gateway that runs change. */
+export interface ItemExecutionState {
+  readonly runs: ItemRuns;
+  readonly runTimeEstimator: RunTimeEstimator;
+  getJobRoute(job: OwnedJob): Route | undefined;
+}
+
+/** Runs an item at an upstream until the run ends, and handles its outcome. */
+export type ExecuteItem = (ready: ReadyItem, upstream: Upstream) => Promise<void>;
+
+/** Creates the function that runs items. */
+export const newItemExecution = (
+  { runs, runTimeEstimator, getJobRoute }: ItemExecutionState,
+  dependencies: ItemExecutionDependencies,
+): ExecuteItem => {
+  const { protocol, clock, random, log } = dependencies;
+
+  /** Adds an item's result and aborts the runs of the item that are left. */
+  const addResult = (job: OwnedJob, pending: PendingItem, result: ItemResult): void => {
+    job.addResult(pending, result);
+    runs.abortRunsOf(pending);
+  };
+
+  /** Adds an item's result after a run, or lets it run again later. */
+  const handleOutcome = (job: OwnedJob, pending: PendingItem, outcome: RunOutcome): void => {
+    const { item } = pending;
+    const route = getJobRoute(job);
+    const addErroredResult = (): void =>
+      addResult(job, pending, { id: item.id, state: 'errored', output: '' });
+    if (outcome.kind === 'done') {
+      runTimeEstimator.learnCompletion(job.getRecord().route, pending.events);
+      const output = pending.texts.join('\n');
+      addResult(job, pending, { id: item.id, state: 'succeeded', output });
+      return;
+    }
+    if (outcome.kind === 'impossible') {
+      log.info({ job: job.id, item: item.id }, 'item cannot succeed at any upstream');
+      addErroredResult();
+      return;
+    }
+    pending.notBeforeMs = clock.monotonic() + MIN_RESTART_PAUSE_MS * (1 + random());
+    if (outcome.kind !== 'failed') return;
+    const failures = job.countFailure(pending);
+    log.info({ job: job.id, item: item.id, failures, detail: outcome.detail }, 'item failed');
+    if (route !== undefined && failures >= route.maxAttempts) addErroredResult();
+  };
+
+  return async ({ job, pending, dueMs }: ReadyItem, upstream: Upstream): Promise<void> => {
+    const abort = new AbortController();
+    const run: Run = { job, pending, upstream, dueMs, abort };
+    const observer = runs.add(run);
+    const target = { upstream, host: job.getRecord().host, team: job.team };
+    const before = { events: pending.events, startedMs: clock.monotonic() };
+    const outcome = await runItem(
+      pending.item,
+      target,
+      pending,
+      abort.signal,
+      dependencies,
+      observer,
+    );
+    runs.remove(run);
+    if (abort.signal.reason === SUPERSEDED) return;
+    const events = pending.events - before.events;
+    const runMs = clock.monotonic() - before.startedMs;
+    runTimeEstimator.learnRun(job.getRecord().route, events, runMs);
+    if (abort.signal.aborted && outcome.kind !== 'done') return;
+    if (outcome.kind === 'broken') {
+      log.info(
+        {
+          job: job.id,
+          item: pending.item.id,
+          upstream: upstream.id,
+          detail: outcome.detail,
+          hasContent: events > 0,
+          promptParts: protocol.getItemPromptParts(pending.item),
+          ...outcome.responseEnd,
+        },
+        'run broken',
+      );
+    }
+    handleOutcome(job, pending, outcome);
+  };
+};
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -16,7 +16,8 @@
 import type { GatewayMetrics } from '../gatewayMetrics';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from '../responseEnd';
 import type { Upstream } from '../types';
-import { callUpstream, MAX_EVENT_BYTES, MAX_RUN_BYTES } from '../upstreamCall';
+import { MAX_EVENT_BYTES, MAX_RUN_BYTES } from '../upstreamCall';
+import { SEND_REASON, type UpstreamClient } from '../upstreamClient';
 import type { JobItem } from './types';
 
 /** Status with which an upstream says that an item can never succeed. */
@@ -72,6 +73,7 @@
 export interface RunItemDependencies {
   readonly protocol: CallerProtocol;
   readonly view: FleetView;
+  readonly upstreamClient: UpstreamClient;
   readonly upstreamLoads: LoadTracker;
   readonly health: Health;
   readonly crashDetector: CrashDetector;
@@ -91,9 +93,10 @@
   observer = NO_OBSERVER,
 ): Promise<RunOutcome> => {
   const { protocol, view, upstreamLoads, health, crashDetector, quarantine } = dependencies;
-  const { clock, metrics } = dependencies;
+  const { upstreamClient, clock, metrics } = dependencies;
   const { upstream, host, team } = target;
   const promptParts = protocol.getItemPromptParts(item);
+  const reason = progress.runMs === 0 ? SEND_REASON.item : SEND_REASON.resumption;
   let hasContent = false;
   const silenceTimeout = new AbortController();
   const startTimers = () => [
@@ -124,9 +127,9 @@
   };
 
   const run = async (): Promise<RunOutcome> => {
-    const callResult = await callUpstream(
+    const callResult = await upstreamClient.send(
+      upstream,
       {
-        address: upstream.address,
         method: 'POST',
         path: item.path,
         headers: protocol.getUpstreamHeaders(protocol.getItemHeaders(item, host), {
@@ -139,8 +142,8 @@
         body: item.body,
         isBulk: true,
       },
+      reason,
       abortSignal,
-      clock,
     );
     if (callResult.kind === 'not_sent' && callResult.isRefused) {
       crashDetector.reportRefused(upstream);
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -1,16 +1,17 @@
 /** One attempt to serve an online request on one upstream. */
 import { SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
-import type { AttemptReport, CallerResponse } from './callerResponse';
-import type { OnlineRequest, OnlineDependencies } from './onlineRequest';
-import { isResponseComplete } from './responseEnd';
-import { newSilenceTimer, SILENCE_TIMEOUT_MS } from './silenceTimer';
-import type { Upstream } from './types';
-import { callUpstream } from './upstreamCall';
+import type { AttemptReport, CallerResponse } from '../callerResponse';
+import { isResponseComplete } from '../responseEnd';
+import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
+import type { Upstream } from '../types';
+import type { SendReason } from '../upstreamClient';
+import type { OnlineRequest, OnlineDependencies } from './types';
 
 /** Upstream and limits of one attempt. */
 export interface AttemptPlan {
   readonly upstream: Upstream;
+  readonly reason: SendReason;
   /** Time left for the response, in milliseconds. */
   readonly timeLeftMs: number;
   /** Expected wait for a slot, in milliseconds. */
@@ -67,14 +68,14 @@
 /** Sends the request to the upstream; `signal` aborts the attempt. */
 export const openAttempt = (
   { head, team, message, body }: OnlineRequest,
-  { upstream, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
+  { upstream, reason, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
   dependencies: OnlineDependencies,
 ): OnlineAttempt => {
   const { protocol, view, serviceTimes, upstreamLoads, health, crashDetector, quarantine } =
     dependencies;
-  const { clock, log, metrics } = dependencies;
+  const { upstreamClient, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
   const abandonment = new AbortController();
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
@@ -120,12 +121,12 @@
       resumeAfterId: callerResponse.lastEventId(),
       bodyBytes: body.length,
     });
-    const { address } = upstream;
     const { method = 'GET', url: path = '/' } = message;
-    const callResult = await callUpstream(
-      { address, method, path, headers, body },
+    const callResult = await upstreamClient.send(
+      upstream,
+      { method, path, headers, body },
+      reason,
       attemptSignal,
-      clock,
     );
     firstByteMs = clock.monotonic() - sentMs;
     if (callResult.kind === 'not_sent' && callResult.isRefused) {
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -1,104 +1,31 @@
 /** Serves one online request, trying upstreams in turn until one responds. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { BODY_END, type Clock, type Logger, type Random } from '@anvilpaddle/common';
+import { BODY_END } from '@anvilpaddle/common';
 import {
-  getIsolatedCandidates,
-  getPlacement,
   isRetryable,
   PART_STATE,
   type AttemptOutcome,
-  type Health,
-  type LoadTracker,
-  type Placement,
   type PromptAssessment,
-  type PromptQuarantine,
-  type RequestTiming,
-  type RetryAfterSchedule,
-  type ServiceTimes,
 } from '@anvilpaddle/decisions';
-import { newCallerResponse, type AttemptReport } from './callerResponse';
-import type { RequestHead, CallerProtocol } from './callerProtocol';
-import { QUARANTINE_REFUSAL, STATUS, type Refusal } from './refusal';
-import type { CrashDetector } from './crashDetector';
-import type { FleetView } from './fleetView';
+import { newCallerResponse, type AttemptReport } from '../callerResponse';
+import { QUARANTINE_REFUSAL, STATUS, type Refusal } from '../refusal';
+import type { ResponseEnd } from '../responseEnd';
+import { pickService } from '../routeTable';
+import { ROUTE_KIND } from '../types';
+import { SEND_REASON } from '../upstreamClient';
 import { openAttempt, type OnlineAttempt } from './onlineAttempt';
-import { pickService } from './routeTable';
-import type { GatewayMetrics } from './gatewayMetrics';
-import type { ResponseEnd } from './responseEnd';
+import { newRequestPlacement, type SendStep } from './requestPlacement';
 import { runWithSuccessor, type SuccessorSource } from './successorSearch';
-import { ROUTE_KIND, type Route, type Upstream } from './types';
+import type { OnlineDependencies, OnlineOutcome, OnlineRequest, PlacementChoice } from './types';
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
 const MAX_REJECTIONS = 3;
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
 
-/** Dependencies of all online requests. */
-export interface OnlineDependencies {
-  readonly protocol: CallerProtocol;
-  readonly view: FleetView;
-  readonly upstreamLoads: LoadTracker;
-  readonly health: Health;
-  readonly serviceTimes: ServiceTimes;
-  readonly crashDetector: CrashDetector;
-  readonly quarantine: PromptQuarantine;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: Logger;
-  readonly metrics: Pick<GatewayMetrics, 'countResponseEnd' | 'countSilence'>;
-  readonly retrySchedule: RetryAfterSchedule;
-  /** Number of gateways that may be running, including this one. */
-  readonly getGatewayCount: () => number;
-}
-
-/** Caller's request with its body. */
-export interface OnlineRequest {
-  readonly head: RequestHead;
-  readonly route: Route;
-  readonly team: string | undefined;
-  readonly message: IncomingMessage;
-  readonly body: Buffer;
-  readonly response: ServerResponse;
-  /** Monotonic time at which the head was received. */
-  readonly startedMs: number;
-  /** Aborted when the caller disconnects. */
-  readonly signal: AbortSignal;
-}
-
-/** Upstream that was chosen last, with the load on which the choice was based. */
-interface PlacementChoice {
-  readonly upstream: string;
-  /** Online requests and batch items at the upstream. */
-  readonly online: number;
-  readonly batch: number;
-  /** Expected wait for a slot, in milliseconds. */
-  readonly waitMs: number;
-  /** What was known of the prompt's parts, if any of them was suspect. */
-  readonly assessment?: PromptAssessment;
-}
-
-/** How a request ended, for the log and the metrics. */
-export interface OnlineOutcome extends Partial<PlacementChoice>, Partial<ResponseEnd> {
-  readonly result: 'served' | 'refused' | 'failed' | 'left';
-  readonly reason: string;
-  readonly attempts: number;
-  readonly firstByteMs: number | undefined;
-  /** Time from the request's head to its end, in milliseconds. */
-  readonly durationMs: number;
-}
-
 /** Why there is no whole response, for the caller and the log. */
 const getLossReason = ({ responseEnd }: AttemptReport): string =>
   responseEnd?.bodyEnd === BODY_END.tooLarge ? 'the answer was too large' : 'the answer was lost';
 
-interface SendStep {
-  readonly kind: 'send';
-  readonly upstream: Upstream;
-  readonly choice: PlacementChoice;
-}
-
-type PlacementStep = SendStep | { readonly kind: 'refuse'; readonly queueMs: number };
-
 /** Attempt under way, with the knowledge on which its upstream was chosen. */
 interface OpenRequest {
   readonly attempt: OnlineAttempt;
@@ -112,7 +39,7 @@
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
   const { head, route, response, startedMs, signal } = request;
-  const { protocol, view, upstreamLoads, quarantine, clock, random, log } = dependencies;
+  const { protocol, quarantine, clock, random, log } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
   const getTimeLeftMs = (): number => timeoutMs - getElapsedMs();
@@ -130,6 +57,10 @@
   /** Attempt that has the request. */
   let current: OpenRequest | undefined;
 
+  const { getNextStep, getRetryAfterMs } = newRequestPlacement(
+    { route, getElapsedMs, getTimeLeftMs, triedUpstreams },
+    dependencies,
+  );
   const callerResponse = newCallerResponse(head, route, response, protocol, () => {
     firstByteMs = getElapsedMs();
   });
@@ -162,52 +93,6 @@
     return finish('refused', reason);
   };
 
-  /** Places the request; a suspect goes to the upstream of its part if that has room. */
-  const place = (
-    service: string,
-    assessment: PromptAssessment,
-    demand: RequestTiming,
-  ): Placement => {
-    const candidates = view.getCandidates(service, triedUpstreams);
-    if (assessment.state === PART_STATE.suspect) {
-      const isolated = getIsolatedCandidates(assessment.part, candidates);
-      const placement = getPlacement(isolated, demand, random);
-      if (placement.kind === 'send') return placement;
-    }
-    return getPlacement(candidates, demand, random);
-  };
-
-  /** Next place for the request; `isUnderWay` tells whether it may have run already. */
-  const getNextStep = (
-    service: string,
-    assessment: PromptAssessment,
-    isUnderWay: boolean,
-  ): PlacementStep => {
-    // A request that may have run already is worth finishing even if it is late.
-    const objectiveLeftMs = isUnderWay
-      ? route.latencyObjectiveMs
-      : route.latencyObjectiveMs - getElapsedMs();
-    const demand = { objectiveLeftMs, timeLeftMs: getTimeLeftMs() };
-    const placement = place(service, assessment, demand);
-    if (placement.kind === 'refuse') return placement;
-    const upstream = view.getUpstream(placement.upstream);
-    if (upstream === undefined) return { kind: 'refuse', queueMs: 0 };
-    const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
-    const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
-    return { kind: 'send', upstream, choice };
-  };
-
-  const getRetryAfterMs = (service: string, queueMs: number): number => {
-    const admissionIntervalMs = view.getAdmissionIntervalMs(
-      service,
-      1 / dependencies.getGatewayCount(),
-    );
-    return dependencies.retrySchedule.getRetryAfterMs(
-      { queueMs, admissionIntervalMs },
-      clock.monotonic(),
-    );
-  };
-
   const countAttempt = ({ run }: AttemptOutcome): void => {
     if (run === 'not_run') rejectionCount += 1;
     else runCount += 1;
@@ -225,6 +110,7 @@
     });
 
   const open = ({ upstream, choice }: SendStep, assessment: PromptAssessment): OpenRequest => {
+    const isFirst = triedUpstreams.size === 0;
     triedUpstreams.add(upstream.id);
     const isClear = assessment.state === PART_STATE.clear;
     const opened: OpenRequest = {
@@ -232,6 +118,7 @@
         request,
         {
           upstream,
+          reason: isFirst ? SEND_REASON.request : SEND_REASON.retry,
           timeLeftMs: getTimeLeftMs(),
           expectedWaitMs: choice.waitMs,
           isLast: () =>
--- /dev/null
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -0,0 +1,80 @@
+/** Places an online request: where it goes next, or when a refused caller may come back. */
+import {
+  getIsolatedCandidates,
+  getPlacement,
+  PART_STATE,
+  type Placement,
+  type PromptAssessment,
+  type RequestTiming,
+} from '@anvilpaddle/decisions';
+import type { Route, Upstream } from '../types';
+import type { OnlineDependencies, PlacementChoice } from './types';
+
+/** The request goes to an upstream. */
+export interface SendStep {
+  readonly kind: 'send';
+  readonly upstream: Upstream;
+  readonly choice: PlacementChoice;
+}
+
+/** Next step of a request: it is sent, or no upstream has room for it. */
+export type PlacementStep = SendStep | { readonly kind: 'refuse'; readonly queueMs: number };
+
+/** Times left for the request that is placed. */
+export interface PlacedRequest {
+  readonly route: Route;
+  readonly getElapsedMs: () => number;
+  readonly getTimeLeftMs: () => number;
+  /** Upstreams that get no further attempt. */
+  readonly triedUpstreams: ReadonlySet<string>;
+}
+
+/** Placement of one request. */
+export interface RequestPlacement {
+  /** Next place for the request; `isUnderWay` tells whether it may have run already. */
+  getNextStep(service: string, assessment: PromptAssessment, isUnderWay: boolean): PlacementStep;
+  /** Time after which a caller that is refused may come back, in milliseconds. */
+  getRetryAfterMs(service: string, queueMs: number): number;
+}
+
+/** Creates the placement of a request. */
+export const newRequestPlacement = (
+  { route, getElapsedMs, getTimeLeftMs, triedUpstreams }: PlacedRequest,
+  { view, upstreamLoads, retrySchedule, getGatewayCount, clock, random }: OnlineDependencies,
+): RequestPlacement => {
+  /** Places the request; a suspect goes to the upstream of its part if that has room. */
+  const place = (
+    service: string,
+    assessment: PromptAssessment,
+    demand: RequestTiming,
+  ): Placement => {
+    const candidates = view.getCandidates(service, triedUpstreams);
+    if (assessment.state === PART_STATE.suspect) {
+      const isolated = getIsolatedCandidates(assessment.part, candidates);
+      const placement = getPlacement(isolated, demand, random);
+      if (placement.kind === 'send') return placement;
+    }
+    return getPlacement(candidates, demand, random);
+  };
+
+  return {
+    getNextStep: (service, assessment, isUnderWay) => {
+      // A request that may have run already is worth finishing even if it is late.
+      const objectiveLeftMs = isUnderWay
+        ? route.latencyObjectiveMs
+        : route.latencyObjectiveMs - getElapsedMs();
+      const demand = { objectiveLeftMs, timeLeftMs: getTimeLeftMs() };
+      const placement = place(service, assessment, demand);
+      if (placement.kind === 'refuse') return placement;
+      const upstream = view.getUpstream(placement.upstream);
+      if (upstream === undefined) return { kind: 'refuse', queueMs: 0 };
+      const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
+      const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
+      return { kind: 'send', upstream, choice };
+    },
+    getRetryAfterMs: (service, queueMs) => {
+      const admissionIntervalMs = view.getAdmissionIntervalMs(service, 1 / getGatewayCount());
+      return retrySchedule.getRetryAfterMs({ queueMs, admissionIntervalMs }, clock.monotonic());
+    },
+  };
+};
--- a/anvilpaddle-app/gateway/online/successorSearch.ts
+++ b/anvilpaddle-app/gateway/online/successorSearch.ts
@@ -1,7 +1,7 @@
 /** Runs an attempt, and moves its request to another upstream if the first is silent. */
 import type { Clock, Logger, Timer } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
-import type { AttemptReport } from './callerResponse';
+import type { AttemptReport } from '../callerResponse';
 import type { AttemptListener, OnlineAttempt } from './onlineAttempt';
 
 /**
--- /dev/null
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -0,0 +1,80 @@
+/** Types of online requests, their attempts and their outcomes. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, Logger, Random } from '@anvilpaddle/common';
+import type {
+  Health,
+  LoadTracker,
+  PromptAssessment,
+  PromptQuarantine,
+  RetryAfterSchedule,
+  ServiceTimes,
+} from '@anvilpaddle/decisions';
+import type { RequestHead, CallerProtocol } from '../callerProtocol';
+import type { CrashDetector } from '../crashDetector';
+import type { FleetView } from '../fleetView';
+import type { ResponseEnd } from '../responseEnd';
+import type { Route } from '../types';
+import type { UpstreamClient } from '../upstreamClient';
+
+/** Counters of the attempts of online requests. */
+export interface AttemptMetrics {
+  /** Counts how the body of an upstream's response ended. */
+  countResponseEnd(end: ResponseEnd): void;
+  /** Counts an upstream's silence during an online attempt. */
+  countSilence(): void;
+}
+
+/** Dependencies of all online requests. */
+export interface OnlineDependencies {
+  readonly protocol: CallerProtocol;
+  readonly view: FleetView;
+  readonly upstreamClient: UpstreamClient;
+  readonly upstreamLoads: LoadTracker;
+  readonly health: Health;
+  readonly serviceTimes: ServiceTimes;
+  readonly crashDetector: CrashDetector;
+  readonly quarantine: PromptQuarantine;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly metrics: AttemptMetrics;
+  readonly retrySchedule: RetryAfterSchedule;
+  /** Number of gateways that may be running, including this one. */
+  readonly getGatewayCount: () => number;
+}
+
+/** Caller's request with its body. */
+export interface OnlineRequest {
+  readonly head: RequestHead;
+  readonly route: Route;
+  readonly team: string | undefined;
+  readonly message: IncomingMessage;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+  /** Monotonic time at which the head was received. */
+  readonly startedMs: number;
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
+}
+
+/** Upstream that was chosen last, with the load on which the choice was based. */
+export interface PlacementChoice {
+  readonly upstream: string;
+  /** Online requests and batch items at the upstream. */
+  readonly online: number;
+  readonly batch: number;
+  /** Expected wait for a slot, in milliseconds. */
+  readonly waitMs: number;
+  /** What was known of the prompt's parts, if any of them was suspect. */
+  readonly assessment?: PromptAssessment;
+}
+
+/** How a request ended, for the log and the metrics. */
+export interface OnlineOutcome extends Partial<PlacementChoice>, Partial<ResponseEnd> {
+  readonly result: 'served' | 'refused' | 'failed' | 'left';
+  readonly reason: string;
+  readonly attempts: number;
+  readonly firstByteMs: number | undefined;
+  /** Time from the request's head to its end, in milliseconds. */
+  readonly durationMs: number;
+}
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -6,6 +6,7 @@
   newLoadTracker,
   newPromptQuarantine,
   newSlidingWindowLimiter,
+  newUpstreamLimits,
 } from '@anvilpaddle/decisions';
 import type { GatewayState } from '../datagram';
 import type { Gateway, GatewayList } from '../gatewayList';
@@ -46,6 +47,7 @@
     items: newItemTracker(),
     limit: newSlidingWindowLimiter(WINDOW_MS),
     quarantine: newPromptQuarantine(),
+    upstreamLimits: newUpstreamLimits(),
   };
   let onPeerUpdate = (): void => undefined;
   const hooks = { getState: () => state, onPeerUpdate: () => onPeerUpdate() };
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -84,6 +84,7 @@
     configWatch,
     view: NO_UPSTREAMS,
     protocol: {} as CallerProtocol,
+    upstreamClient: { send: () => Promise.reject(new Error('no upstream')) },
     upstreamLoads: newLoadTracker(),
     items: newItemTracker(),
     health: newHealth(),
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -17,6 +17,8 @@
 export * from './limits/tokenBucket';
 export * from './limits/limitView';
 export * from './limits/slidingWindowLimiter';
+export * from './limits/upstreamLimits';
+export * from './limits/upstreamSends';
 export * from './membership/contacts';
 export * from './membership/memberTable';
 export * from './placement/batchPlan';
