--- /dev/null
+++ b/packages/decisions/limits/sharedBucket.ts
@@ -0,0 +1,103 @@
+/** Token bucket of a rate that several gateways share, as one of them knows it. */
+import { MS_PER_SECOND, type Random } from '@anvilpaddle/common';
+
+/** How urgent a request is that takes a token. */
+export const URGENCY = {
+  /** Item of a batch job: it gets what others leave. */
+  batch: 'batch',
+  online: 'online',
+  /** Online request that may have run already, so that it can't be refused as not run. */
+  underWay: 'underWay',
+} as const;
+/** One of the urgencies. */
+export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
+
+/** Bucket of one rate. Times are monotonic milliseconds. */
+export interface SharedBucket {
+  /** Sets the rate, in requests per second. */
+  setRate(requestsPerSecond: number, nowMs: number): void;
+  /** Takes tokens for requests that were sent, by whichever gateway. */
+  take(count: number, nowMs: number): void;
+  /** Returns the token of a request that was not sent after all. */
+  giveBack(nowMs: number): void;
+  /** Time until this gateway may send a request, in milliseconds. */
+  getWaitMs(urgency: Urgency, nowMs: number): number;
+  /** Number of batch items that may be sent now, by all gateways together. */
+  getSpareTokens(nowMs: number): number;
+}
+
+/**
+ * Lowest rate at which requests are sent: with none, nobody would learn that a limit has ended. The
+ * unit is requests per second.
+ */
+const MIN_RATE = 0.25;
+/** Span of the rate that an unused bucket keeps beyond its first token. */
+const KEPT_MS = 1000;
+const MIN_KEPT_TOKENS = 1;
+/** Tokens beyond those from which any gateway may take, so that items find some while none is lost. */
+const SPARE_TOKENS = 0.5;
+/** Span of the rate that is the largest debt of the bucket. */
+const MAX_DEBT_MS = 4000;
+
+/**
+ * Creates an empty bucket. Requests of other gateways are known late. If all gateways took each token
+ * as soon as it is there, several would take the same one. So each needs, besides the first, a random
+ * part of the tokens that the bucket keeps, drawn anew after each request: few gateways at a time may
+ * send while tokens are scarce, and all of them may while the bucket is full.
+ *
+ * `getShare` is the fraction of the rate that is left to the gateways that this one sees.
+ */
+export const newSharedBucket = (
+  requestsPerSecond: number,
+  getShare: () => number,
+  random: Random,
+  startMs: number,
+): SharedBucket => {
+  let rate = Math.max(MIN_RATE, requestsPerSecond);
+  let level = 0;
+  let updatedMs = startMs;
+  let draw = random();
+
+  const getKeptTokens = (): number =>
+    Math.max(MIN_KEPT_TOKENS, (rate * KEPT_MS) / MS_PER_SECOND) * getShare();
+  const getCapacity = (): number => 1 + getKeptTokens() + SPARE_TOKENS;
+  const getTokensPerMs = (): number => (rate * getShare()) / MS_PER_SECOND;
+
+  const advance = (nowMs: number): void => {
+    const elapsedMs = Math.max(0, nowMs - updatedMs);
+    level = Math.min(getCapacity(), level + elapsedMs * getTokensPerMs());
+    updatedMs = Math.max(updatedMs, nowMs);
+  };
+
+  const getThreshold = (urgency: Urgency): number =>
+    ({
+      [URGENCY.underWay]: 1,
+      [URGENCY.online]: 1 + draw * getKeptTokens(),
+      [URGENCY.batch]: 1 + getKeptTokens(),
+    })[urgency];
+
+  return {
+    setRate: (next, nowMs) => {
+      advance(nowMs);
+      rate = Math.max(MIN_RATE, next);
+      level = Math.min(level, getCapacity());
+    },
+    take: (count, nowMs) => {
+      advance(nowMs);
+      level = Math.max(level - count, (-rate * MAX_DEBT_MS) / MS_PER_SECOND);
+      draw = random();
+    },
+    giveBack: (nowMs) => {
+      advance(nowMs);
+      level = Math.min(level + 1, getCapacity());
+    },
+    getWaitMs: (urgency, nowMs) => {
+      advance(nowMs);
+      return Math.max(0, getThreshold(urgency) - level) / getTokensPerMs();
+    },
+    getSpareTokens: (nowMs) => {
+      advance(nowMs);
+      return Math.max(0, Math.floor(level - getKeptTokens()));
+    },
+  };
+};
