Keep to the limits that upstreams name, all gateways together

Cause: what an answer says of its upstream was not read; places went by load alone.

Each gateway now keeps a token bucket for each upstream with a limit: its own requests take tokens at once, those of the others as their datagrams tell of them (totals, so that lost ones don't matter). A limit that a peer heard binds too. Counts of peers are 25 to 250 ms old, so a token that all could take at once would be taken by several: each gateway needs, on top of the first token, a random part of what the bucket keeps, drawn anew after each request. Online requests that are under way need the first token alone, items get what others leave. A gateway that sees some of its peers alone shares their part of the rate. With a limit of 0 a request goes out each 4 s, by which its end is learnt. Callers are refused at once, with the time at which a limit allows a request again.

Property test: 1 to 38 gateways, limits of 0.5 to 50, lost and late datagrams, a restart.

--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -1,11 +1,13 @@
 /** Upstreams with their load and health, as input for placement decisions. */
-import type { Clock } from '@anvilpaddle/common';
+import { MS_PER_SECOND, type Clock } from '@anvilpaddle/common';
 import type {
   BatchCandidate,
   Candidate,
   Health,
   LoadTracker,
   ServiceTimes,
+  UpstreamLimits,
+  Urgency,
 } from '@anvilpaddle/decisions';
 import type { Upstream } from './types';
 import type { UpstreamWatch } from './upstreamWatch';
@@ -13,7 +15,7 @@
 /** Upstreams as candidates for placement. */
 export interface FleetView {
   /** Candidates for an online request, without the excluded upstreams. */
-  getCandidates(service: string, excludedIds: ReadonlySet<string>): Candidate[];
+  getCandidates(service: string, excludedIds: ReadonlySet<string>, urgency: Urgency): Candidate[];
   getBatchCandidates(service: string): BatchCandidate[];
   /** The upstream as a candidate for batch items; undefined when it can get no work. */
   getBatchCandidate(id: string): BatchCandidate | undefined;
@@ -21,8 +23,8 @@
   /** Reports that another process answered at an upstream's address. */
   reportReplaced(upstream: Upstream): void;
   /**
-   * Mean time in milliseconds after which a fraction (0 to 1) of a service's slots can admit one
-   * more online request.
+   * Mean time in milliseconds after which a fraction (0 to 1) of a service's upstreams can admit one
+   * more online request, by their slots and their limits.
    */
   getAdmissionIntervalMs(service: string, fraction: number): number;
 }
@@ -33,25 +35,39 @@
   upstreamLoads: LoadTracker,
   health: Health,
   serviceTimes: ServiceTimes,
+  limits: Pick<UpstreamLimits, 'getRequestsPerSecond' | 'getWaitMs' | 'getSpareTokens'>,
   failureDomain: string,
   clock: Clock,
 ): FleetView => {
-  const newBatchCandidate = ({ id, slots }: Upstream, nowMs: number): BatchCandidate => ({
+  const getCommonFields = ({ id, slots }: Upstream, nowMs: number) => ({
     id,
     slots,
     load: upstreamLoads.getLoad(id, nowMs),
     weight: health.weight(id, nowMs),
   });
 
+  const newBatchCandidate = (upstream: Upstream, nowMs: number): BatchCandidate => ({
+    ...getCommonFields(upstream, nowMs),
+    spareTokens: limits.getSpareTokens(upstream.incarnation, nowMs),
+  });
+
+  /** Requests per second that an upstream can admit. */
+  const getAdmissionRate = ({ slots, incarnation }: Upstream, serviceMeanMs: number): number =>
+    Math.min(
+      (slots * MS_PER_SECOND) / serviceMeanMs,
+      limits.getRequestsPerSecond(incarnation) ?? Infinity,
+    );
+
   return {
-    getCandidates: (service, excludedIds) => {
+    getCandidates: (service, excludedIds, urgency) => {
       const nowMs = clock.monotonic();
       const serviceMeanMs = serviceTimes.getServiceMeanMs(service);
       return upstreamWatch
         .getUsable(service)
         .filter(({ id }) => !excludedIds.has(id))
         .map((upstream) => ({
-          ...newBatchCandidate(upstream, nowMs),
+          ...getCommonFields(upstream, nowMs),
+          limitWaitMs: limits.getWaitMs(upstream.incarnation, urgency, nowMs),
           isSameFailureDomain: upstream.failureDomain === failureDomain,
           upstreamMeanMs: serviceTimes.getUpstreamMeanMs(service, upstream.id),
           serviceMeanMs,
@@ -70,10 +86,12 @@
     getUpstream: (id) => upstreamWatch.get(id),
     reportReplaced: (upstream) => upstreamWatch.reportReplaced(upstream),
     getAdmissionIntervalMs: (service, fraction) => {
-      const slots = upstreamWatch
+      const serviceMeanMs = serviceTimes.getServiceMeanMs(service);
+      const admissionRate = upstreamWatch
         .getUsable(service)
-        .reduce((sum, upstream) => sum + upstream.slots, 0);
-      return serviceTimes.getServiceMeanMs(service) / Math.max(1, slots * fraction);
+        .reduce((sum, upstream) => sum + getAdmissionRate(upstream, serviceMeanMs), 0);
+      const slowestRate = MS_PER_SECOND / serviceMeanMs;
+      return MS_PER_SECOND / Math.max(slowestRate, admissionRate * fraction);
     },
   };
 };
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -42,6 +42,7 @@
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
 import type { GatewaySettings, Upstream } from './types';
 import { newUpstreamClient } from './upstreamClient';
+import { newKeptVisibility } from './keptVisibility';
 import { newUpstreamWatch, type UpstreamSource } from './upstreamWatch';
 
 const CONFIG_READ_INTERVAL_MS = 400;
@@ -113,9 +114,13 @@
     runnerRef.runner?.onLoadChange();
   });
   const itemTracker = newItemTracker();
-  const upstreamLimits = newUpstreamLimits((upstream, limit) => {
-    logLimitChange(log, upstream, limit);
-    peersRef.gossip?.scheduleSend();
+  const upstreamLimits = newUpstreamLimits({
+    getVisibility: newKeptVisibility(() => peersRef.gossip?.getVisibility(), clock),
+    random,
+    onChange: (upstream, limit) => {
+      logLimitChange(log, upstream, limit);
+      peersRef.gossip?.scheduleSend();
+    },
   });
   startLimitLog(upstreamLimits, clock, log);
   const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
@@ -186,6 +191,7 @@
     upstreamLoads,
     health,
     serviceTimes,
+    upstreamLimits,
     settings.failureDomain,
     clock,
   );
--- a/anvilpaddle-app/gateway/jobs/itemSelection.ts
+++ b/anvilpaddle-app/gateway/jobs/itemSelection.ts
@@ -2,6 +2,7 @@
 import {
   getIsolatedCandidates,
   getUpstreamForItem,
+  isLimited,
   PART_STATE,
   type ItemTiming,
   type PromptAssessment,
@@ -110,7 +111,11 @@
   /** Upstream for a further run of an item, other than those at which the item already runs. */
   const pickUpstream = (service: string, pending: PendingItem): Upstream | undefined => {
     const usedIds = new Set(runs.getRunsOf(pending).map(({ upstream }) => upstream.id));
-    const candidates = view.getBatchCandidates(service).filter(({ id }) => !usedIds.has(id));
+    const candidates = view
+      .getBatchCandidates(service)
+      .filter(({ id }) => !usedIds.has(id))
+      // A run that made way costs an upstream with a limit one more request if it goes on there.
+      .filter((candidate) => !isLimited(candidate) || candidate.id !== pending.yieldedAt);
     const assessment = assess(pending);
     const allowed =
       assessment.state === PART_STATE.suspect
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -112,6 +112,7 @@
       const { load, slots } = candidate;
       const details = { upstream: upstream.id, events: pending.events, ...load, slots };
       log.info({ job: job.id, item: pending.item.id, ...details }, 'item yields');
+      pending.yieldedAt = upstream.id;
       run.abort.abort();
     });
   };
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -24,6 +24,8 @@
   notBeforeMs: number;
   /** Whether the item runs at an upstream that is not silent. */
   isRunning: boolean;
+  /** Upstream at which the item last made way for online requests. */
+  yieldedAt: string | undefined;
   /** Id of the last event in the item's stored checkpoint. */
   lastStoredEventId: string | undefined;
 }
@@ -78,6 +80,7 @@
   lastStoredEventId: checkpoint?.lastEventId,
   notBeforeMs: 0,
   isRunning: false,
+  yieldedAt: undefined,
 });
 
 /**
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -13,12 +13,14 @@
 import { ROUTE_KIND } from '../types';
 import { SEND_REASON } from '../upstreamClient';
 import { openAttempt, type OnlineAttempt } from './onlineAttempt';
-import { newRequestPlacement, type SendStep } from './requestPlacement';
+import { newRequestPlacement, REJECTED, type SendStep } from './requestPlacement';
 import { runWithSuccessor, type SuccessorSource } from './successorSearch';
 import type { OnlineDependencies, OnlineOutcome, OnlineRequest, PlacementChoice } from './types';
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
 const MAX_REJECTIONS = 3;
+/** Reason of a refusal for which other upstreams than those with limits may have had no room either. */
+const LIMITS_REACHED = 'the upstreams have reached their limits';
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
 
@@ -189,7 +191,8 @@
       }
       const step = getNextStep(service, assessment, runCount > 0);
       if (step.kind === 'refuse') {
-        return refuse('no upstream has room', getRetryAfterMs(service, step.queueMs));
+        const reason = step.limitWaitMs > 0 ? LIMITS_REACHED : 'no upstream has room';
+        return refuse(reason, getRetryAfterMs(service, step));
       }
       current = open(step, assessment);
     }
@@ -203,7 +206,7 @@
     current = next;
     if (next !== undefined || shouldRetry(report, assessment)) continue;
     return report.run === 'not_run'
-      ? refuse('the upstreams are full', getRetryAfterMs(service, 0))
+      ? refuse('the upstreams are full', getRetryAfterMs(service, REJECTED))
       : fail(STATUS.badGateway, getLossReason(report));
   }
 };
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -3,9 +3,12 @@
   getIsolatedCandidates,
   getPlacement,
   PART_STATE,
+  URGENCY,
   type Placement,
   type PromptAssessment,
   type RequestTiming,
+  type Shortage,
+  type Urgency,
 } from '@anvilpaddle/decisions';
 import type { Route, Upstream } from '../types';
 import type { OnlineDependencies, PlacementChoice } from './types';
@@ -18,7 +21,10 @@
 }
 
 /** Next step of a request: it is sent, or no upstream has room for it. */
-export type PlacementStep = SendStep | { readonly kind: 'refuse'; readonly queueMs: number };
+export type PlacementStep = SendStep | ({ readonly kind: 'refuse' } & Shortage);
+
+/** Shortage of which nothing is known but that the upstreams reject. */
+export const REJECTED: Shortage = { queueMs: 0, limitWaitMs: 0 };
 
 /** Times left for the request that is placed. */
 export interface PlacedRequest {
@@ -34,7 +40,7 @@
   /** Next place for the request; `isUnderWay` tells whether it may have run already. */
   getNextStep(service: string, assessment: PromptAssessment, isUnderWay: boolean): PlacementStep;
   /** Time after which a caller that is refused may come back, in milliseconds. */
-  getRetryAfterMs(service: string, queueMs: number): number;
+  getRetryAfterMs(service: string, shortage: Shortage): number;
 }
 
 /** Creates the placement of a request. */
@@ -47,8 +53,9 @@
     service: string,
     assessment: PromptAssessment,
     demand: RequestTiming,
+    urgency: Urgency,
   ): Placement => {
-    const candidates = view.getCandidates(service, triedUpstreams);
+    const candidates = view.getCandidates(service, triedUpstreams, urgency);
     if (assessment.state === PART_STATE.suspect) {
       const isolated = getIsolatedCandidates(assessment.part, candidates);
       const placement = getPlacement(isolated, demand, random);
@@ -64,17 +71,19 @@
         ? route.latencyObjectiveMs
         : route.latencyObjectiveMs - getElapsedMs();
       const demand = { objectiveLeftMs, timeLeftMs: getTimeLeftMs() };
-      const placement = place(service, assessment, demand);
+      const urgency = isUnderWay ? URGENCY.underWay : URGENCY.online;
+      const placement = place(service, assessment, demand, urgency);
       if (placement.kind === 'refuse') return placement;
       const upstream = view.getUpstream(placement.upstream);
-      if (upstream === undefined) return { kind: 'refuse', queueMs: 0 };
+      if (upstream === undefined) return { kind: 'refuse', ...REJECTED };
       const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
       const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
       return { kind: 'send', upstream, choice };
     },
-    getRetryAfterMs: (service, queueMs) => {
+    getRetryAfterMs: (service, { queueMs, limitWaitMs }) => {
       const admissionIntervalMs = view.getAdmissionIntervalMs(service, 1 / getGatewayCount());
-      return retrySchedule.getRetryAfterMs({ queueMs, admissionIntervalMs }, clock.monotonic());
+      const shortage = { queueMs, limitWaitMs, admissionIntervalMs };
+      return retrySchedule.getRetryAfterMs(shortage, clock.monotonic());
     },
   };
 };
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -47,7 +47,10 @@
     items: newItemTracker(),
     limit: newSlidingWindowLimiter(WINDOW_MS),
     quarantine: newPromptQuarantine(),
-    upstreamLimits: newUpstreamLimits(),
+    upstreamLimits: newUpstreamLimits({
+      getVisibility: () => ({ members: 1, recentlySeen: 1 }),
+      random: Math.random,
+    }),
   };
   let onPeerUpdate = (): void => undefined;
   const hooks = { getState: () => state, onPeerUpdate: () => onPeerUpdate() };
--- a/anvilpaddle-app/gateway/upstreamClient.ts
+++ b/anvilpaddle-app/gateway/upstreamClient.ts
@@ -44,7 +44,10 @@
 /** Creates a client. */
 export const newUpstreamClient = (
   { getUpstreamStatus }: Pick<CallerProtocol, 'getUpstreamStatus'>,
-  limits: Pick<UpstreamLimits, 'recordSend' | 'recordResponse' | 'isLimited'>,
+  limits: Pick<
+    UpstreamLimits,
+    'recordSend' | 'recordUnsent' | 'recordResponse' | 'getRequestsPerSecond'
+  >,
   metrics: UpstreamMetrics,
   clock: Clock,
   log: Logger,
@@ -62,9 +65,10 @@
   return {
     send: async (upstream, request, reason, signal) => {
       const { address, incarnation } = upstream;
-      metrics.countSend(reason, limits.isLimited(incarnation));
+      metrics.countSend(reason, limits.getRequestsPerSecond(incarnation) !== undefined);
       limits.recordSend(incarnation, clock.monotonic());
       const result = await callUpstream({ ...request, address }, signal, clock);
+      if (result.kind === 'not_sent') limits.recordUnsent(incarnation, clock.monotonic());
       if (result.kind === 'answered') {
         const { statusCode = 0, headers } = result.message;
         applyStatus(upstream, getUpstreamStatus(statusCode, headers));
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -16,6 +16,7 @@
 export * from './limits/distributedLimiter';
 export * from './limits/tokenBucket';
 export * from './limits/limitView';
+export * from './limits/sharedBucket';
 export * from './limits/slidingWindowLimiter';
 export * from './limits/upstreamLimits';
 export * from './limits/upstreamSends';
--- a/packages/decisions/limits/sharedBucket.ts
+++ b/packages/decisions/limits/sharedBucket.ts
@@ -1,5 +1,6 @@
 /** Token bucket of a rate that several gateways share, as one of them knows it. */
 import { MS_PER_SECOND, type Random } from '@anvilpaddle/common';
+import type { GatewayVisibility } from './slidingWindowLimiter';
 
 /** How urgent a request is that takes a token. */
 export const URGENCY = {
@@ -12,6 +13,9 @@
 /** One of the urgencies. */
 export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
 
+/** Which gateways share a bucket, and how many of them this gateway sees. */
+export type BucketVisibility = Pick<GatewayVisibility, 'members' | 'recentlySeen'>;
+
 /** Bucket of one rate. Times are monotonic milliseconds. */
 export interface SharedBucket {
   /** Sets the rate, in requests per second. */
@@ -45,11 +49,11 @@
  * part of the tokens that the bucket keeps, drawn anew after each request: few gateways at a time may
  * send while tokens are scarce, and all of them may while the bucket is full.
  *
- * `getShare` is the fraction of the rate that is left to the gateways that this one sees.
+ * A gateway that sees only some of the others shares their part of the rate with them.
  */
 export const newSharedBucket = (
   requestsPerSecond: number,
-  getShare: () => number,
+  getVisibility: () => BucketVisibility,
   random: Random,
   startMs: number,
 ): SharedBucket => {
@@ -58,8 +62,15 @@
   let updatedMs = startMs;
   let draw = random();
 
+  const getShare = (): number => {
+    const { members, recentlySeen } = getVisibility();
+    return Math.min(1, recentlySeen / Math.max(1, members));
+  };
   const getKeptTokens = (): number =>
     Math.max(MIN_KEPT_TOKENS, (rate * KEPT_MS) / MS_PER_SECOND) * getShare();
+  /** Tokens over which the gateways that see each other spread their turns; none for a single one. */
+  const getSpreadTokens = (): number =>
+    getKeptTokens() * (1 - 1 / Math.max(1, getVisibility().recentlySeen));
   const getCapacity = (): number => 1 + getKeptTokens() + SPARE_TOKENS;
   const getTokensPerMs = (): number => (rate * getShare()) / MS_PER_SECOND;
 
@@ -72,7 +83,7 @@
   const getThreshold = (urgency: Urgency): number =>
     ({
       [URGENCY.underWay]: 1,
-      [URGENCY.online]: 1 + draw * getKeptTokens(),
+      [URGENCY.online]: 1 + draw * getSpreadTokens(),
       [URGENCY.batch]: 1 + getKeptTokens(),
     })[urgency];
 
--- /dev/null
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -0,0 +1,255 @@
+import fc from 'fast-check';
+import { newSeededRandom, type Random } from '@anvilpaddle/common';
+import { URGENCY } from '../sharedBucket';
+import { newUpstreamLimits, type UpstreamLimits } from '../upstreamLimits';
+
+const UPSTREAM = 'u1';
+const WINDOW_MS = 4000;
+/** Time from the first word of a limit until gateways must keep to it. */
+const CONTACT_MS = 3000;
+const DURATION_MS = 30_000;
+/** Time from which the use of the limit is measured. */
+const USED_FROM_MS = 5000;
+const IDLE_SEND_INTERVAL_MS = 250;
+
+/** Gateways that share the limit of one upstream, and the requests of their callers. */
+interface Scenario {
+  readonly gateways: number;
+  readonly limit: number;
+  /** Requests per second of all callers, as a multiple of the limit. */
+  readonly demand: number;
+  /** Part of the requests that come to one gateway. */
+  readonly skew: number;
+  /** Minimum time between two datagrams to a peer, and their delay. */
+  readonly sendIntervalMs: number;
+  readonly delayMs: number;
+  /** Fraction of the datagrams that are lost. */
+  readonly loss: number;
+  /** Time at which one gateway is replaced by a new process, if any is. */
+  readonly restartMs: number | undefined;
+  readonly seed: number;
+}
+
+interface Sender {
+  readonly id: string;
+  readonly limits: UpstreamLimits;
+  lastSentMs: number;
+  isDirty: boolean;
+}
+
+interface Sending {
+  readonly atMs: number;
+  readonly from: string;
+  readonly to: string;
+  readonly reports: ReturnType<UpstreamLimits['getReports']>;
+  readonly reportedMs: number;
+}
+
+const newSender = (id: string, members: number, random: Random, nowMs: number): Sender => ({
+  id,
+  limits: newUpstreamLimits({
+    getVisibility: () => ({ members, recentlySeen: members }),
+    random,
+  }),
+  lastSentMs: nowMs,
+  isDirty: false,
+});
+
+/** Times of all requests to an upstream whose first response, at 0, names the limit. */
+const simulate = (scenario: Scenario): number[] => {
+  const { gateways, limit, demand, skew, sendIntervalMs, delayMs, loss, restartMs } = scenario;
+  const random = newSeededRandom(scenario.seed);
+  const senders = Array.from({ length: gateways }, (_, index) =>
+    newSender(`g${index}`, gateways, random, 0),
+  );
+  const sentMs: number[] = [];
+  let queue: Sending[] = [];
+
+  const request = (nowMs: number): void => {
+    const index = random() < skew ? 0 : Math.floor(random() * gateways);
+    const sender = senders[index];
+    if (sender === undefined) return;
+    if (sender.limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) > 0) return;
+    sender.limits.recordSend(UPSTREAM, nowMs);
+    sender.limits.recordResponse(UPSTREAM, limit, nowMs);
+    sender.isDirty = true;
+    sentMs.push(nowMs);
+  };
+
+  const gossip = (sender: Sender, nowMs: number): void => {
+    const silentMs = nowMs - sender.lastSentMs;
+    if (silentMs < sendIntervalMs) return;
+    if (!sender.isDirty && silentMs < IDLE_SEND_INTERVAL_MS) return;
+    const reports = sender.limits.getReports(nowMs);
+    const { id: from } = sender;
+    const received = senders.filter(({ id }) => id !== from && random() >= loss);
+    queue.push(
+      ...received.map(({ id: to }) => ({
+        atMs: nowMs + delayMs * (0.5 + random()),
+        from,
+        to,
+        reports,
+        reportedMs: nowMs,
+      })),
+    );
+    Object.assign(sender, { lastSentMs: nowMs, isDirty: false });
+  };
+
+  const deliver = (nowMs: number): void => {
+    const due = queue.filter(({ atMs }) => atMs <= nowMs);
+    queue = queue.filter(({ atMs }) => atMs > nowMs);
+    due.forEach(({ from, to, reports }) =>
+      senders.find(({ id }) => id === to)?.limits.updatePeer(from, reports, nowMs),
+    );
+  };
+
+  senders[0]?.limits.recordResponse(UPSTREAM, limit, 0);
+  const demandPerMs = (demand * limit) / 1000;
+  let waiting = 0;
+  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += 1) {
+    deliver(nowMs);
+    if (nowMs === restartMs) senders[0] = newSender('g0-new', gateways, random, nowMs);
+    waiting += demandPerMs;
+    for (; waiting >= 1; waiting -= 1) request(nowMs);
+    senders.forEach((sender) => gossip(sender, nowMs));
+  }
+  return sentMs;
+};
+
+const getMaxInWindow = (sentMs: readonly number[]): number =>
+  sentMs.reduce((max, endMs, index) => {
+    if (endMs < CONTACT_MS) return max;
+    const first = sentMs.findIndex((atMs) => atMs > endMs - WINDOW_MS);
+    return Math.max(max, index - first + 1);
+  }, 0);
+
+const scenarios = fc.record({
+  gateways: fc.constantFrom(1, 2, 8, 38),
+  limit: fc.constantFrom(0.5, 1, 2.4, 10, 50),
+  demand: fc.constantFrom(1.5, 3, 20),
+  skew: fc.constantFrom(0, 0.5, 1),
+  sendIntervalMs: fc.constantFrom(25, 95),
+  delayMs: fc.constantFrom(2, 20, 60),
+  loss: fc.constantFrom(0, 0.02, 0.2),
+  restartMs: fc.constantFrom(undefined, 9000),
+  seed: fc.nat(),
+});
+
+describe('limits of upstreams', () => {
+  it('hold for all gateways together, and are used while there is demand', () => {
+    fc.assert(
+      fc.property(scenarios, (scenario) => {
+        const { limit } = scenario;
+        const sentMs = simulate(scenario);
+        const used = sentMs.filter((atMs) => atMs >= USED_FROM_MS).length;
+        const entitled = (limit * (DURATION_MS - USED_FROM_MS)) / 1000;
+
+        expect(getMaxInWindow(sentMs)).toBeLessThanOrEqual((1.5 * limit * WINDOW_MS) / 1000 + 5);
+        expect(used).toBeGreaterThanOrEqual(Math.floor(0.8 * entitled));
+      }),
+      { seed: 7, numRuns: 60 },
+    );
+  });
+
+  const newLimits = (members = 1, recentlySeen = members, draw = 0) => {
+    const changes: (number | undefined)[] = [];
+    const limits = newUpstreamLimits({
+      getVisibility: () => ({ members, recentlySeen }),
+      random: () => draw,
+      onChange: (_, { requestsPerSecond }) => changes.push(requestsPerSecond),
+    });
+    return { limits, changes };
+  };
+
+  const countSendable = (limits: UpstreamLimits, nowMs: number): number => {
+    let count = 0;
+    while (limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) <= 0) {
+      limits.recordSend(UPSTREAM, nowMs);
+      count += 1;
+    }
+    return count;
+  };
+
+  it('begin, change and end with what the upstream said last, whoever heard it', () => {
+    const { limits, changes } = newLimits();
+    limits.recordResponse(UPSTREAM, undefined, 500);
+    limits.recordResponse(UPSTREAM, 2, 1000);
+    limits.updatePeer(
+      'p',
+      [{ upstream: UPSTREAM, requestsPerSecond: 3, ageMs: 200, sent: 9 }],
+      1100,
+    );
+    limits.updatePeer(
+      'p',
+      [{ upstream: UPSTREAM, requestsPerSecond: 4, ageMs: 50, sent: 9 }],
+      1100,
+    );
+    limits.recordResponse(UPSTREAM, undefined, 1200);
+    limits.updatePeer(
+      'p',
+      [{ upstream: UPSTREAM, requestsPerSecond: 4, ageMs: 150, sent: 9 }],
+      1300,
+    );
+
+    expect(changes).toEqual([2, 4, undefined]);
+    expect(limits.getWaitMs(UPSTREAM, URGENCY.online, 1300)).toBe(0);
+  });
+
+  it('of 0 let a request through now and then, so that their end becomes known', () => {
+    const { limits } = newLimits();
+    limits.recordResponse(UPSTREAM, 0, 0);
+    const sentMs: number[] = [];
+    for (let nowMs = 0; nowMs < DURATION_MS; nowMs += 10) {
+      for (let left = countSendable(limits, nowMs); left > 0; left -= 1) sentMs.push(nowMs);
+    }
+
+    expect(getMaxInWindow(sentMs)).toBeLessThanOrEqual(5);
+    expect(sentMs.length).toBeGreaterThanOrEqual(DURATION_MS / 1000 / 4 - 1);
+  });
+
+  it('leave a gateway that sees no other its equal share alone', () => {
+    const { limits } = newLimits(8, 1);
+    limits.recordResponse(UPSTREAM, 8, 0);
+    let sent = 0;
+    for (let nowMs = 0; nowMs < 10_000; nowMs += 10) sent += countSendable(limits, nowMs);
+
+    expect(sent).toBeGreaterThanOrEqual(8);
+    expect(sent).toBeLessThanOrEqual(12);
+  });
+
+  it('return the token of a request that was not sent, at the peers too', () => {
+    const { limits } = newLimits();
+    const { limits: peer } = newLimits();
+    [limits, peer].forEach((one) => one.recordResponse(UPSTREAM, 2, 0));
+    peer.updatePeer('g', limits.getReports(0), 0);
+    expect(countSendable(limits, 1000)).toBe(2);
+    peer.updatePeer('g', limits.getReports(1000), 1000);
+    limits.recordUnsent(UPSTREAM, 1000);
+    expect(countSendable(limits, 1000)).toBe(1);
+    peer.updatePeer('g', limits.getReports(1000), 1000);
+
+    expect(peer.takeSends(1000).get(UPSTREAM)).toMatchObject({ own: 0, all: 2 });
+    expect(limits.takeSends(1000).get(UPSTREAM)).toMatchObject({ own: 2, all: 2 });
+  });
+
+  it('leave batch items what online requests don’t use', () => {
+    const { limits } = newLimits(2, 2, 0.5);
+    limits.recordResponse(UPSTREAM, 2, 0);
+    const waits = [URGENCY.underWay, URGENCY.online, URGENCY.batch].map((urgency) =>
+      limits.getWaitMs(UPSTREAM, urgency, 0),
+    );
+
+    expect(waits).toEqual([500, 750, 1500]);
+    expect(limits.getSpareTokens(UPSTREAM, 1400)).toBe(0);
+    expect(limits.getSpareTokens(UPSTREAM, 1500)).toBe(1);
+  });
+
+  it('belong to one run of an upstream', () => {
+    const { limits } = newLimits();
+    limits.recordResponse('u1/1', 1, 0);
+    limits.retain(new Set(['u1/2']));
+
+    expect(limits.getWaitMs('u1/2', URGENCY.online, 0)).toBe(0);
+    expect(limits.getLimitedCount()).toBe(0);
+  });
+});
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -1,4 +1,11 @@
 /** Limits that upstreams name for the requests of all gateways together. */
+import type { Random } from '@anvilpaddle/common';
+import {
+  newSharedBucket,
+  type BucketVisibility,
+  type SharedBucket,
+  type Urgency,
+} from './sharedBucket';
 import { newUpstreamSends, type SendCounts, type UpstreamSends } from './upstreamSends';
 
 /** What an upstream last said of its limit. */
@@ -32,10 +39,16 @@
 export interface UpstreamLimits {
   /** Counts a request that this gateway sends. */
   recordSend(upstream: string, nowMs: number): void;
+  /** Takes back a request of this gateway that was not sent after all. */
+  recordUnsent(upstream: string, nowMs: number): void;
   /** Applies the limit in a response of the upstream; undefined if the response names none. */
   recordResponse(upstream: string, requestsPerSecond: number | undefined, nowMs: number): void;
-  /** Whether the upstream has a limit. */
-  isLimited(upstream: string): boolean;
+  /** Limit of the upstream in requests per second; undefined if it has none. */
+  getRequestsPerSecond(upstream: string): number | undefined;
+  /** Time until this gateway may send the upstream a request, in milliseconds. */
+  getWaitMs(upstream: string, urgency: Urgency, nowMs: number): number;
+  /** Number of batch items that all gateways together may send now; infinite without a limit. */
+  getSpareTokens(upstream: string, nowMs: number): number;
   /** Number of upstreams with a limit. */
   getLimitedCount(): number;
   /** Requests to the upstreams with a limit; starts new peaks. */
@@ -50,18 +63,27 @@
   retain(upstreams: ReadonlySet<string>): void;
 }
 
-/** Called when the limit of an upstream begins, changes or ends. */
-export type UpstreamLimitListener = (upstream: string, limit: UpstreamLimit) => void;
+/** Connections of the limits to their gateway. */
+export interface UpstreamLimitHooks {
+  readonly getVisibility: () => BucketVisibility;
+  readonly random: Random;
+  /** Called when the limit of an upstream begins, changes or ends. */
+  readonly onChange?: (upstream: string, limit: UpstreamLimit) => void;
+}
 
 /** Time for which the end of a limit is reported to peers that may not know of it. */
 const END_REPORT_MS = 5000;
 
 /** Creates limits of which none is known. */
-export const newUpstreamLimits = (
-  onChange: UpstreamLimitListener = () => undefined,
-): UpstreamLimits => {
+export const newUpstreamLimits = ({
+  getVisibility,
+  random,
+  onChange = () => undefined,
+}: UpstreamLimitHooks): UpstreamLimits => {
   const limits = new Map<string, UpstreamLimit>();
   const sendsByUpstream = new Map<string, UpstreamSends>();
+  /** Buckets of the limits in force. */
+  const buckets = new Map<string, SharedBucket>();
 
   const getSends = (upstream: string): UpstreamSends => {
     const known = sendsByUpstream.get(upstream);
@@ -71,29 +93,46 @@
     return sends;
   };
 
+  const updateBucket = (
+    upstream: string,
+    requestsPerSecond: number | undefined,
+    nowMs: number,
+  ): void => {
+    const bucket = buckets.get(upstream);
+    if (requestsPerSecond === undefined) buckets.delete(upstream);
+    else if (bucket !== undefined) bucket.setRate(requestsPerSecond, nowMs);
+    else buckets.set(upstream, newSharedBucket(requestsPerSecond, getVisibility, random, nowMs));
+  };
+
   /** Applies what an upstream said, unless it is known to have said something later. */
-  const applyLimit = (upstream: string, limit: UpstreamLimit): void => {
+  const applyLimit = (upstream: string, limit: UpstreamLimit, nowMs: number): void => {
     const known = limits.get(upstream);
     if (known === undefined && limit.requestsPerSecond === undefined) return;
     if (known !== undefined && known.saidMs > limit.saidMs) return;
     limits.set(upstream, limit);
-    if (known?.requestsPerSecond !== limit.requestsPerSecond) onChange(upstream, limit);
+    if (known?.requestsPerSecond === limit.requestsPerSecond) return;
+    updateBucket(upstream, limit.requestsPerSecond, nowMs);
+    onChange(upstream, limit);
   };
 
-  const getInForce = (): [string, number][] =>
-    [...limits].flatMap(([upstream, { requestsPerSecond }]) =>
-      requestsPerSecond === undefined ? [] : [[upstream, requestsPerSecond]],
-    );
-
   const isReported = ({ requestsPerSecond, saidMs }: UpstreamLimit, nowMs: number): boolean =>
     requestsPerSecond !== undefined || nowMs - saidMs < END_REPORT_MS;
 
   return {
-    recordSend: (upstream, nowMs) => getSends(upstream).recordOwn(nowMs),
+    recordSend: (upstream, nowMs) => {
+      getSends(upstream).recordOwn(nowMs);
+      buckets.get(upstream)?.take(1, nowMs);
+    },
+    recordUnsent: (upstream, nowMs) => {
+      getSends(upstream).takeBackOwn(nowMs);
+      buckets.get(upstream)?.giveBack(nowMs);
+    },
     recordResponse: (upstream, requestsPerSecond, nowMs) =>
-      applyLimit(upstream, { requestsPerSecond, saidMs: nowMs }),
-    isLimited: (upstream) => limits.get(upstream)?.requestsPerSecond !== undefined,
-    getLimitedCount: () => getInForce().length,
+      applyLimit(upstream, { requestsPerSecond, saidMs: nowMs }, nowMs),
+    getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
+    getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs) ?? 0,
+    getSpareTokens: (upstream, nowMs) => buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
+    getLimitedCount: () => buckets.size,
     takeSends: (nowMs) =>
       new Map(
         [...sendsByUpstream].flatMap(([upstream, sends]) => {
@@ -115,12 +154,13 @@
         })),
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
-        applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs });
-        getSends(upstream).recordPeer(peer, sent, nowMs);
+        applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
+        const added = getSends(upstream).recordPeer(peer, sent, nowMs);
+        if (added > 0) buckets.get(upstream)?.take(added, nowMs);
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams) =>
-      [limits, sendsByUpstream].forEach((states) =>
+      [limits, sendsByUpstream, buckets].forEach((states) =>
         [...states.keys()]
           .filter((upstream) => !upstreams.has(upstream))
           .forEach((upstream) => states.delete(upstream)),
--- a/packages/decisions/limits/upstreamSends.ts
+++ b/packages/decisions/limits/upstreamSends.ts
@@ -18,6 +18,8 @@
 export interface UpstreamSends {
   /** Counts a request of this gateway. */
   recordOwn(nowMs: number): void;
+  /** Takes back a request of this gateway that was not sent after all. */
+  takeBackOwn(nowMs: number): void;
   /**
    * Applies the number of requests that a peer has sent since it started, and returns how many of
    * them are new. What it sent before its first report may be long past and doesn't count.
@@ -25,7 +27,7 @@
   recordPeer(peer: string, sent: number, nowMs: number): number;
   /** Drops the total of a peer; its requests in the window stay counted. */
   removePeer(peer: string): void;
-  /** Requests of this gateway since it started. */
+  /** Requests of this gateway since it started; it never falls. */
   getOwnTotal(): number;
   /** Counts at this time; starts a new peak. */
   takeCounts(nowMs: number): SendCounts;
@@ -37,6 +39,8 @@
   const window = newWindowCounter(UPSTREAM_LIMIT_WINDOW_MS);
   const peerTotals = new Map<string, number>();
   let ownTotal = 0;
+  /** Requests that were not sent, although peers may have been told of them. */
+  let unsent = 0;
   let peak = 0;
 
   const count = (added: number, nowMs: number): void => {
@@ -46,10 +50,16 @@
 
   return {
     recordOwn: (nowMs) => {
-      ownTotal += 1;
+      if (unsent > 0) unsent -= 1;
+      else ownTotal += 1;
       ownWindow.add(1, nowMs);
       count(1, nowMs);
     },
+    takeBackOwn: (nowMs) => {
+      unsent += 1;
+      ownWindow.add(-1, nowMs);
+      window.add(-1, nowMs);
+    },
     recordPeer: (peer, sent, nowMs) => {
       const known = peerTotals.get(peer) ?? sent;
       // Datagrams may arrive out of order.
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -10,6 +10,8 @@
   readonly load: UpstreamLoad;
   /** Fraction of its usual load that its health allows; batch items start only at 1. */
   readonly weight: number;
+  /** Items that the limit which the upstream names allows now; infinite without a limit. */
+  readonly spareTokens: number;
 }
 
 /** Batch items of all gateways that compete for the same slots. */
@@ -20,12 +22,15 @@
   readonly peers: readonly ItemTiming[];
 }
 
+/** Whether the upstream names a limit. */
+export const isLimited = ({ spareTokens }: BatchCandidate): boolean => spareTokens < Infinity;
+
 /**
- * Number of free slots of an upstream: negative if it has more work than slots, 0 if its weight is
- * below 1.
+ * Number of items that an upstream can take: its free slots as far as its limit allows, negative if
+ * it has more work than slots, 0 if its weight is below 1.
  */
-export const getSpareSlots = ({ slots, load, weight }: BatchCandidate): number =>
-  weight < 1 ? 0 : slots - load.online - load.batch;
+export const getSpareSlots = ({ slots, load, weight, spareTokens }: BatchCandidate): number =>
+  weight < 1 ? 0 : Math.min(slots - load.online - load.batch, spareTokens);
 
 /** Number of requests and items at an upstream beyond its slots. */
 const getExcess = ({ load, slots }: BatchCandidate): number => load.online + load.batch - slots;
@@ -44,7 +49,9 @@
  * before it made progress.
  */
 export const getReservedSlots = (candidates: readonly BatchCandidate[]): number => {
-  const online = candidates.reduce((sum, { load }) => sum + load.online, 0);
+  // What a limit allows items is left by online requests already.
+  const unlimited = candidates.filter((candidate) => !isLimited(candidate));
+  const online = unlimited.reduce((sum, { load }) => sum + load.online, 0);
   return Math.round(Math.sqrt(TURNOVER_FRACTION * online));
 };
 
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -14,6 +14,8 @@
   readonly upstreamMeanMs: number;
   /** Mean duration of an online request over all upstreams of the service, in milliseconds. */
   readonly serviceMeanMs: number;
+  /** Time until the limit that the upstream names allows this gateway a request, in milliseconds. */
+  readonly limitWaitMs: number;
 }
 
 /** Times left for a request. */
@@ -24,10 +26,18 @@
   readonly timeLeftMs: number;
 }
 
-/** The chosen upstream with the expected wait, or a refusal with the wait at the best upstream. */
+/** Why no upstream can be chosen. */
+export interface Shortage {
+  /** Expected wait at the best upstream whose limit allows a request, in milliseconds. */
+  readonly queueMs: number;
+  /** Time until a limit allows a request, in milliseconds; 0 if one does now. */
+  readonly limitWaitMs: number;
+}
+
+/** The chosen upstream with the expected wait, or a refusal. */
 export type Placement =
   | { readonly kind: 'send'; readonly upstream: string; readonly waitMs: number }
-  | { readonly kind: 'refuse'; readonly queueMs: number };
+  | ({ readonly kind: 'refuse' } & Shortage);
 
 /** Weight of a batch item in requests: a free slot is better than one that needs a preemption. */
 const BATCH_ITEM_WEIGHT = 0.9;
@@ -64,9 +74,13 @@
     undefined,
   );
 
+/** Time until the limit of an upstream allows a request; 0 if there are no upstreams. */
+const getLimitWaitMs = (candidates: readonly Candidate[]): number =>
+  candidates.length === 0 ? 0 : Math.min(...candidates.map(({ limitWaitMs }) => limitWaitMs));
+
 /**
- * Chooses the healthy upstream with the least load relative to its slots. The request is refused if
- * its wait there would exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency
+ * Chooses the healthy upstream with the least load relative to its slots, among those whose limits
+ * allow a request now. The request is refused if there is none, or if its wait there would exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency
  * objective.
  */
 export const getPlacement = (
@@ -77,11 +91,17 @@
   const healthy = candidates.filter(({ weight }) => weight > 0);
   // If no upstream is healthy, all are tried: a suspect one is better than none.
   const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
-  const scored = usable.map((candidate) => ({ candidate, score: getLoadScore(candidate, random) }));
+  const allowed = usable.filter(({ limitWaitMs }) => limitWaitMs <= 0);
+  const scored = allowed.map((candidate) => ({
+    candidate,
+    score: getLoadScore(candidate, random),
+  }));
   const best = getMinBy(scored, ({ score }) => score)?.candidate;
-  if (best === undefined) return { kind: 'refuse', queueMs: 0 };
+  if (best === undefined) {
+    return { kind: 'refuse', queueMs: 0, limitWaitMs: getLimitWaitMs(usable) };
+  }
   const queueMs = getQueueMs(best);
   const limitMs = Math.min(timing.timeLeftMs, timing.objectiveLeftMs * MAX_QUEUE_FRACTION);
   if (queueMs <= Math.max(0, limitMs)) return { kind: 'send', upstream: best.id, waitMs: queueMs };
-  return { kind: 'refuse', queueMs };
+  return { kind: 'refuse', queueMs, limitWaitMs: 0 };
 };
--- a/packages/decisions/placement/tests/batchPlan.test.ts
+++ b/packages/decisions/placement/tests/batchPlan.test.ts
@@ -15,6 +15,7 @@
   slots,
   load: { online, batch },
   weight: 1,
+  spareTokens: Infinity,
 });
 
 /** Items of up to five gateways, no two of them equally urgent. */
@@ -89,11 +90,18 @@
 
   it('starts an item only if a slot is spare, and at the upstream with the most spare slots', () => {
     const candidate = fc
-      .tuple(fc.integer({ min: 1, max: 16 }), fc.nat(20), fc.nat(8), fc.boolean())
-      .map(([slots, online, batch, isHealthy]): Omit<BatchCandidate, 'id'> => ({
+      .tuple(
+        fc.integer({ min: 1, max: 16 }),
+        fc.nat(20),
+        fc.nat(8),
+        fc.boolean(),
+        fc.constantFrom(0, 1, Infinity),
+      )
+      .map(([slots, online, batch, isHealthy, spareTokens]): Omit<BatchCandidate, 'id'> => ({
         slots,
         load: { online, batch },
         weight: isHealthy ? 1 : 0.5,
+        spareTokens,
       }));
     fc.assert(
       fc.property(fc.array(candidate, { maxLength: 8 }), fc.nat(), (drawn, seed) => {
--- a/packages/decisions/placement/tests/placement.test.ts
+++ b/packages/decisions/placement/tests/placement.test.ts
@@ -12,6 +12,7 @@
   isSameFailureDomain: fc.boolean(),
   upstreamMeanMs: fc.integer({ min: 10, max: 2000 }),
   serviceMeanMs: fc.integer({ min: 10, max: 2000 }),
+  limitWaitMs: fc.constantFrom(0, 0, 300, 2000),
 });
 
 const candidates = fc
@@ -30,6 +31,7 @@
 
         expect(chosen?.weight === 0 && isAnyHealthy).toBe(false);
         expect(chosen === undefined ? Infinity : getQueueMs(chosen)).toBeLessThanOrEqual(leftMs);
+        expect(chosen?.limitWaitMs).toBe(0);
       }),
       { seed: 1, numRuns: 500 },
     );
@@ -76,6 +78,7 @@
         isSameFailureDomain: false,
         upstreamMeanMs: getUpstreamMeanMs(index),
         serviceMeanMs: PEAK.serviceMs,
+        limitWaitMs: 0,
       })),
       { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: 5000 },
       random,
--- a/packages/decisions/placement/tests/retryAfterSchedule.test.ts
+++ b/packages/decisions/placement/tests/retryAfterSchedule.test.ts
@@ -4,6 +4,13 @@
 const MAX_RETRY_AFTER_MS = 1500;
 
 describe('retry-after schedule', () => {
+  it('never asks for a retry before the limits of the upstreams allow a request', () => {
+    const shortage = { queueMs: 0, limitWaitMs: 2000, admissionIntervalMs: 100 };
+    const schedule = newRetryAfterSchedule();
+
+    expect(schedule.getRetryAfterMs(shortage, 0)).toBe(2000);
+  });
+
   it('never asks for a retry before the queue has drained, nor later than the maximum', () => {
     fc.assert(
       fc.property(
