Items go to upstreams with limits first; gateways report only what they heard or sent lately

An upstream with a limit has slots that online requests can't fill, and an item costs it one request for seconds of work: items go there first, where a token is left.

Reports held each limit that was known to anyone, in each datagram; now a gateway reports an upstream for 4 s after it has sent there or heard its limit, with its sends in that time, so that a peer that hears it first counts these. A refusal says whether limits are the reason.

--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -19,7 +19,7 @@
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
 const MAX_REJECTIONS = 3;
-/** Reason of a refusal for which other upstreams than those with limits may have had no room either. */
+/** Reason of a refusal where each upstream has a limit that allows no request now. */
 const LIMITS_REACHED = 'the upstreams have reached their limits';
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
@@ -191,7 +191,7 @@
       }
       const step = getNextStep(service, assessment, runCount > 0);
       if (step.kind === 'refuse') {
-        const reason = step.limitWaitMs > 0 ? LIMITS_REACHED : 'no upstream has room';
+        const reason = step.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
         return refuse(reason, getRetryAfterMs(service, step));
       }
       current = open(step, assessment);
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -24,7 +24,7 @@
 export type PlacementStep = SendStep | ({ readonly kind: 'refuse' } & Shortage);
 
 /** Shortage of which nothing is known but that the upstreams reject. */
-export const REJECTED: Shortage = { queueMs: 0, limitWaitMs: 0 };
+export const REJECTED: Shortage = { queueMs: 0 };
 
 /** Times left for the request that is placed. */
 export interface PlacedRequest {
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -8,6 +8,7 @@
 import { measureRetries } from './retries';
 import { measureRouting } from './routing';
 import { measureScheduling } from './scheduling';
+import { measureUpstreamLimits } from './upstreamLimits';
 
 /** Measurements by the name that the command line takes. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
@@ -19,6 +20,7 @@
   retries: measureRetries,
   routing: measureRouting,
   scheduling: measureScheduling,
+  upstreamLimits: measureUpstreamLimits,
 };
 
 const main = async (): Promise<void> => {
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -6,7 +6,13 @@
   type SharedBucket,
   type Urgency,
 } from './sharedBucket';
-import { newUpstreamSends, type SendCounts, type UpstreamSends } from './upstreamSends';
+import {
+  newUpstreamSends,
+  UPSTREAM_LIMIT_WINDOW_MS,
+  type SendCounts,
+  type SentRequests,
+  type UpstreamSends,
+} from './upstreamSends';
 
 /** What an upstream last said of its limit. */
 export interface UpstreamLimit {
@@ -23,8 +29,8 @@
   readonly requestsPerSecond: number | undefined;
   /** Time since the upstream said so, in milliseconds. */
   readonly ageMs: number;
-  /** Requests that the gateway has sent to the upstream since the gateway started. */
-  readonly sent: number;
+  /** Requests that the gateway has sent to the upstream. */
+  readonly sent: SentRequests;
 }
 
 /** Requests to an upstream with a limit. */
@@ -53,7 +59,7 @@
   getLimitedCount(): number;
   /** Requests to the upstreams with a limit; starts new peaks. */
   takeSends(nowMs: number): ReadonlyMap<string, LimitedSends>;
-  /** Reports of this gateway to its peers: limits in force, and those that ended recently. */
+  /** Reports of this gateway to its peers: what it heard or sent in the last seconds. */
   getReports(nowMs: number): UpstreamLimitReport[];
   /** Applies the reports of a peer. */
   updatePeer(peer: string, reports: readonly UpstreamLimitReport[], nowMs: number): void;
@@ -71,9 +77,6 @@
   readonly onChange?: (upstream: string, limit: UpstreamLimit) => void;
 }
 
-/** Time for which the end of a limit is reported to peers that may not know of it. */
-const END_REPORT_MS = 5000;
-
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
   getVisibility,
@@ -81,6 +84,8 @@
   onChange = () => undefined,
 }: UpstreamLimitHooks): UpstreamLimits => {
   const limits = new Map<string, UpstreamLimit>();
+  /** What this gateway has heard itself. */
+  const heard = new Map<string, UpstreamLimit>();
   const sendsByUpstream = new Map<string, UpstreamSends>();
   /** Buckets of the limits in force. */
   const buckets = new Map<string, SharedBucket>();
@@ -115,9 +120,6 @@
     onChange(upstream, limit);
   };
 
-  const isReported = ({ requestsPerSecond, saidMs }: UpstreamLimit, nowMs: number): boolean =>
-    requestsPerSecond !== undefined || nowMs - saidMs < END_REPORT_MS;
-
   return {
     recordSend: (upstream, nowMs) => {
       getSends(upstream).recordOwn(nowMs);
@@ -127,8 +129,11 @@
       getSends(upstream).takeBackOwn(nowMs);
       buckets.get(upstream)?.giveBack(nowMs);
     },
-    recordResponse: (upstream, requestsPerSecond, nowMs) =>
-      applyLimit(upstream, { requestsPerSecond, saidMs: nowMs }, nowMs),
+    recordResponse: (upstream, requestsPerSecond, nowMs) => {
+      const limit = { requestsPerSecond, saidMs: nowMs };
+      if (requestsPerSecond !== undefined || limits.has(upstream)) heard.set(upstream, limit);
+      applyLimit(upstream, limit, nowMs);
+    },
     getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
     getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs) ?? 0,
     getSpareTokens: (upstream, nowMs) => buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
@@ -144,14 +149,14 @@
         }),
       ),
     getReports: (nowMs) =>
-      [...limits]
-        .filter(([, limit]) => isReported(limit, nowMs))
-        .map(([upstream, { requestsPerSecond, saidMs }]) => ({
-          upstream,
-          requestsPerSecond,
-          ageMs: nowMs - saidMs,
-          sent: getSends(upstream).getOwnTotal(),
-        })),
+      [...limits].flatMap(([upstream, limit]) => {
+        const sent = getSends(upstream).getOwn(nowMs);
+        const heardMs = heard.get(upstream)?.saidMs ?? -Infinity;
+        const isRecent = sent.inWindow > 0 || nowMs - heardMs < UPSTREAM_LIMIT_WINDOW_MS;
+        if (!isRecent) return [];
+        const { requestsPerSecond, saidMs } = heard.get(upstream) ?? limit;
+        return [{ upstream, requestsPerSecond, ageMs: nowMs - saidMs, sent }];
+      }),
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
         applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
@@ -160,7 +165,7 @@
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams) =>
-      [limits, sendsByUpstream, buckets].forEach((states) =>
+      [limits, heard, sendsByUpstream, buckets].forEach((states) =>
         [...states.keys()]
           .filter((upstream) => !upstreams.has(upstream))
           .forEach((upstream) => states.delete(upstream)),
--- a/packages/decisions/limits/upstreamSends.ts
+++ b/packages/decisions/limits/upstreamSends.ts
@@ -14,21 +14,26 @@
   readonly peak: number;
 }
 
+/** Requests that one gateway has sent to an upstream. */
+export interface SentRequests {
+  /** Requests since the gateway started; it never falls. */
+  readonly total: number;
+  /** Requests in the window. */
+  readonly inWindow: number;
+}
+
 /** Counter of the requests to one upstream. Times are monotonic milliseconds. */
 export interface UpstreamSends {
   /** Counts a request of this gateway. */
   recordOwn(nowMs: number): void;
   /** Takes back a request of this gateway that was not sent after all. */
   takeBackOwn(nowMs: number): void;
-  /**
-   * Applies the number of requests that a peer has sent since it started, and returns how many of
-   * them are new. What it sent before its first report may be long past and doesn't count.
-   */
-  recordPeer(peer: string, sent: number, nowMs: number): number;
+  /** Applies what a peer has sent, and returns how many of these requests are new. */
+  recordPeer(peer: string, sent: SentRequests, nowMs: number): number;
   /** Drops the total of a peer; its requests in the window stay counted. */
   removePeer(peer: string): void;
-  /** Requests of this gateway since it started; it never falls. */
-  getOwnTotal(): number;
+  /** What this gateway has sent. */
+  getOwn(nowMs: number): SentRequests;
   /** Counts at this time; starts a new peak. */
   takeCounts(nowMs: number): SendCounts;
 }
@@ -60,18 +65,18 @@
       ownWindow.add(-1, nowMs);
       window.add(-1, nowMs);
     },
-    recordPeer: (peer, sent, nowMs) => {
-      const known = peerTotals.get(peer) ?? sent;
+    recordPeer: (peer, { total, inWindow }, nowMs) => {
+      const known = peerTotals.get(peer) ?? total - inWindow;
       // Datagrams may arrive out of order.
-      peerTotals.set(peer, Math.max(sent, known));
-      const added = Math.max(0, sent - known);
+      peerTotals.set(peer, Math.max(total, known));
+      const added = Math.max(0, total - known);
       if (added > 0) count(added, nowMs);
       return added;
     },
     removePeer: (peer) => {
       peerTotals.delete(peer);
     },
-    getOwnTotal: () => ownTotal,
+    getOwn: (nowMs) => ({ total: ownTotal, inWindow: ownWindow.get(nowMs) }),
     takeCounts: (nowMs) => {
       const all = window.get(nowMs);
       const counts = { own: ownWindow.get(nowMs), all, peak };
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -25,15 +25,17 @@
 /** Whether the upstream names a limit. */
 export const isLimited = ({ spareTokens }: BatchCandidate): boolean => spareTokens < Infinity;
 
+const getFreeSlots = ({ slots, load }: BatchCandidate): number => slots - load.online - load.batch;
+
 /**
  * Number of items that an upstream can take: its free slots as far as its limit allows, negative if
  * it has more work than slots, 0 if its weight is below 1.
  */
-export const getSpareSlots = ({ slots, load, weight, spareTokens }: BatchCandidate): number =>
-  weight < 1 ? 0 : Math.min(slots - load.online - load.batch, spareTokens);
+export const getSpareSlots = (candidate: BatchCandidate): number =>
+  candidate.weight < 1 ? 0 : Math.min(getFreeSlots(candidate), candidate.spareTokens);
 
 /** Number of requests and items at an upstream beyond its slots. */
-const getExcess = ({ load, slots }: BatchCandidate): number => load.online + load.batch - slots;
+const getExcess = (candidate: BatchCandidate): number => -getFreeSlots(candidate);
 
 /** Whether an upstream has more work than slots, so that items there must be preempted. */
 export const isOverloaded = (candidate: BatchCandidate): boolean => getExcess(candidate) > 0;
@@ -56,17 +58,23 @@
 };
 
 /**
- * Upstream for the next item: the one with the most spare slots; undefined if none has any. Ties
- * are broken at random, so that gateways that decide at the same moment spread out.
+ * Upstream for the next item: the one with the most free slots among those that can take it; undefined
+ * if there is none. Upstreams with limits go first: online requests can't fill their slots, so an item
+ * runs there undisturbed. Ties are broken at random, so that gateways that decide at the same moment
+ * spread out.
  */
 export const getUpstreamForItem = (
   candidates: readonly BatchCandidate[],
   random: Random,
 ): string | undefined => {
   const spare = candidates
-    .map((candidate) => ({ id: candidate.id, slots: getSpareSlots(candidate) + random() }))
-    .filter(({ slots }) => slots >= 1)
-    .sort((a, b) => b.slots - a.slots);
+    .filter((candidate) => getSpareSlots(candidate) >= 1)
+    .map((candidate) => ({
+      id: candidate.id,
+      rank: Number(isLimited(candidate)),
+      slots: getFreeSlots(candidate) + random(),
+    }))
+    .sort((a, b) => b.rank - a.rank || b.slots - a.slots);
   return spare[0]?.id;
 };
 
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -30,8 +30,8 @@
 export interface Shortage {
   /** Expected wait at the best upstream whose limit allows a request, in milliseconds. */
   readonly queueMs: number;
-  /** Time until a limit allows a request, in milliseconds; 0 if one does now. */
-  readonly limitWaitMs: number;
+  /** Time until a limit allows a request, in milliseconds; undefined if limits are no reason. */
+  readonly limitWaitMs?: number;
 }
 
 /** The chosen upstream with the expected wait, or a refusal. */
@@ -74,9 +74,11 @@
     undefined,
   );
 
-/** Time until the limit of an upstream allows a request; 0 if there are no upstreams. */
-const getLimitWaitMs = (candidates: readonly Candidate[]): number =>
-  candidates.length === 0 ? 0 : Math.min(...candidates.map(({ limitWaitMs }) => limitWaitMs));
+/** Shortage where no limit allows a request, or where there is no upstream. */
+const getLimitShortage = (candidates: readonly Candidate[]): Shortage =>
+  candidates.length === 0
+    ? { queueMs: 0 }
+    : { queueMs: 0, limitWaitMs: Math.min(...candidates.map(({ limitWaitMs }) => limitWaitMs)) };
 
 /**
  * Chooses the healthy upstream with the least load relative to its slots, among those whose limits
@@ -98,10 +100,10 @@
   }));
   const best = getMinBy(scored, ({ score }) => score)?.candidate;
   if (best === undefined) {
-    return { kind: 'refuse', queueMs: 0, limitWaitMs: getLimitWaitMs(usable) };
+    return { kind: 'refuse', ...getLimitShortage(usable) };
   }
   const queueMs = getQueueMs(best);
   const limitMs = Math.min(timing.timeLeftMs, timing.objectiveLeftMs * MAX_QUEUE_FRACTION);
   if (queueMs <= Math.max(0, limitMs)) return { kind: 'send', upstream: best.id, waitMs: queueMs };
-  return { kind: 'refuse', queueMs, limitWaitMs: 0 };
+  return { kind: 'refuse', queueMs };
 };
--- a/packages/decisions/placement/retryAfterSchedule.ts
+++ b/packages/decisions/placement/retryAfterSchedule.ts
@@ -5,7 +5,7 @@
   /** Time until the shortest queue has drained, in milliseconds. */
   readonly queueMs: number;
   /** Time until the limits that upstreams name allow a request, in milliseconds; none by default. */
-  readonly limitWaitMs?: number;
+  readonly limitWaitMs?: number | undefined;
   /** Time in which this gateway's share of the upstreams can take one more request, in ms. */
   readonly admissionIntervalMs: number;
 }
