--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -70,7 +70,7 @@
     const index = random() < skew ? 0 : Math.floor(random() * gateways);
     const sender = senders[index];
     if (sender === undefined) return;
-    if (sender.limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) > 0) return;
+    if ((sender.limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) ?? 0) > 0) return;
     sender.limits.recordSend(UPSTREAM, nowMs);
     sender.limits.recordResponse(UPSTREAM, limit, nowMs);
     sender.isDirty = true;
@@ -164,7 +164,7 @@
 
   const countSendable = (limits: UpstreamLimits, nowMs: number): number => {
     let count = 0;
-    while (limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) <= 0) {
+    while (limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) === 0) {
       limits.recordSend(UPSTREAM, nowMs);
       count += 1;
     }
@@ -193,7 +193,7 @@
     );
 
     expect(changes).toEqual([2, 4, undefined]);
-    expect(limits.getWaitMs(UPSTREAM, URGENCY.online, 1300)).toBe(0);
+    expect(limits.getWaitMs(UPSTREAM, URGENCY.online, 1300)).toBeUndefined();
   });
 
   it('of 0 let a request through now and then, so that their end becomes known', () => {
@@ -249,7 +249,7 @@
     limits.recordResponse('u1/1', 1, 0);
     limits.retain(new Set(['u1/2']));
 
-    expect(limits.getWaitMs('u1/2', URGENCY.online, 0)).toBe(0);
+    expect(limits.getWaitMs('u1/2', URGENCY.online, 0)).toBeUndefined();
     expect(limits.getLimitedCount()).toBe(0);
   });
 });
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -51,8 +51,8 @@
   recordResponse(upstream: string, requestsPerSecond: number | undefined, nowMs: number): void;
   /** Limit of the upstream in requests per second; undefined if it has none. */
   getRequestsPerSecond(upstream: string): number | undefined;
-  /** Time until this gateway may send the upstream a request, in milliseconds. */
-  getWaitMs(upstream: string, urgency: Urgency, nowMs: number): number;
+  /** Time until this gateway may send a request, in milliseconds; undefined without a limit. */
+  getWaitMs(upstream: string, urgency: Urgency, nowMs: number): number | undefined;
   /** Number of batch items that all gateways together may send now; infinite without a limit. */
   getSpareTokens(upstream: string, nowMs: number): number;
   /** Number of upstreams with a limit. */
@@ -135,7 +135,7 @@
       applyLimit(upstream, limit, nowMs);
     },
     getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
-    getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs) ?? 0,
+    getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs),
     getSpareTokens: (upstream, nowMs) => buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
     getLimitedCount: () => buckets.size,
     takeSends: (nowMs) =>
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -14,8 +14,11 @@
   readonly upstreamMeanMs: number;
   /** Mean duration of an online request over all upstreams of the service, in milliseconds. */
   readonly serviceMeanMs: number;
-  /** Time until the limit that the upstream names allows this gateway a request, in milliseconds. */
-  readonly limitWaitMs: number;
+  /**
+   * Time until the limit that the upstream names allows this gateway a request, in milliseconds;
+   * undefined without a limit.
+   */
+  readonly limitWaitMs: number | undefined;
 }
 
 /** Times left for a request. */
@@ -78,11 +81,29 @@
 const getLimitShortage = (candidates: readonly Candidate[]): Shortage =>
   candidates.length === 0
     ? { queueMs: 0 }
-    : { queueMs: 0, limitWaitMs: Math.min(...candidates.map(({ limitWaitMs }) => limitWaitMs)) };
+    : {
+        queueMs: 0,
+        limitWaitMs: Math.min(...candidates.map(({ limitWaitMs = 0 }) => limitWaitMs)),
+      };
+
+/** Whether the upstream has a free slot and no limit. */
+const isFree = ({ load, slots, limitWaitMs }: Candidate): boolean =>
+  limitWaitMs === undefined && load.online + load.batch < slots;
+
+/**
+ * Candidates whose limits allow a request. What a limit allows is kept for times without free slots
+ * elsewhere, and for batch items.
+ */
+const getPreferred = (candidates: readonly Candidate[]): readonly Candidate[] => {
+  const allowed = candidates.filter(({ limitWaitMs = 0 }) => limitWaitMs <= 0);
+  const isAnyLimited = allowed.some(({ limitWaitMs }) => limitWaitMs !== undefined);
+  const free = isAnyLimited ? allowed.filter(isFree) : [];
+  return free.length > 0 ? free : allowed;
+};
 
 /**
  * Chooses the healthy upstream with the least load relative to its slots, among those whose limits
- * allow a request now. The request is refused if there is none, or if its wait there would exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency
+ * allow a request now; one with a limit only if no other has a free slot. The request is refused if there is none, or if its wait there would exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency
  * objective.
  */
 export const getPlacement = (
@@ -93,8 +114,7 @@
   const healthy = candidates.filter(({ weight }) => weight > 0);
   // If no upstream is healthy, all are tried: a suspect one is better than none.
   const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
-  const allowed = usable.filter(({ limitWaitMs }) => limitWaitMs <= 0);
-  const scored = allowed.map((candidate) => ({
+  const scored = getPreferred(usable).map((candidate) => ({
     candidate,
     score: getLoadScore(candidate, random),
   }));
--- a/packages/decisions/placement/tests/placement.test.ts
+++ b/packages/decisions/placement/tests/placement.test.ts
@@ -12,7 +12,7 @@
   isSameFailureDomain: fc.boolean(),
   upstreamMeanMs: fc.integer({ min: 10, max: 2000 }),
   serviceMeanMs: fc.integer({ min: 10, max: 2000 }),
-  limitWaitMs: fc.constantFrom(0, 0, 300, 2000),
+  limitWaitMs: fc.constantFrom(undefined, undefined, 0, 300),
 });
 
 const candidates = fc
@@ -31,12 +31,61 @@
 
         expect(chosen?.weight === 0 && isAnyHealthy).toBe(false);
         expect(chosen === undefined ? Infinity : getQueueMs(chosen)).toBeLessThanOrEqual(leftMs);
-        expect(chosen?.limitWaitMs).toBe(0);
+        expect(chosen?.limitWaitMs ?? 0).toBe(0);
       }),
       { seed: 1, numRuns: 500 },
     );
   });
 
+  it('chooses an upstream with a limit only if it allows a request and no other has a free slot', () => {
+    const newCandidate = (id: string, online: number, limitWaitMs?: number): Candidate => ({
+      id,
+      slots: 4,
+      load: { online, batch: 0 },
+      weight: 1,
+      isSameFailureDomain: true,
+      upstreamMeanMs: 100,
+      serviceMeanMs: 100,
+      limitWaitMs,
+    });
+    const choose = (unlimitedLoad: number, limitWaitMs: number) =>
+      getPlacement(
+        [newCandidate('unlimited', unlimitedLoad), newCandidate('limited', 0, limitWaitMs)],
+        { objectiveLeftMs: 10, timeLeftMs: 5000 },
+        () => 0.5,
+      );
+
+    expect([choose(3, 0), choose(4, 0), choose(4, 700), choose(6, 700)]).toMatchInlineSnapshot(`
+     [
+       {
+         "kind": "send",
+         "upstream": "unlimited",
+         "waitMs": 0,
+       },
+       {
+         "kind": "send",
+         "upstream": "limited",
+         "waitMs": 0,
+       },
+       {
+         "kind": "refuse",
+         "queueMs": 25,
+       },
+       {
+         "kind": "refuse",
+         "queueMs": 75,
+       },
+     ]
+    `);
+    expect(
+      getPlacement(
+        [newCandidate('limited', 0, 700)],
+        { objectiveLeftMs: 10, timeLeftMs: 10 },
+        () => 0.5,
+      ),
+    ).toEqual({ kind: 'refuse', queueMs: 0, limitWaitMs: 700 });
+  });
+
   it('refuses when there is no upstream', () => {
     const timing = { objectiveLeftMs: 300, timeLeftMs: 5000 };
 
@@ -78,7 +127,7 @@
         isSameFailureDomain: false,
         upstreamMeanMs: getUpstreamMeanMs(index),
         serviceMeanMs: PEAK.serviceMs,
-        limitWaitMs: 0,
+        limitWaitMs: undefined,
       })),
       { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: 5000 },
       random,
