--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -53,6 +53,8 @@
 export interface UpstreamStatus {
   /** Requests per second that it takes from all gateways together; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether it finishes its requests and takes no new ones. */
+  readonly isLeaving: boolean;
 }
 
 /** What a response says of its upstream. */
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -209,7 +209,17 @@
     getQuarantinedParts: () => quarantine.getQuarantinedCount(),
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
   });
-  const upstreamClient = newUpstreamClient(protocol, upstreamLimits, metrics, clock, log);
+  const upstreamClient = newUpstreamClient(
+    protocol,
+    upstreamLimits,
+    (upstream) => {
+      metrics.countLeaving();
+      upstreamWatch.reportLeaving(upstream);
+    },
+    metrics,
+    clock,
+    log,
+  );
   const crashDetector = newCrashDetector(
     {
       probe: ({ address }) => probeConnection(address, clock),
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -16,6 +16,8 @@
   countRefusal(status: number): void;
   /** Counts an upstream whose process ended with requests of this gateway. */
   countUpstreamCrash(): void;
+  /** Counts a response by which its upstream says that it leaves. */
+  countLeaving(): void;
   /** All metrics in Prometheus's text format. */
   text(): Promise<string>;
 }
@@ -67,6 +69,11 @@
     labelNames: ['reason', 'limited'],
     registers,
   });
+  const leavingResponses = new Counter({
+    name: 'anvilpaddle_leaving_responses_total',
+    help: 'Responses in which upstreams say that they leave',
+    registers,
+  });
   const unusableStatuses = new Counter({
     name: 'anvilpaddle_unusable_upstream_statuses_total',
     help: 'Responses whose statement about their upstream makes no sense or is of another process',
@@ -113,6 +120,7 @@
     countSilence: () => silences.inc(),
     countUpstreamCrash: () => upstreamCrashes.inc(),
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
+    countLeaving: () => leavingResponses.inc(),
     countUnusableStatus: () => unusableStatuses.inc(),
     text: () => registry.metrics(),
   };
--- a/anvilpaddle-app/gateway/upstreamClient.ts
+++ b/anvilpaddle-app/gateway/upstreamClient.ts
@@ -48,13 +48,17 @@
     UpstreamLimits,
     'recordSend' | 'recordUnsent' | 'recordResponse' | 'getRequestsPerSecond'
   >,
+  reportLeaving: (upstream: Upstream) => void,
   metrics: UpstreamMetrics,
   clock: Clock,
   log: Logger,
 ): UpstreamClient => {
-  const applyStatus = ({ id, incarnation }: Upstream, reading: StatusReading): void => {
+  const applyStatus = (upstream: Upstream, reading: StatusReading): void => {
+    const { id, incarnation } = upstream;
     if (reading.kind === 'status') {
-      limits.recordResponse(incarnation, reading.status.requestsPerSecond, clock.monotonic());
+      const { requestsPerSecond, isLeaving } = reading.status;
+      limits.recordResponse(incarnation, requestsPerSecond, clock.monotonic());
+      if (isLeaving) reportLeaving(upstream);
       return;
     }
     if (reading.kind === 'none') return;
--- a/anvilpaddle-app/gateway/upstreamWatch.ts
+++ b/anvilpaddle-app/gateway/upstreamWatch.ts
@@ -16,6 +16,9 @@
 /** Time for which an upstream gets no work after another process answered at its address. */
 const REPLACED_EXCLUSION_MS = 5000;
 
+/** Time for which a run that said that it leaves is remembered after that. */
+const LEAVING_MEMORY_MS = 600_000;
+
 /** Where the platform stores the upstreams, and how to parse them. */
 export interface UpstreamSource {
   readonly table: string;
@@ -34,6 +37,8 @@
   getAll(): readonly Upstream[];
   /** Reports that another process answered at an upstream's address before its record expired. */
   reportReplaced(upstream: Upstream): void;
+  /** Reports that an upstream says in its responses that it leaves: its run gets no more work. */
+  reportLeaving(upstream: Upstream): void;
   stop(): void;
 }
 
@@ -54,6 +59,8 @@
   let byService = new Map<string, Upstream[]>();
   /** Monotonic time until which an incarnation that was reported as replaced gets no work. */
   const excludedUntilMs = new Map<string, number>();
+  /** Monotonic time at which each incarnation last said that it leaves. */
+  const leavingMs = new Map<string, number>();
 
   const rebuildIndex = (): void => {
     byService = new Map();
@@ -131,12 +138,14 @@
   );
 
   const isExcluded = ({ incarnation }: Upstream): boolean =>
-    (excludedUntilMs.get(incarnation) ?? 0) > clock.monotonic();
+    leavingMs.has(incarnation) || (excludedUntilMs.get(incarnation) ?? 0) > clock.monotonic();
 
   return {
     getUsable: (service) => {
       const usable = byService.get(service) ?? [];
-      return excludedUntilMs.size === 0 ? usable : usable.filter((item) => !isExcluded(item));
+      return excludedUntilMs.size === 0 && leavingMs.size === 0
+        ? usable
+        : usable.filter((item) => !isExcluded(item));
     },
     isUsable: (upstream) => !upstream.isDraining && !isExcluded(upstream),
     get: (id) => upstreams.get(id),
@@ -152,6 +161,16 @@
         'upstream replaced at its address',
       );
     },
+    reportLeaving: ({ id, service, incarnation }) => {
+      const nowMs = clock.monotonic();
+      if (!leavingMs.has(incarnation)) {
+        log.info({ upstream: id, service }, 'upstream says it leaves');
+      }
+      leavingMs.set(incarnation, nowMs);
+      leavingMs.forEach((saidMs, known) => {
+        if (nowMs - saidMs > LEAVING_MEMORY_MS) leavingMs.delete(known);
+      });
+    },
     getAll: () => [...upstreams.values()],
     stop: () => watch.stop(),
   };
