Requests sent before a limit don't count against it; gateway.ts loses the fleet and the stop

Now a report names what was sent since its gateway learnt of the limit, and reports that come in the first 0.5 s only set the total from which a peer is counted. A new process is spared the same way. Two new tests of the reports; all of the limits and the gateway pass.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -6,35 +6,29 @@
   getHash,
   listen,
   loadHashing,
-  MS_PER_SECOND,
   newId,
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
 import {
-  newHealth,
   newItemTracker,
-  newLoadTracker,
   newRetryAfterSchedule,
-  newServiceTimes,
   newSlidingWindowLimiter,
-  newUpstreamLimits,
   type QuarantineChange,
 } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
-import { sleep, type Program } from '../process/program';
+import type { Program } from '../process/program';
 import { newCallerConnections } from './callerConnections';
 import type { CallerProtocol } from './callerProtocol';
 import { newCallerHandler } from './callerHandler';
 import { newConfigWatch, type ConfigSource } from './configWatch';
-import { newFleetView } from './fleetView';
 import { newGatewayList, type GatewayList } from './gatewayList';
 import { newGatewayMetrics, serveMetrics } from './gatewayMetrics';
 import { probeConnection } from './connectProbe';
 import { newCrashDetector } from './crashDetector';
+import { stopGateway } from './gatewayStop';
 import { newGossip, type Gossip } from './gossip';
 import { newStoredQuarantine } from './storedQuarantine';
-import { logLimitChange, startLimitLog } from './limitLog';
 import { newJobCache } from './jobs/jobCache';
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
 import { newJobService } from './jobs/jobService';
@@ -42,21 +36,10 @@
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
 import type { GatewaySettings, Upstream } from './types';
 import { newUpstreamClient } from './upstreamClient';
-import { newKeptVisibility } from './keptVisibility';
-import { newUpstreamWatch, type UpstreamSource } from './upstreamWatch';
+import { newUpstreamFleet } from './upstreamFleet';
+import type { UpstreamSource } from './upstreamWatch';
 
 const CONFIG_READ_INTERVAL_MS = 400;
-const HEALTH_SETTINGS = {
-  consecutiveFailureThreshold: 2,
-  baseEjectionMs: MS_PER_SECOND,
-  maxEjectionMs: 8 * MS_PER_SECOND,
-  rampUpMs: MS_PER_SECOND,
-};
-/** Time until the balancer stops sending to a stopping gateway: two failed checks and a margin. */
-const BALANCER_DRAIN_MS = 3 * MS_PER_SECOND;
-/** Time between the end of a stop and the end of the grace period, when the process is killed. */
-const STOP_MARGIN_MS = 500;
-
 /** Short name of an upstream's run, the same at all gateways. */
 const getUpstreamKey = ({ incarnation }: Upstream): string => getHash(incarnation).toString(36);
 
@@ -109,36 +92,24 @@
   const recordStore = platform.newRecordStore(storeClient);
   const objectStore = platform.newObjectStore(storeClient);
 
-  const upstreamLoads = newLoadTracker(() => {
-    peersRef.gossip?.scheduleSend();
-    runnerRef.runner?.onLoadChange();
-  });
-  const itemTracker = newItemTracker();
-  const upstreamLimits = newUpstreamLimits({
-    getVisibility: newKeptVisibility(() => peersRef.gossip?.getVisibility(), clock),
-    random,
-    onChange: (upstream, limit) => {
-      logLimitChange(log, upstream, limit);
-      peersRef.gossip?.scheduleSend();
-    },
-  });
-  startLimitLog(upstreamLimits, clock, log);
-  const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
-  const health = newHealth(HEALTH_SETTINGS);
-  const serviceTimes = newServiceTimes();
-  const upstreamWatch = newUpstreamWatch(
+  const fleet = newUpstreamFleet(
     recordStore,
-    platform.upstreamSource,
-    () => {
-      const upstreams = upstreamWatch.getAll();
-      const known = new Set(upstreams.map(({ id }) => id));
-      health.retain(known);
-      serviceTimes.retain(known);
-      upstreamLimits.retain(new Set(upstreams.map((upstream) => upstream.incarnation)));
+    { source: platform.upstreamSource, failureDomain: settings.failureDomain },
+    {
+      onLoadChange: () => {
+        peersRef.gossip?.scheduleSend();
+        runnerRef.runner?.onLoadChange();
+      },
+      onLimitChange: () => peersRef.gossip?.scheduleSend(),
+      getVisibility: () => peersRef.gossip?.getVisibility(),
     },
     clock,
+    random,
     log,
   );
+  const { upstreamLoads, upstreamLimits, upstreamWatch, health, serviceTimes, fleetView } = fleet;
+  const itemTracker = newItemTracker();
+  const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
   const callerServer: Server = createServer({ requestTimeout: 0 });
   const callerConnections = newCallerConnections(callerServer, clock);
   const configWatch = newConfigWatch(
@@ -186,15 +157,6 @@
   );
   peersRef.list = gatewayList;
   peersRef.gossip = gossip;
-  const fleetView = newFleetView(
-    upstreamWatch,
-    upstreamLoads,
-    health,
-    serviceTimes,
-    upstreamLimits,
-    settings.failureDomain,
-    clock,
-  );
   const jobStore = newJobStore(recordStore, objectStore);
   const jobCache = newJobCache(
     recordStore,
@@ -337,21 +299,10 @@
   log.info({ vm: settings.vm, incarnation }, 'gateway started');
 
   return {
-    stop: async () => {
+    stop: () => {
       isStopping = true;
       gossip.scheduleSend();
-      log.info({ active: callerConnections.getActiveRequests() }, 'gateway stopping');
-      const stopDeadlineMs = clock.monotonic() + bounds.stopGracePeriodMs - STOP_MARGIN_MS;
-      const jobsHandedOver = jobRunner.stop();
-      callerConnections.announceClose();
-      await sleep(clock, BALANCER_DRAIN_MS);
-      await Promise.race([
-        Promise.all([jobsHandedOver, callerConnections.close()]),
-        sleep(clock, Math.max(0, stopDeadlineMs - clock.monotonic())),
-      ]);
-      log.info({ active: callerConnections.getActiveRequests() }, 'gateway stopped');
-      callerConnections.breakOff();
-      await Promise.race([gatewayList.leave(), sleep(clock, STOP_MARGIN_MS / 2)]);
+      return stopGateway({ jobRunner, callerConnections, gatewayList }, bounds, clock, log);
     },
   };
 };
--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -104,6 +104,7 @@
     );
   };
 
+  senders.forEach(({ limits }) => limits.recordSend(UPSTREAM, 0));
   senders[0]?.limits.recordResponse(UPSTREAM, limit, 0);
   const demandPerMs = (demand * limit) / 1000;
   let waiting = 0;
@@ -196,6 +197,38 @@
     expect(limits.getWaitMs(UPSTREAM, URGENCY.online, 1300)).toBeUndefined();
   });
 
+  it('count what peers send from the time on at which they are known', () => {
+    const { limits } = newLimits();
+    const report = (requestsPerSecond: number | undefined, total: number, inWindow: number) => [
+      { upstream: UPSTREAM, requestsPerSecond, ageMs: 0, sent: { total, inWindow } },
+    ];
+    const countAll = (nowMs: number) => limits.takeSends(nowMs).get(UPSTREAM)?.all;
+    limits.updatePeer('old', report(2, 30, 8), 0);
+    const counts = [countAll(0)];
+    limits.updatePeer('old', report(2, 31, 9), 300);
+    counts.push(countAll(300));
+    limits.updatePeer('late', report(2, 2, 2), 600);
+    counts.push(countAll(600));
+
+    expect(counts).toEqual([0, 1, 3]);
+  });
+
+  it('report what was sent before a limit as nothing new', () => {
+    const { limits } = newLimits();
+    limits.recordSend(UPSTREAM, 0);
+    limits.recordResponse(UPSTREAM, 2, 100);
+    limits.recordSend(UPSTREAM, 900);
+
+    expect(limits.getReports(900)).toEqual([
+      {
+        upstream: UPSTREAM,
+        requestsPerSecond: 2,
+        ageMs: 800,
+        sent: { total: 2, inWindow: 1 },
+      },
+    ]);
+  });
+
   it('of 0 let a request through now and then, so that their end becomes known', () => {
     const { limits } = newLimits();
     limits.recordResponse(UPSTREAM, 0, 0);
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -77,6 +77,12 @@
   readonly onChange?: (upstream: string, limit: UpstreamLimit) => void;
 }
 
+/**
+ * Time from which a limit is known in which the first reports of peers arrive: what these have sent by
+ * then is paid for by the empty bucket at the start.
+ */
+const START_MS = 500;
+
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
   getVisibility,
@@ -89,6 +95,8 @@
   const sendsByUpstream = new Map<string, UpstreamSends>();
   /** Buckets of the limits in force. */
   const buckets = new Map<string, SharedBucket>();
+  /** Time at which this gateway learnt of each limit. */
+  const startedMs = new Map<string, number>();
 
   const getSends = (upstream: string): UpstreamSends => {
     const known = sendsByUpstream.get(upstream);
@@ -106,7 +114,11 @@
     const bucket = buckets.get(upstream);
     if (requestsPerSecond === undefined) buckets.delete(upstream);
     else if (bucket !== undefined) bucket.setRate(requestsPerSecond, nowMs);
-    else buckets.set(upstream, newSharedBucket(requestsPerSecond, getVisibility, random, nowMs));
+    else {
+      buckets.set(upstream, newSharedBucket(requestsPerSecond, getVisibility, random, nowMs));
+      startedMs.set(upstream, nowMs);
+      getSends(upstream).startReports();
+    }
   };
 
   /** Applies what an upstream said, unless it is known to have said something later. */
@@ -160,12 +172,15 @@
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
         applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
-        const added = getSends(upstream).recordPeer(peer, sent, nowMs);
+        const sends = getSends(upstream);
+        const isStarting = nowMs - (startedMs.get(upstream) ?? nowMs) < START_MS;
+        if (isStarting && !sends.isKnown(peer)) sends.startPeer(peer, sent);
+        const added = sends.recordPeer(peer, sent, nowMs);
         if (added > 0) buckets.get(upstream)?.take(added, nowMs);
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams) =>
-      [limits, heard, sendsByUpstream, buckets].forEach((states) =>
+      [limits, heard, sendsByUpstream, buckets, startedMs].forEach((states) =>
         [...states.keys()]
           .filter((upstream) => !upstreams.has(upstream))
           .forEach((upstream) => states.delete(upstream)),
--- a/packages/decisions/limits/upstreamSends.ts
+++ b/packages/decisions/limits/upstreamSends.ts
@@ -18,7 +18,7 @@
 export interface SentRequests {
   /** Requests since the gateway started; it never falls. */
   readonly total: number;
-  /** Requests in the window. */
+  /** Requests in the window, as far as they count as new to a peer that has had no report yet. */
   readonly inWindow: number;
 }
 
@@ -30,6 +30,12 @@
   takeBackOwn(nowMs: number): void;
   /** Applies what a peer has sent, and returns how many of these requests are new. */
   recordPeer(peer: string, sent: SentRequests, nowMs: number): number;
+  /** Applies the first report of a peer whose earlier requests don't count. */
+  startPeer(peer: string, sent: SentRequests): void;
+  /** Whether the peer has reported before. */
+  isKnown(peer: string): boolean;
+  /** Ends the counting of this gateway's earlier requests as new to its peers. */
+  startReports(): void;
   /** Drops the total of a peer; its requests in the window stay counted. */
   removePeer(peer: string): void;
   /** What this gateway has sent. */
@@ -44,6 +50,7 @@
   const window = newWindowCounter(UPSTREAM_LIMIT_WINDOW_MS);
   const peerTotals = new Map<string, number>();
   let ownTotal = 0;
+  let firstReported = 0;
   /** Requests that were not sent, although peers may have been told of them. */
   let unsent = 0;
   let peak = 0;
@@ -73,10 +80,20 @@
       if (added > 0) count(added, nowMs);
       return added;
     },
+    startPeer: (peer, { total }) => {
+      peerTotals.set(peer, total);
+    },
+    isKnown: (peer) => peerTotals.has(peer),
+    startReports: () => {
+      firstReported = ownTotal;
+    },
     removePeer: (peer) => {
       peerTotals.delete(peer);
     },
-    getOwn: (nowMs) => ({ total: ownTotal, inWindow: ownWindow.get(nowMs) }),
+    getOwn: (nowMs) => ({
+      total: ownTotal,
+      inWindow: Math.max(0, Math.min(ownWindow.get(nowMs), ownTotal - firstReported)),
+    }),
     takeCounts: (nowMs) => {
       const all = window.get(nowMs);
       const counts = { own: ownWindow.get(nowMs), all, peak };
