A datagram that a later one has overtaken doesn't replace newer state

Read while limits were added: a late datagram put older loads, and an older word of an upstream's limit that looked new, in place of those of a later one. Datagrams of one process are now ordered by how long it has run. The new test of the gossip failed before (a load of 10 for 3); a second one shows that limits and sends are reported.

--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -61,6 +61,8 @@
 /** Last report of a peer. */
 interface PeerState extends GatewayState {
   readonly vm: string;
+  /** Time for which the peer's process had run when it sent the report. */
+  readonly ageMs: number;
   readonly lastSeenMs: number;
   readonly startedMs: number;
 }
@@ -119,13 +121,15 @@
     }
     const nowMs = clock.monotonic();
     const { from, vm, ageMs, loads, spent, takesJobs, reachesStore, isServing } = datagram;
+    // A datagram that was overtaken by a later one has older state.
+    if (ageMs < (peers.get(from)?.ageMs ?? 0)) return;
     // A new process on a VM may send its first datagram before its record has been read.
     if (!peers.has(from)) {
       gatewayList.addFromDatagram({ vm, incarnation: from, address: sender });
       removeEarlierLoads(vm);
     }
     const state = { takesJobs, reachesStore, isServing };
-    peers.set(from, { vm, lastSeenMs: nowMs, startedMs: nowMs - ageMs, ...state });
+    peers.set(from, { vm, ageMs, lastSeenMs: nowMs, startedMs: nowMs - ageMs, ...state });
     upstreamLoads.updatePeer(
       from,
       new Map(loads.map(([id, online, batch]) => [id, { online, batch }])),
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -102,6 +102,46 @@
     }).toMatchSnapshot();
   });
 
+  it('reports limits of upstreams and what was sent there', async () => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const sender = newNode(a, [b]);
+    const receiver = newNode(b, [a]);
+    sender.upstreamLimits.recordResponse('u1/1', 2.5, 0);
+    await sendUpdate(sender, receiver);
+    sender.upstreamLimits.recordSend('u1/1', 100);
+    await sendUpdate(sender, receiver);
+
+    expect(receiver.upstreamLimits.takeSends(200).get('u1/1')).toEqual({
+      requestsPerSecond: 2.5,
+      own: 0,
+      all: 1,
+      peak: 1,
+    });
+  });
+
+  it('ignores a datagram that a later one has overtaken', async () => {
+    const [a, b, c] = await Promise.all([
+      newGateway('vm-a', 'a'),
+      newGateway('vm-b', 'b'),
+      newGateway('vm-c', 'c'),
+    ]);
+    const receiver = newNode(b, [a, c]);
+    const socket = createSocket('udp4');
+    const send = ({ vm, incarnation: from }: Gateway, ageMs: number, online: number): void => {
+      const loads = [['u1', online, 0]];
+      const content = { from, vm, ageMs, loads, spent: [], running: [], waiting: [], ...SERVING };
+      socket.send(JSON.stringify(content), b.address.port, b.address.host);
+    };
+    send(a, 200, 2);
+    await receiver.waitForUpdate();
+    send(a, 100, 9);
+    send(c, 1, 1);
+    await receiver.waitForUpdate();
+    socket.close();
+
+    expect(receiver.upstreamLoads.getLoad('u1', 0)).toEqual({ online: 3, batch: 0 });
+  });
+
   it.each<[string, GatewayState]>([
     ['serves', SERVING],
     ['is stopping', { takesJobs: false, reachesStore: true, isServing: false }],
