What limits leave goes to the most urgent items of all gateways

All gateways with waiting items saw the same tokens and preferred the same upstreams with most free slots, each tick of 30 ms, while the news of a start takes 25 to 100 ms: in a fleet of 38 several would start at one.

--- a/anvilpaddle-app/gateway/jobs/itemSelection.ts
+++ b/anvilpaddle-app/gateway/jobs/itemSelection.ts
@@ -49,8 +49,11 @@
 export interface ItemSelection {
   /** Items that could start now; fails those of jobs that are too old or whose route is gone. */
   getReadyItems(): ReadyItem[];
-  /** Upstream for a further run of an item, other than those at which the item already runs. */
-  pickUpstream(service: string, pending: PendingItem): Upstream | undefined;
+  /**
+   * Upstream for a further run of an item, other than those at which the item already runs; one with
+   * a limit only if the item may use what limits leave.
+   */
+  pickUpstream(service: string, pending: PendingItem, mayUseLimits: boolean): Upstream | undefined;
   /** Route of a job; undefined if the configuration doesn't have it. */
   getJobRoute(job: OwnedJob): Route | undefined;
 }
@@ -108,14 +111,16 @@
       );
   };
 
-  /** Upstream for a further run of an item, other than those at which the item already runs. */
-  const pickUpstream = (service: string, pending: PendingItem): Upstream | undefined => {
+  const pickUpstream: ItemSelection['pickUpstream'] = (service, pending, mayUseLimits) => {
     const usedIds = new Set(runs.getRunsOf(pending).map(({ upstream }) => upstream.id));
     const candidates = view
       .getBatchCandidates(service)
       .filter(({ id }) => !usedIds.has(id))
       // A run that made way costs an upstream with a limit one more request if it goes on there.
-      .filter((candidate) => !isLimited(candidate) || candidate.id !== pending.yieldedAt);
+      .filter(
+        (candidate) =>
+          !isLimited(candidate) || (mayUseLimits && candidate.id !== pending.yieldedAt),
+      );
     const assessment = assess(pending);
     const allowed =
       assessment.state === PART_STATE.suspect
@@ -127,7 +132,7 @@
 
   /** Whether an item that runs at silent upstreams can start at another one as well. */
   const canRunElsewhere = (service: string, pending: PendingItem): boolean =>
-    runs.canRunTwice(pending) && pickUpstream(service, pending) !== undefined;
+    runs.canRunTwice(pending) && pickUpstream(service, pending, true) !== undefined;
 
   /** Items that could start now; fails those of jobs that are too old or whose route is gone. */
   const getReadyItems = (): ReadyItem[] => {
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -4,6 +4,7 @@
   compareUrgency,
   getItemsToStart,
   getItemsToPreempt,
+  isLimited,
   isOverloaded,
   newRunTimeEstimator,
   type BatchCandidate,
@@ -130,10 +131,16 @@
     const nowMs = clock.monotonic();
     const peers = itemTracker.getWaiting(service, nowMs);
     const candidates = view.getBatchCandidates(service);
-    getItemsToStart({ own, peers }, candidates, jobCache.getStoreMs() ?? 0)
+    const storeMs = jobCache.getStoreMs() ?? 0;
+    // What limits leave goes to the most urgent items of all gateways, which would else all take it.
+    const itemsForLimits = new Set(
+      getItemsToStart({ own, peers }, candidates.filter(isLimited), storeMs),
+    );
+    getItemsToStart({ own, peers }, candidates, storeMs)
       .slice(0, MAX_STARTS_PER_TICK)
       .forEach((ready) => {
-        const upstream = pickUpstream(service, ready.pending);
+        const mayUseLimits = itemsForLimits.has(ready);
+        const upstream = pickUpstream(service, ready.pending, mayUseLimits);
         if (upstream === undefined) return;
         const { job, pending, dueMs, remainingMs } = ready;
         const details = { upstream: upstream.id, events: pending.events, dueMs, remainingMs };
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -60,8 +60,8 @@
 /**
  * Upstream for the next item: the one with the most free slots among those that can take it; undefined
  * if there is none. Upstreams with limits go first: online requests can't fill their slots, so an item
- * runs there undisturbed. Ties are broken at random, so that gateways that decide at the same moment
- * spread out.
+ * runs there undisturbed. Ties, and all upstreams with limits, are chosen from at random, so that
+ * gateways that decide at the same moment spread out.
  */
 export const getUpstreamForItem = (
   candidates: readonly BatchCandidate[],
@@ -72,7 +72,7 @@
     .map((candidate) => ({
       id: candidate.id,
       rank: Number(isLimited(candidate)),
-      slots: getFreeSlots(candidate) + random(),
+      slots: (isLimited(candidate) ? 0 : getFreeSlots(candidate)) + random(),
     }))
     .sort((a, b) => b.rank - a.rank || b.slots - a.slots);
   return spare[0]?.id;
