Limits that ended are forgotten after 5 s, and one that comes back begins anew

Read in a review of the module: after its end a limit was reported for as long as requests went to its upstream, and if it came back, what peers had sent in between was taken for a debt. The new test of both failed before. 18 tests of the limits and the gossip pass.

--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -229,6 +229,27 @@
     ]);
   });
 
+  it('are no longer reported some seconds after their end, and begin anew if they come back', () => {
+    const [{ limits }, { limits: peer }] = [newLimits(2), newLimits(2)];
+    const exchange = (nowMs: number): number => {
+      const reports = limits.getReports(nowMs);
+      peer.updatePeer('g', reports, nowMs);
+      return reports.length;
+    };
+    const record = (requestsPerSecond: number | undefined, nowMs: number): number => {
+      limits.recordSend(UPSTREAM, nowMs);
+      limits.recordResponse(UPSTREAM, requestsPerSecond, nowMs);
+      return exchange(nowMs);
+    };
+    record(2, 0);
+    const counts = [record(undefined, 1000), record(undefined, 7000), record(undefined, 8000)];
+    record(2, 9000);
+    record(2, 10_000);
+
+    expect(counts).toEqual([1, 0, 0]);
+    expect(peer.takeSends(10_000).get(UPSTREAM)).toMatchObject({ all: 1 });
+  });
+
   it('of 0 let a request through now and then, so that their end becomes known', () => {
     const { limits } = newLimits();
     limits.recordResponse(UPSTREAM, 0, 0);
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -83,6 +83,9 @@
  */
 const START_MS = 500;
 
+/** Time for which the end of a limit is remembered and reported to peers that may not know of it. */
+const END_MS = 5000;
+
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
   getVisibility,
@@ -117,7 +120,7 @@
     else {
       buckets.set(upstream, newSharedBucket(requestsPerSecond, getVisibility, random, nowMs));
       startedMs.set(upstream, nowMs);
-      getSends(upstream).startReports();
+      getSends(upstream).restartReports();
     }
   };
 
@@ -132,6 +135,13 @@
     onChange(upstream, limit);
   };
 
+  const removeEnded = (nowMs: number): void =>
+    limits.forEach(({ requestsPerSecond, saidMs }, upstream) => {
+      if (requestsPerSecond !== undefined || nowMs - saidMs < END_MS) return;
+      limits.delete(upstream);
+      heard.delete(upstream);
+    });
+
   return {
     recordSend: (upstream, nowMs) => {
       getSends(upstream).recordOwn(nowMs);
@@ -142,8 +152,10 @@
       buckets.get(upstream)?.giveBack(nowMs);
     },
     recordResponse: (upstream, requestsPerSecond, nowMs) => {
+      const isUnlimited = limits.get(upstream)?.requestsPerSecond === undefined;
+      if (requestsPerSecond === undefined && isUnlimited) return;
       const limit = { requestsPerSecond, saidMs: nowMs };
-      if (requestsPerSecond !== undefined || limits.has(upstream)) heard.set(upstream, limit);
+      heard.set(upstream, limit);
       applyLimit(upstream, limit, nowMs);
     },
     getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
@@ -160,15 +172,17 @@
             : [[upstream, { requestsPerSecond, ...counts }] as const];
         }),
       ),
-    getReports: (nowMs) =>
-      [...limits].flatMap(([upstream, limit]) => {
+    getReports: (nowMs) => {
+      removeEnded(nowMs);
+      return [...limits].flatMap(([upstream, limit]) => {
         const sent = getSends(upstream).getOwn(nowMs);
         const heardMs = heard.get(upstream)?.saidMs ?? -Infinity;
         const isRecent = sent.inWindow > 0 || nowMs - heardMs < UPSTREAM_LIMIT_WINDOW_MS;
         if (!isRecent) return [];
         const { requestsPerSecond, saidMs } = heard.get(upstream) ?? limit;
         return [{ upstream, requestsPerSecond, ageMs: nowMs - saidMs, sent }];
-      }),
+      });
+    },
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
         applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
--- a/packages/decisions/limits/upstreamSends.ts
+++ b/packages/decisions/limits/upstreamSends.ts
@@ -34,8 +34,8 @@
   startPeer(peer: string, sent: SentRequests): void;
   /** Whether the peer has reported before. */
   isKnown(peer: string): boolean;
-  /** Ends the counting of this gateway's earlier requests as new to its peers. */
-  startReports(): void;
+  /** Begins the reports anew: earlier requests, of this gateway and of peers, are no longer new. */
+  restartReports(): void;
   /** Drops the total of a peer; its requests in the window stay counted. */
   removePeer(peer: string): void;
   /** What this gateway has sent. */
@@ -84,8 +84,9 @@
       peerTotals.set(peer, total);
     },
     isKnown: (peer) => peerTotals.has(peer),
-    startReports: () => {
+    restartReports: () => {
       firstReported = ownTotal;
+      peerTotals.clear();
     },
     removePeer: (peer) => {
       peerTotals.delete(peer);
