--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { newSeededRandom, type Random } from '@anvilpaddle/common';
+import { newSeededRandom } from '@anvilpaddle/common';
 import { URGENCY } from '../sharedBucket';
 import { newUpstreamLimits, type UpstreamLimits } from '../upstreamLimits';
 
@@ -13,6 +13,13 @@
 const USED_FROM_MS = 5000;
 const IDLE_SEND_INTERVAL_MS = 250;
 
+/** What happens to the first gateway; the rule excuses it alone, the test does not even that. */
+const TROUBLE = { none: 'none', restart: 'restart', cut: 'cut', freeze: 'freeze' } as const;
+const TROUBLE_START_MS = 9000;
+const TROUBLE_END_MS = 13_000;
+/** Time after which gateways notice that a peer is silent, or is back. */
+const NOTICED_MS = 700;
+
 /** Gateways that share the limit of one upstream, and the requests of their callers. */
 interface Scenario {
   readonly gateways: number;
@@ -26,8 +33,7 @@
   readonly delayMs: number;
   /** Fraction of the datagrams that are lost. */
   readonly loss: number;
-  /** Time at which one gateway is replaced by a new process, if any is. */
-  readonly restartMs: number | undefined;
+  readonly trouble: (typeof TROUBLE)[keyof typeof TROUBLE];
   readonly seed: number;
 }
 
@@ -38,38 +44,47 @@
   isDirty: boolean;
 }
 
+/** Datagram on its way. */
 interface Sending {
   readonly atMs: number;
   readonly from: string;
-  readonly to: string;
+  /** Index of the receiver. */
+  readonly to: number;
   readonly reports: ReturnType<UpstreamLimits['getReports']>;
-  readonly reportedMs: number;
 }
 
-const newSender = (id: string, members: number, random: Random, nowMs: number): Sender => ({
-  id,
-  limits: newUpstreamLimits({
-    getVisibility: () => ({ members, recentlySeen: members }),
-    random,
-  }),
-  lastSentMs: nowMs,
-  isDirty: false,
-});
-
 /** Times of all requests to an upstream whose first response, at 0, names the limit. */
 const simulate = (scenario: Scenario): number[] => {
-  const { gateways, limit, demand, skew, sendIntervalMs, delayMs, loss, restartMs } = scenario;
+  const { gateways, limit, demand, skew, sendIntervalMs, delayMs, loss, trouble } = scenario;
   const random = newSeededRandom(scenario.seed);
-  const senders = Array.from({ length: gateways }, (_, index) =>
-    newSender(`g${index}`, gateways, random, 0),
-  );
   const sentMs: number[] = [];
   let queue: Sending[] = [];
+  let nowMs = 0;
+
+  const isTroubled = (delay: number): boolean =>
+    (trouble === TROUBLE.cut || trouble === TROUBLE.freeze) &&
+    nowMs >= TROUBLE_START_MS + delay &&
+    nowMs < TROUBLE_END_MS + delay;
+  const getSeen = (index: number): number => {
+    if (!isTroubled(NOTICED_MS)) return gateways;
+    return index === 0 ? 1 : gateways - 1;
+  };
+  const newSender = (id: string, index: number): Sender => ({
+    id,
+    limits: newUpstreamLimits({
+      getVisibility: () => ({ members: gateways, recentlySeen: getSeen(index) }),
+      random,
+    }),
+    lastSentMs: nowMs,
+    isDirty: false,
+  });
+  const senders = Array.from({ length: gateways }, (_, index) => newSender(`g${index}`, index));
 
-  const request = (nowMs: number): void => {
+  const request = (): void => {
     const index = random() < skew ? 0 : Math.floor(random() * gateways);
     const sender = senders[index];
     if (sender === undefined) return;
+    if (index === 0 && trouble === TROUBLE.freeze && isTroubled(0)) return;
     if ((sender.limits.getWaitMs(UPSTREAM, URGENCY.online, nowMs) ?? 0) > 0) return;
     sender.limits.recordSend(UPSTREAM, nowMs);
     sender.limits.recordResponse(UPSTREAM, limit, nowMs);
@@ -77,43 +92,44 @@
     sentMs.push(nowMs);
   };
 
-  const gossip = (sender: Sender, nowMs: number): void => {
+  const gossip = (sender: Sender, index: number): void => {
     const silentMs = nowMs - sender.lastSentMs;
-    if (silentMs < sendIntervalMs) return;
+    if (silentMs < sendIntervalMs || (index === 0 && isTroubled(0))) return;
     if (!sender.isDirty && silentMs < IDLE_SEND_INTERVAL_MS) return;
     const reports = sender.limits.getReports(nowMs);
-    const { id: from } = sender;
-    const received = senders.filter(({ id }) => id !== from && random() >= loss);
-    queue.push(
-      ...received.map(({ id: to }) => ({
-        atMs: nowMs + delayMs * (0.5 + random()),
-        from,
-        to,
-        reports,
-        reportedMs: nowMs,
-      })),
-    );
+    senders.forEach((_, to) => {
+      if (to === index || random() < loss) return;
+      queue.push({ atMs: nowMs + delayMs * (0.5 + random()), from: sender.id, to, reports });
+    });
     Object.assign(sender, { lastSentMs: nowMs, isDirty: false });
   };
 
-  const deliver = (nowMs: number): void => {
-    const due = queue.filter(({ atMs }) => atMs <= nowMs);
-    queue = queue.filter(({ atMs }) => atMs > nowMs);
-    due.forEach(({ from, to, reports }) =>
-      senders.find(({ id }) => id === to)?.limits.updatePeer(from, reports, nowMs),
-    );
+  const deliver = (): void => {
+    // What comes to a frozen gateway waits for it; what comes to one that is cut off is lost.
+    const isWaiting = ({ to }: Sending): boolean =>
+      to === 0 && trouble === TROUBLE.freeze && isTroubled(0);
+    const isLost = ({ to }: Sending): boolean =>
+      to === 0 && trouble === TROUBLE.cut && isTroubled(0);
+    const isDue = (sending: Sending): boolean => sending.atMs <= nowMs && !isWaiting(sending);
+    const due = queue.filter((sending) => isDue(sending));
+    queue = queue.filter((sending) => !isDue(sending));
+    due
+      .filter((sending) => !isLost(sending))
+      .forEach(({ from, to, reports }) => senders[to]?.limits.updatePeer(from, reports, nowMs));
   };
 
   senders.forEach(({ limits }) => limits.recordSend(UPSTREAM, 0));
   senders[0]?.limits.recordResponse(UPSTREAM, limit, 0);
   const demandPerMs = (demand * limit) / 1000;
   let waiting = 0;
-  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += 1) {
-    deliver(nowMs);
-    if (nowMs === restartMs) senders[0] = newSender('g0-new', gateways, random, nowMs);
+  for (; nowMs < DURATION_MS; nowMs += 1) {
+    deliver();
+    if (nowMs === TROUBLE_START_MS && trouble === TROUBLE.restart) {
+      senders[0] = newSender('g0-new', 0);
+    }
     waiting += demandPerMs;
-    for (; waiting >= 1; waiting -= 1) request(nowMs);
-    senders.forEach((sender) => gossip(sender, nowMs));
+    for (; waiting >= 1; waiting -= 1) request();
+    senders.forEach(gossip);
   }
   return sentMs;
 };
@@ -133,7 +149,7 @@
   sendIntervalMs: fc.constantFrom(25, 95),
   delayMs: fc.constantFrom(2, 20, 60),
   loss: fc.constantFrom(0, 0.02, 0.2),
-  restartMs: fc.constantFrom(undefined, 9000),
+  trouble: fc.constantFrom(...Object.values(TROUBLE)),
   seed: fc.nat(),
 });
 
