An ended limit is not brought back by an older word of it

Reports now hold the newest word known, and a word older than the time for which an end is remembered is not taken where no limit is known. The new test failed before; 11 tests of the limits pass.

--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -269,6 +269,24 @@
     expect(peer.takeSends(10_000).get(UPSTREAM)).toMatchObject({ all: 1 });
   });
 
+  it('don’t come back by an older word once their end is forgotten', () => {
+    const [{ limits, changes }, { limits: peer }] = [newLimits(2), newLimits(2)];
+    peer.recordResponse(UPSTREAM, 2, 0);
+    limits.updatePeer('p', peer.getReports(0), 0);
+    limits.recordResponse(UPSTREAM, undefined, 1000);
+    peer.updatePeer('g', limits.getReports(1000), 1000);
+    for (let nowMs = 1000; nowMs <= 10_000; nowMs += 500) {
+      limits.getReports(nowMs);
+      peer.recordSend(UPSTREAM, nowMs);
+      limits.updatePeer('p', peer.getReports(nowMs), nowMs);
+    }
+    // A gateway that was cut off knows the limit alone.
+    const cutOff = { upstream: UPSTREAM, requestsPerSecond: 2, ageMs: 9000, sent: NOTHING };
+    limits.updatePeer('c', [cutOff], 10_000);
+
+    expect(changes).toEqual([2, undefined]);
+  });
+
   it('of 0 let a request through now and then, so that their end becomes known', () => {
     const { limits } = newLimits();
     limits.recordResponse(UPSTREAM, 0, 0);
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -83,8 +83,11 @@
  */
 const START_MS = 500;
 
-/** Time for which the end of a limit is remembered and reported to peers that may not know of it. */
-const END_MS = 5000;
+/**
+ * Age up to which a peer's word of a limit is taken that is not known here. The end of a limit is remembered for as
+ * long, so that no older word can bring the limit back.
+ */
+const MAX_WORD_AGE_MS = 5000;
 
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
@@ -93,8 +96,8 @@
   onChange = () => undefined,
 }: UpstreamLimitHooks): UpstreamLimits => {
   const limits = new Map<string, UpstreamLimit>();
-  /** What this gateway has heard itself. */
-  const heard = new Map<string, UpstreamLimit>();
+  /** Time at which this gateway itself last heard of each limit. */
+  const heardMs = new Map<string, number>();
   const sendsByUpstream = new Map<string, UpstreamSends>();
   /** Buckets of the limits in force. */
   const buckets = new Map<string, SharedBucket>();
@@ -137,9 +140,9 @@
 
   const removeEnded = (nowMs: number): void =>
     limits.forEach(({ requestsPerSecond, saidMs }, upstream) => {
-      if (requestsPerSecond !== undefined || nowMs - saidMs < END_MS) return;
+      if (requestsPerSecond !== undefined || nowMs - saidMs < MAX_WORD_AGE_MS) return;
       limits.delete(upstream);
-      heard.delete(upstream);
+      heardMs.delete(upstream);
     });
 
   return {
@@ -154,9 +157,8 @@
     recordResponse: (upstream, requestsPerSecond, nowMs) => {
       const isUnlimited = limits.get(upstream)?.requestsPerSecond === undefined;
       if (requestsPerSecond === undefined && isUnlimited) return;
-      const limit = { requestsPerSecond, saidMs: nowMs };
-      heard.set(upstream, limit);
-      applyLimit(upstream, limit, nowMs);
+      heardMs.set(upstream, nowMs);
+      applyLimit(upstream, { requestsPerSecond, saidMs: nowMs }, nowMs);
     },
     getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
     getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs),
@@ -174,17 +176,16 @@
       ),
     getReports: (nowMs) => {
       removeEnded(nowMs);
-      return [...limits].flatMap(([upstream, limit]) => {
+      return [...limits].flatMap(([upstream, { requestsPerSecond, saidMs }]) => {
         const sent = getSends(upstream).getOwn(nowMs);
-        const heardMs = heard.get(upstream)?.saidMs ?? -Infinity;
-        const isRecent = sent.inWindow > 0 || nowMs - heardMs < UPSTREAM_LIMIT_WINDOW_MS;
-        if (!isRecent) return [];
-        const { requestsPerSecond, saidMs } = heard.get(upstream) ?? limit;
+        const sinceHeardMs = nowMs - (heardMs.get(upstream) ?? -Infinity);
+        if (sent.inWindow === 0 && sinceHeardMs >= UPSTREAM_LIMIT_WINDOW_MS) return [];
         return [{ upstream, requestsPerSecond, ageMs: nowMs - saidMs, sent }];
       });
     },
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
+        if (ageMs >= MAX_WORD_AGE_MS && !limits.has(upstream)) return;
         applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
         const sends = getSends(upstream);
         const isStarting = nowMs - (startedMs.get(upstream) ?? nowMs) < START_MS;
@@ -194,7 +195,7 @@
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams) =>
-      [limits, heard, sendsByUpstream, buckets, startedMs].forEach((states) =>
+      [limits, heardMs, sendsByUpstream, buckets, startedMs].forEach((states) =>
         [...states.keys()]
           .filter((upstream) => !upstreams.has(upstream))
           .forEach((upstream) => states.delete(upstream)),
