Runs of items that end early name a typed cause

The lost connection of an error whose text begins so would not have counted in the health of its upstream; no such text is known, and no test could show one. A typed cause takes the place of the text and of wasSent; no other change of behaviour. The tests of the gateway and of items pass.

--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -42,6 +42,20 @@
   lastEventId: string | undefined;
 }
 
+/** Why a run ended early. */
+export const BREAK_CAUSE = {
+  /** The item was not sent. */
+  notSent: 'notSent',
+  /** The connection was lost before a response; the item may have run. */
+  lost: 'lost',
+  /** The response says that the upstream works, but it is not the item's output. */
+  status: 'status',
+  /** The stream ended before its last event. */
+  cut: 'cut',
+} as const;
+/** One of the causes. */
+export type BreakCause = (typeof BREAK_CAUSE)[keyof typeof BREAK_CAUSE];
+
 /** Outcome of a run. */
 export type RunOutcome =
   | { readonly kind: 'done' }
@@ -53,8 +67,7 @@
   | {
       readonly kind: 'broken';
       readonly detail: string;
-      /** Whether the item was sent, so that it may have run. */
-      readonly wasSent: boolean;
+      readonly cause: BreakCause;
       /** How the body of the response ended, if it was read. */
       readonly responseEnd?: ResponseEnd;
     };
@@ -149,8 +162,8 @@
       crashDetector.reportRefused(upstream);
     }
     if (callResult.kind !== 'answered') {
-      const wasSent = callResult.kind === 'lost';
-      return { kind: 'broken', detail: callResult.detail, wasSent };
+      const cause = callResult.kind === 'lost' ? BREAK_CAUSE.lost : BREAK_CAUSE.notSent;
+      return { kind: 'broken', detail: callResult.detail, cause };
     }
     const { message } = callResult;
     const status = message.statusCode ?? 0;
@@ -161,7 +174,7 @@
       const detail = `status ${status}`;
       return status === SERVER_ERROR
         ? { kind: 'failed', detail }
-        : { kind: 'broken', detail, wasSent: true };
+        : { kind: 'broken', detail, cause: BREAK_CAUSE.status };
     }
     const splitter = newEventSplitter();
     let runBytes = 0;
@@ -186,7 +199,7 @@
     const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
     if (!isResponseComplete(responseEnd)) {
-      return { kind: 'broken', detail: 'the stream was cut', wasSent: true, responseEnd };
+      return { kind: 'broken', detail: 'the stream was cut', cause: BREAK_CAUSE.cut, responseEnd };
     }
     return { kind: 'done' };
   };
@@ -197,9 +210,9 @@
     const outcome = await run();
     // A status shows that the upstream responds, and an aborted run says nothing about the upstream.
     const isUpstreamFailure =
-      outcome.kind === 'broken' && !signal.aborted && !outcome.detail.startsWith('status');
+      outcome.kind === 'broken' && !signal.aborted && outcome.cause !== BREAK_CAUSE.status;
     if (isUpstreamFailure) {
-      if (outcome.wasSent && !hasContent) {
+      if (outcome.cause !== BREAK_CAUSE.notSent && !hasContent) {
         crashDetector.reportLost(upstream, { id: item.id, promptParts });
       }
       const nowMs = clock.monotonic();
