--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -84,10 +84,10 @@
 const START_MS = 500;
 
 /**
- * Age up to which a peer's word of a limit is taken that is not known here. The end of a limit is remembered for as
- * long, so that no older word can bring the limit back.
+ * Age up to which a peer's report of a limit is applied if the limit is not known here. The end of a
+ * limit is remembered for as long, so that no older report can bring the limit back.
  */
-const MAX_WORD_AGE_MS = 5000;
+const MAX_REPORT_AGE_MS = 5000;
 
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
@@ -140,7 +140,7 @@
 
   const removeEnded = (nowMs: number): void =>
     limits.forEach(({ requestsPerSecond, saidMs }, upstream) => {
-      if (requestsPerSecond !== undefined || nowMs - saidMs < MAX_WORD_AGE_MS) return;
+      if (requestsPerSecond !== undefined || nowMs - saidMs < MAX_REPORT_AGE_MS) return;
       limits.delete(upstream);
       heardMs.delete(upstream);
     });
@@ -185,7 +185,7 @@
     },
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
-        if (ageMs >= MAX_WORD_AGE_MS && !limits.has(upstream)) return;
+        if (ageMs >= MAX_REPORT_AGE_MS && !limits.has(upstream)) return;
         applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
         const sends = getSends(upstream);
         const isStarting = nowMs - (startedMs.get(upstream) ?? nowMs) < START_MS;
