A gateway that was away charges a limit once for what its peers sent

Cause: while a gateway doesn't see some of its peers, its bucket leaves them their part of the rate.

Ruled out: not charging late reports at all, as peers may have sent more than their part.

Change: the bucket keeps what it left to unseen gateways, and their reports are paid from it first, up to 1 s after all are seen again (chosen: longer than a gateway waits between two reports). What they sent beyond their part is charged as before.

--- a/packages/decisions/limits/sharedBucket.ts
+++ b/packages/decisions/limits/sharedBucket.ts
@@ -20,8 +20,10 @@
 export interface SharedBucket {
   /** Sets the rate, in requests per second. */
   setRate(requestsPerSecond: number, nowMs: number): void;
-  /** Takes tokens for requests that were sent, by whichever gateway. */
-  take(count: number, nowMs: number): void;
+  /** Takes the token of a request that this gateway sends. */
+  take(nowMs: number): void;
+  /** Takes tokens for requests that other gateways have sent. */
+  takeForPeers(count: number, nowMs: number): void;
   /** Returns the token of a request that was not sent after all. */
   giveBack(nowMs: number): void;
   /** Time until this gateway may send a request, in milliseconds. */
@@ -42,6 +44,11 @@
 const SPARE_TOKENS = 0.5;
 /** Span of the rate that is the largest debt of the bucket. */
 const MAX_DEBT_MS = 4000;
+/**
+ * Time after all gateways are seen again in which their reports of what they sent meanwhile arrive; it
+ * is longer than a gateway waits between two reports.
+ */
+const CATCH_UP_MS = 1000;
 
 /**
  * Creates an empty bucket. Requests of other gateways are known late. If all gateways took each token
@@ -49,7 +56,8 @@
  * part of the tokens that the bucket keeps, drawn anew after each request: few gateways at a time may
  * send while tokens are scarce, and all of them may while the bucket is full.
  *
- * A gateway that sees only some of the others shares their part of the rate with them.
+ * A gateway that sees only some of the others shares their part of the rate with them. The part of the
+ * unseen ones is withheld, and pays for the requests of which they report once they are seen again.
  */
 export const newSharedBucket = (
   requestsPerSecond: number,
@@ -59,6 +67,9 @@
 ): SharedBucket => {
   let rate = Math.max(MIN_RATE, requestsPerSecond);
   let level = 0;
+  /** Tokens that were left to gateways that this one did not see. */
+  let withheld = 0;
+  let withheldMs = -Infinity;
   let updatedMs = startMs;
   let draw = random();
 
@@ -74,12 +85,28 @@
   const getCapacity = (): number => 1 + getKeptTokens() + SPARE_TOKENS;
   const getTokensPerMs = (): number => (rate * getShare()) / MS_PER_SECOND;
 
+  /** Tokens of the whole rate in a span of time. */
+  const getTokens = (spanMs: number): number => (rate * spanMs) / MS_PER_SECOND;
+
+  const withhold = (elapsedMs: number, nowMs: number): void => {
+    const unseenShare = 1 - getShare();
+    if (unseenShare > 0) withheldMs = nowMs;
+    else if (nowMs - withheldMs > CATCH_UP_MS) withheld = 0;
+    withheld = Math.min(getTokens(MAX_DEBT_MS), withheld + getTokens(elapsedMs) * unseenShare);
+  };
+
   const advance = (nowMs: number): void => {
     const elapsedMs = Math.max(0, nowMs - updatedMs);
     level = Math.min(getCapacity(), level + elapsedMs * getTokensPerMs());
+    withhold(elapsedMs, nowMs);
     updatedMs = Math.max(updatedMs, nowMs);
   };
 
+  const remove = (count: number): void => {
+    level = Math.max(level - count, -getTokens(MAX_DEBT_MS));
+    draw = random();
+  };
+
   const getThreshold = (urgency: Urgency): number =>
     ({
       [URGENCY.underWay]: 1,
@@ -93,10 +120,15 @@
       rate = Math.max(MIN_RATE, next);
       level = Math.min(level, getCapacity());
     },
-    take: (count, nowMs) => {
+    take: (nowMs) => {
+      advance(nowMs);
+      remove(1);
+    },
+    takeForPeers: (count, nowMs) => {
       advance(nowMs);
-      level = Math.max(level - count, (-rate * MAX_DEBT_MS) / MS_PER_SECOND);
-      draw = random();
+      const paid = Math.min(count, withheld);
+      withheld -= paid;
+      remove(count - paid);
     },
     giveBack: (nowMs) => {
       advance(nowMs);
--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -309,6 +309,28 @@
     expect(sent).toBeLessThanOrEqual(12);
   });
 
+  it('leave a gateway that was away its part of the rate once peers report what they sent', () => {
+    const members = 8;
+    let recentlySeen = members;
+    const limits = newUpstreamLimits({
+      getVisibility: () => ({ members, recentlySeen }),
+      random: () => 0,
+    });
+    const report = (total: number) => [
+      { upstream: UPSTREAM, requestsPerSecond: 0.5, ageMs: 0, sent: { total, inWindow: total } },
+    ];
+    limits.recordResponse(UPSTREAM, 0.5, 0);
+    limits.updatePeer('p', report(0), 0);
+    countSendable(limits, 4000);
+    // The process is frozen for 4 s. When it wakes up, it has not heard of its peers for as long.
+    recentlySeen = 1;
+    limits.getWaitMs(UPSTREAM, URGENCY.online, 8000);
+    limits.updatePeer('p', report(2), 8001);
+    recentlySeen = members;
+
+    expect(limits.getWaitMs(UPSTREAM, URGENCY.online, 8002)).toBeLessThanOrEqual(2000);
+  });
+
   it('return the token of a request that was not sent, at the peers too', () => {
     const { limits } = newLimits();
     const { limits: peer } = newLimits();
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -148,7 +148,7 @@
   return {
     recordSend: (upstream, nowMs) => {
       getSends(upstream).recordOwn(nowMs);
-      buckets.get(upstream)?.take(1, nowMs);
+      buckets.get(upstream)?.take(nowMs);
     },
     recordUnsent: (upstream, nowMs) => {
       getSends(upstream).takeBackOwn(nowMs);
@@ -191,7 +191,7 @@
         const isStarting = nowMs - (startedMs.get(upstream) ?? nowMs) < START_MS;
         if (isStarting && !sends.isKnown(peer)) sends.startPeer(peer, sent);
         const added = sends.recordPeer(peer, sent, nowMs);
-        if (added > 0) buckets.get(upstream)?.take(added, nowMs);
+        if (added > 0) buckets.get(upstream)?.takeForPeers(added, nowMs);
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams) =>
