A lost owner counts against an item only if it was running it

Cause: the takeover of a chunk counted every lost owner that held it.

Ruled out: more attempts, which only makes it rarer; no count for single items, which would let a crashing item kill owners for ever.

Change: an item that stands alone and has lost an owner is run one at a time with other such items of its owner, as items with a cut response already were, and the owner records in the chunk's row that it runs it before it is sent. A loss without that record doesn't count. It costs one write a run of such an item alone.

--- a/anvilpaddle-app/batch/chunkClaims.ts
+++ b/anvilpaddle-app/batch/chunkClaims.ts
@@ -52,6 +52,7 @@
   owner: options.owner,
   epoch: chunk.epoch + 1,
   writes: 0,
+  isRunning: false,
   leaseMs: options.leaseMs,
 });
 
--- a/anvilpaddle-app/batch/chunkRowWriter.ts
+++ b/anvilpaddle-app/batch/chunkRowWriter.ts
@@ -30,6 +30,8 @@
   getChunk(): Chunk;
   /** Renews the lease. */
   renew(leaseMs: number): Promise<WriteOutcome>;
+  /** Records that the item of a suspect chunk is about to be sent. */
+  markRunning(): Promise<WriteOutcome>;
   /** Records that a non-repeatable item is about to be sent; concurrent calls share one write. */
   markStarted(item: number): Promise<WriteOutcome>;
   /** Records the results and the end of the chunk, unless the job has ended. */
@@ -105,6 +107,7 @@
       enqueue(async () =>
         chunk.state === CHUNK_STATE.claimed ? write({ leaseMs }, false) : 'written',
       ),
+    markRunning: () => enqueue(() => write({ isRunning: true }, true)),
     markStarted: (item) => {
       if (pendingMarks === undefined) {
         const items: number[] = [];
--- a/anvilpaddle-app/batch/itemRunner.ts
+++ b/anvilpaddle-app/batch/itemRunner.ts
@@ -33,6 +33,10 @@
   readonly drainSignal: AbortSignal;
   /** Records durably that the item is about to be sent; false when the claim has been lost. */
   markStarted(): Promise<boolean>;
+  /** Whether earlier owners of the item were lost, perhaps to the item. */
+  readonly isSuspect: boolean;
+  /** Records durably that a suspect of lost owners begins to run; false when the claim was lost. */
+  markRunning(): Promise<boolean>;
   /** Called each time the item gets a slot. */
   onStart(): void;
 }
@@ -166,12 +170,17 @@
     });
 
   /**
-   * Runs items whose response was truncated one at a time: one of them may crash the engine, and
-   * the crash then affects no other suspect.
+   * Runs items whose response was truncated, or whose owners were lost, one at a time: one of them may
+   * crash the engine or this sidecar, and the crash then affects no other suspect.
    */
   const runSuspect = (id: string, item: Item, options: ItemRunOptions): Promise<Outcome> => {
-    const run = lastSuspectRun.then(() => runOnce(id, item, options));
-    lastSuspectRun = run;
+    const run = lastSuspectRun.then(async (): Promise<Outcome> => {
+      if (options.isSuspect && !(await options.markRunning())) {
+        return { kind: 'abandoned', wasSent: false };
+      }
+      return runOnce(id, item, options);
+    });
+    lastSuspectRun = run.catch(() => undefined);
     return run;
   };
 
@@ -207,7 +216,7 @@
       if (!item.isRepeatable && !(await options.markStarted())) return undefined;
       let failures = 0;
       let id = newId('item');
-      let isSuspect = false;
+      let { isSuspect } = options;
       let wasPreempted = false;
       while (!options.signal.aborted && !options.drainSignal.aborted) {
         const outcome: Outcome = await (isSuspect
--- a/anvilpaddle-app/batch/jobCreation.ts
+++ b/anvilpaddle-app/batch/jobCreation.ts
@@ -51,6 +51,7 @@
     writes: 0,
     leaseMs: 0,
     lost: 0,
+    isRunning: false,
     items,
     from: 0,
     input: getPartKey(file.id, index),
--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -4,6 +4,7 @@
   getEffectiveSettings,
   getLeaseMs,
   getRenewalMs,
+  isSuspectItem,
   newMissingModels,
   JOB_STATE,
   type Config,
@@ -183,6 +184,8 @@
         maxResponseBytes: settings['request.max_answer'],
         signal: run.signal,
         drainSignal: drainController.signal,
+        isSuspect: isSuspectItem(run.rowWriter.getChunk()),
+        markRunning: async () => (await run.rowWriter.markRunning()) === 'written',
         markStarted: async () => (await run.rowWriter.markStarted(position)) === 'written',
         onStart: () => {
           lastProgressMs = clock.monotonic();
--- a/anvilpaddle-app/tests/batchFaults.test.ts
+++ b/anvilpaddle-app/tests/batchFaults.test.ts
@@ -107,6 +107,28 @@
     expect(current.runs.get('item-300')).toBeLessThanOrEqual(24);
   });
 
+  it('does not blame an item for the losses of owners that held it beside one that kills them', async () => {
+    const current = newBatchFleet({
+      random: newSeededRandom(1),
+      slots: 4,
+      itemMs: 0,
+      // Long enough for an owner to claim both items before the killer ends, and the bystander after it.
+      getItemMs: (id) => (id === 'killer' ? 600 : 1800),
+      itemsPerPart: 1,
+      getBehaviour: (id) => (id === 'killer' ? 'kill' : 'answer'),
+    });
+    fleet = current;
+    const job = await current.submit([newInputLine('killer'), newInputLine('bystander')]);
+    for (let owner = 1; owner <= 3; owner += 1) {
+      const { faultInjector } = current.addWorker();
+      await waitFor(`owner ${owner} is lost`, () => faultInjector.isDead());
+    }
+    current.addWorker();
+    await waitFor('the job completed', () => current.getState(job) === 'completed');
+
+    expect(countByOutcome(current.getResults(job))).toEqual({ attempts_exhausted: 1, 200: 1 });
+  });
+
   it('runs non-repeatable items at most once when workers are killed', async () => {
     const random = newSeededRandom(31);
     const current = newBatchFleet({ random, slots: 8, itemMs: 5 });
--- a/anvilpaddle-app/tests/kit/batchFleet.ts
+++ b/anvilpaddle-app/tests/kit/batchFleet.ts
@@ -50,6 +50,8 @@
   readonly random: Random;
   readonly slots: number;
   readonly itemMs: number;
+  /** Duration of an item, in place of `itemMs`. */
+  getItemMs?(customId: string): number;
   readonly lease?: string;
   readonly fleetSettings?: Readonly<Record<string, string>>;
   getBehaviour?(customId: string, runs: number): Behaviour;
@@ -167,7 +169,7 @@
       active.add(id);
       try {
         await new Promise<void>((resolve, reject) => {
-          clock.after(options.itemMs, resolve);
+          clock.after(options.getItemMs?.(id) ?? options.itemMs, resolve);
           signal.addEventListener('abort', () => reject(new Error('aborted')), { once: true });
         });
       } catch {
--- a/measurements/batch.ts
+++ b/measurements/batch.ts
@@ -76,6 +76,8 @@
         maxResponseBytes: 1_000_000,
         signal: run.signal,
         drainSignal,
+        isSuspect: false,
+        markRunning: () => Promise.resolve(true),
         markStarted: () => Promise.resolve(true),
         onStart: () => undefined,
       };
--- a/packages/decisions/batch/chunk.ts
+++ b/packages/decisions/batch/chunk.ts
@@ -22,6 +22,8 @@
   leaseMs: z.number().default(0),
   /** Number of claims whose owner was lost before the chunk was done. */
   lost: z.number().default(0),
+  /** Whether the owner has begun to run the item of a suspect chunk. */
+  isRunning: z.boolean().default(false),
   /** Number of items. */
   items: z.number(),
   /** Number of lines of the input object before the first line of this chunk. */
--- a/packages/decisions/batch/takeover.ts
+++ b/packages/decisions/batch/takeover.ts
@@ -15,6 +15,16 @@
   /** A single item that has used up its attempts ends with an error result. */
   | { readonly kind: 'give_up'; readonly chunk: Chunk };
 
+/**
+ * Whether the chunk is a single item that may be what its earlier owners were lost to. Its owner runs
+ * one such item at a time, and records that it does, so that the others are not blamed for its loss.
+ */
+export const isSuspectItem = ({ items, lost }: Chunk): boolean => items === 1 && lost > 0;
+
+/** Number of lost owners, with the last one; it doesn't count if it had not begun to run a suspect. */
+const getLossCount = (chunk: Chunk): number =>
+  isSuspectItem(chunk) && !chunk.isRunning ? chunk.lost : chunk.lost + 1;
+
 const getPieces = (chunk: Chunk): Chunk[] => {
   const size = Math.ceil(chunk.items / PIECES_PER_SPLIT);
   const count = Math.ceil(chunk.items / size);
@@ -41,7 +51,7 @@
  * that an item that crashes its owner is isolated after a bounded number of losses.
  */
 export const getTakeover = (chunk: Chunk, maxAttempts: number): Takeover => {
-  const next = { ...chunk, lost: chunk.lost + 1 };
+  const next = { ...chunk, lost: getLossCount(chunk) };
   if (chunk.items > 1) {
     return next.lost >= LOSSES_BEFORE_SPLIT
       ? { kind: 'split', pieces: getPieces(next) }
--- a/packages/decisions/tests/batch.test.ts
+++ b/packages/decisions/tests/batch.test.ts
@@ -32,6 +32,7 @@
   writes: 0,
   leaseMs: 10_000,
   lost: 0,
+  isRunning: false,
   items: 256,
   from: 0,
   input: 'files/1/000000',
@@ -199,7 +200,7 @@
             continue;
           }
           losses += 1;
-          const takeover = getTakeover(chunk, 3);
+          const takeover = getTakeover({ ...chunk, isRunning: true }, 3);
           if (takeover.kind === 'claim') pending.push(takeover.chunk);
           if (takeover.kind === 'split') pending = [...pending, ...takeover.pieces];
           if (takeover.kind === 'give_up') {
@@ -215,6 +216,17 @@
     );
   });
 
+  it('counts the loss of an owner against a suspect item only if that was running', () => {
+    const getLosses = (more: Partial<Chunk>): unknown => {
+      const takeover = getTakeover(newChunk({ items: 1, ...more }), 3);
+      return takeover.kind === 'split' ? takeover.kind : [takeover.kind, takeover.chunk.lost];
+    };
+
+    expect(getLosses({ lost: 0 })).toEqual(['claim', 1]);
+    expect(getLosses({ lost: 2 })).toEqual(['claim', 2]);
+    expect(getLosses({ lost: 2, isRunning: true })).toEqual(['give_up', 3]);
+  });
+
   it('moves the indexes of started items to their pieces', () => {
     const takeover = getTakeover(newChunk({ lost: 1, started: [0, 17, 255] }), 3);
     const pieces = takeover.kind === 'split' ? takeover.pieces : [];
