Other failure domains get a datagram once, and the store is read for what has changed

Cause: at 88 gateways in 5 failure domains each gateway sent its whole state to 70 gateways in other domains, and the store carried 0.21 GB in 24 s: all gateways read every second the admissions of all teams from all 88 records (the square of the gateways, times the teams), and the whole configuration each 400 ms. The watch of the upstreams asked ten times a second.

Change: - A datagram to another failure domain goes to one gateway there, which passes it on in its own domain. Two relays a domain and sender, by rendezvous hashing over the list, are used in turn, so that one that is frozen, cut off or dead costs every second datagram until it is no longer seen. A domain of which no gateway is seen, and gateways of an earlier version, get it directly. - What a gateway admitted is checkpointed in a table of its own, read once at a start.

--- /dev/null
+++ b/anvilpaddle-app/gateway/admissionCheckpoint.ts
@@ -0,0 +1,88 @@
+/** Checkpoints of the teams' admissions in the store, from which a gateway that starts restores them. */
+import type { Clock } from '@anvilpaddle/common';
+import { z } from 'zod';
+import type { AdmissionSlots } from '@anvilpaddle/decisions';
+import type { RecordStore, RecordWrite, StoredRecord } from '@anvilpaddle/platform';
+import { sleep } from '../process/program';
+
+/** Table of the checkpoints, one a VM. It is apart from the list of gateways, which all read often. */
+const TABLE = 'admissions';
+/** Largest number of teams whose admissions one checkpoint holds. */
+const MAX_TEAMS = 300;
+const RETRY_DELAY_MS = 150;
+
+const checkpointSchema = z.object({
+  /** Time of writing on the store's clock, in milliseconds. */
+  atStoreMs: z.number(),
+  /** Admissions of all gateways in the limit's window by team, as far as the writer knows them. */
+  spent: z.array(z.tuple([z.string(), z.array(z.number())])),
+});
+type Checkpoint = z.output<typeof checkpointSchema>;
+
+/** Admitted requests in the rate limits' window, by team. */
+export type AdmissionsByTeam = ReadonlyMap<string, AdmissionSlots>;
+
+/** Access to the admission counts, which checkpoints hold and from which they are restored at start. */
+export interface AdmissionCheckpointHooks {
+  /** Admissions in the window now. */
+  getAdmissions(): AdmissionsByTeam;
+  /** Length of the window in milliseconds. */
+  readonly windowMs: number;
+  /** Called at start for each recent checkpoint with its admissions and its age in milliseconds. */
+  onRestored(admissions: AdmissionsByTeam, ageMs: number): void;
+}
+
+/** Checkpoints of one gateway and its peers. */
+export interface AdmissionCheckpoint {
+  /** This gateway's checkpoint at a time of the store's clock. */
+  getWrite(storeMs: number): RecordWrite;
+  /** Restores the admissions of records that hold some and are recent. */
+  restoreFrom(records: readonly StoredRecord[], storeMs: number): void;
+  /** Reads and restores all checkpoints; resolves once a read has succeeded. */
+  restore(): Promise<void>;
+}
+
+const parseCheckpoint = (value: Buffer | undefined): Checkpoint | undefined => {
+  if (value === undefined) return undefined;
+  try {
+    return checkpointSchema.parse(JSON.parse(value.toString()));
+  } catch {
+    return undefined;
+  }
+};
+
+/** Creates the checkpoint of the gateway on a VM. */
+export const newAdmissionCheckpoint = (
+  store: RecordStore,
+  vm: string,
+  { getAdmissions, windowMs, onRestored }: AdmissionCheckpointHooks,
+  clock: Clock,
+): AdmissionCheckpoint => {
+  const restoreFrom = (records: readonly StoredRecord[], storeMs: number): void =>
+    records
+      .flatMap(({ value }) => parseCheckpoint(value) ?? [])
+      .filter(({ atStoreMs }) => storeMs - atStoreMs < windowMs)
+      .forEach(({ spent, atStoreMs }) => onRestored(new Map(spent), storeMs - atStoreMs));
+
+  return {
+    getWrite: (storeMs) => {
+      const checkpoint: Checkpoint = {
+        atStoreMs: Math.round(storeMs),
+        spent: [...getAdmissions()].slice(0, MAX_TEAMS).map(([team, slots]) => [team, [...slots]]),
+      };
+      const value = Buffer.from(JSON.stringify(checkpoint));
+      return { table: TABLE, partition: '', key: vm, value };
+    },
+    restoreFrom,
+    restore: async () => {
+      for (;;) {
+        const page = await store.read(TABLE, '');
+        if (page.ok) {
+          restoreFrom(page.value.records, page.value.storeMs);
+          return;
+        }
+        await sleep(clock, RETRY_DELAY_MS);
+      }
+    },
+  };
+};
--- a/anvilpaddle-app/gateway/configWatch.ts
+++ b/anvilpaddle-app/gateway/configWatch.ts
@@ -52,9 +52,10 @@
     onChange(next);
   };
 
+  // An answer to a watch confirms the keys as a read does, and costs the bytes of what has changed.
   const watch = newRecordWatch(
     store,
-    { table: source.table, hasPartitions: false, readIntervalMs, isWatched: false },
+    { table: source.table, hasPartitions: false, readIntervalMs, isWatched: true },
     ({ records, requestedMs }) => {
       freshness.confirm(requestedMs, clock.wall() - (clock.monotonic() - requestedMs));
       const record = records.find(({ key }) => key === source.key);
--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,4 +1,5 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
+import type { Address } from '@anvilpaddle/common';
 import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
 
@@ -22,6 +23,9 @@
 export interface Datagram extends GatewayState {
   readonly from: string;
   readonly vm: string;
+  /** Address of the sender, which may not be that from which the datagram comes: it may be relayed. */
+  readonly address?: Address;
+  readonly failureDomain?: string | undefined;
   /** Time since the process started, in milliseconds. */
   readonly ageMs: number;
   /** Upstream id, online requests and batch items that this gateway has running there. */
@@ -59,6 +63,17 @@
   }
 };
 
+/** First byte of a datagram that its receiver is to pass on; others begin with a brace. */
+const RELAY_MARK = '>'.charCodeAt(0);
+
+/** Marks a datagram for its receiver to pass it on to the other gateways in its failure domain. */
+export const markForRelay = (content: Buffer): Buffer =>
+  Buffer.concat([Buffer.from([RELAY_MARK]), content]);
+
+/** Content of a datagram that is marked for a relay; undefined for others. */
+export const getRelayedContent = (content: Buffer): Buffer | undefined =>
+  content[0] === RELAY_MARK ? content.subarray(1) : undefined;
+
 /** Encodes items for a datagram, with times rounded to milliseconds. */
 export const encodeItems = (groups: ItemGroups): EncodedItems =>
   [...groups].map(([name, items]) => [
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -39,7 +39,8 @@
 import { newUpstreamFleet } from './upstreamFleet';
 import type { UpstreamSource } from './upstreamWatch';
 
-const CONFIG_READ_INTERVAL_MS = 400;
+/** Time between full reads of the configuration; changes in between arrive through the watch. */
+const CONFIG_READ_INTERVAL_MS = 5000;
 /** Short name of an upstream's run, the same at all gateways. */
 const getUpstreamKey = ({ incarnation }: Upstream): string => getHash(incarnation).toString(36);
 
@@ -121,7 +122,12 @@
     clock,
     log,
   );
-  const self = { vm: settings.vm, incarnation, address: settings.peers };
+  const self = {
+    vm: settings.vm,
+    incarnation,
+    address: settings.peers,
+    failureDomain: settings.failureDomain,
+  };
   const gatewayList = newGatewayList(
     recordStore,
     self,
--- a/anvilpaddle-app/gateway/gatewayList.ts
+++ b/anvilpaddle-app/gateway/gatewayList.ts
@@ -7,12 +7,12 @@
   type Logger,
 } from '@anvilpaddle/common';
 import { z } from 'zod';
-import type { AdmissionSlots } from '@anvilpaddle/decisions';
 import {
   getPlatformErrorMessage,
   type RecordStore,
   type StoredRecord,
 } from '@anvilpaddle/platform';
+import { newAdmissionCheckpoint, type AdmissionCheckpointHooks } from './admissionCheckpoint';
 import { newRecordWatch } from './recordWatch';
 
 const TABLE = 'gateways';
@@ -25,8 +25,6 @@
 const REMOVE_AFTER_MS = 6 * MS_PER_SECOND;
 /** Age of an unchanged record after which other gateways may take over its gateway's jobs. */
 const TAKEOVER_AFTER_MS = 2.5 * MS_PER_SECOND;
-/** Largest number of teams whose admissions one record holds. */
-const MAX_TEAMS_PER_RECORD = 300;
 /**
  * Longest time between two reads that counts towards the age of an unchanged record. After a longer
  * gap the store was unreachable, and no gateway could renew its record.
@@ -37,31 +35,21 @@
   incarnation: z.string(),
   host: z.string(),
   port: z.number(),
-  /** Time of writing on the store's clock, in milliseconds. */
-  atStoreMs: z.number(),
-  /** Admissions of all gateways in the limit's window by team, as far as this one knows them. */
-  spent: z.array(z.tuple([z.string(), z.array(z.number())])),
+  /** A gateway of an earlier version names none. */
+  failureDomain: z.string().optional(),
 });
 type GatewayRecord = z.output<typeof recordSchema>;
 
+/** Fields that gateways of an earlier version expect in a record, in which they kept checkpoints. */
+const EARLIER_FIELDS = { atStoreMs: 0, spent: [] } as const;
+
 /** One gateway process. */
 export interface Gateway {
   readonly vm: string;
   readonly incarnation: string;
   readonly address: Address;
-}
-
-/** Admitted requests in the rate limits' window, by team. */
-export type AdmissionsByTeam = ReadonlyMap<string, AdmissionSlots>;
-
-/** Access to the admission counts, which records hold and from which they are restored at start. */
-export interface AdmissionCheckpointHooks {
-  /** Admissions in the window now. */
-  getAdmissions(): AdmissionsByTeam;
-  /** Length of the window in milliseconds. */
-  readonly windowMs: number;
-  /** Called at start for each recent record with its admissions and its age in milliseconds. */
-  onRestored(admissions: AdmissionsByTeam, ageMs: number): void;
+  /** Undefined for a gateway of an earlier version. */
+  readonly failureDomain: string | undefined;
 }
 
 /** Gateways that may be running. */
@@ -72,7 +60,7 @@
   hasRecentHeartbeat(incarnation: string): boolean;
   /** Whether the list was read recently enough to tell which gateways have stopped. */
   isCurrent(): boolean;
-  /** Whether the list has been read and the admissions in its records have been restored. */
+  /** Whether the list has been read and the admissions before this start have been restored. */
   hasBeenRead(): boolean;
   /** Adds a gateway that sent a datagram; it replaces an earlier process on the same VM. */
   addFromDatagram(gateway: Gateway): void;
@@ -88,7 +76,8 @@
   readonly unchangedMs: number;
 }
 
-const parseRecord = (value: Buffer): GatewayRecord | undefined => {
+const parseRecord = (value: Buffer | undefined): GatewayRecord | undefined => {
+  if (value === undefined) return undefined;
   try {
     return recordSchema.parse(JSON.parse(value.toString()));
   } catch {
@@ -111,25 +100,28 @@
   /** Whether the last read was the first, which misses gateways that started at the same time. */
   let isFirstRead = true;
   let isWriting = false;
+  /** Whether the admissions of the other gateways have been read. */
+  let hasRestored = false;
 
   const recordName = { table: TABLE, partition: '', key: self.vm };
+  const checkpoint = newAdmissionCheckpoint(store, self.vm, checkpointHooks, clock);
 
   const writeRecord = async (): Promise<void> => {
-    // The record of an earlier process on this VM must be read before it is overwritten.
-    if (isWriting || isLeaving || lastReadMs === undefined) return;
+    // The checkpoint of an earlier process on this VM must be read before it is overwritten.
+    if (isWriting || isLeaving || !hasRestored || lastReadMs === undefined) return;
     isWriting = true;
     const record: GatewayRecord = {
       incarnation: self.incarnation,
       host: self.address.host,
       port: self.address.port,
-      atStoreMs: Math.round(clock.monotonic() + storeOffsetMs),
-      spent: [...checkpointHooks.getAdmissions()]
-        .slice(0, MAX_TEAMS_PER_RECORD)
-        .map(([team, slots]) => [team, [...slots]]),
+      failureDomain: self.failureDomain,
     };
     const commit = await store.commit({
       checks: [],
-      writes: [{ ...recordName, value: Buffer.from(JSON.stringify(record)) }],
+      writes: [
+        { ...recordName, value: Buffer.from(JSON.stringify({ ...record, ...EARLIER_FIELDS })) },
+        checkpoint.getWrite(clock.monotonic() + storeOffsetMs),
+      ],
     });
     isWriting = false;
     if (!commit.ok) {
@@ -148,24 +140,16 @@
         unchangedMs: known.unchangedMs + Math.min(sinceLastReadMs, MAX_COUNTED_GAP_MS),
       };
     }
-    const record = value === undefined ? undefined : parseRecord(value);
+    const record = parseRecord(value);
     if (record === undefined) return undefined;
-    const { incarnation, host, port } = record;
-    const gateway = { vm, incarnation, address: { host, port } };
+    const { incarnation, host, port, failureDomain } = record;
+    const gateway = { vm, incarnation, address: { host, port }, failureDomain };
     if (known?.gateway.incarnation !== gateway.incarnation) {
       log.info({ ...gateway }, 'gateway seen');
     }
     return { gateway, revision, unchangedMs: 0 };
   };
 
-  const restoreAdmissions = (records: readonly StoredRecord[], storeMs: number): void =>
-    records
-      .flatMap(({ value }) => (value === undefined ? [] : (parseRecord(value) ?? [])))
-      .filter(({ atStoreMs }) => storeMs - atStoreMs < checkpointHooks.windowMs)
-      .forEach(({ spent, atStoreMs }) =>
-        checkpointHooks.onRestored(new Map(spent), storeMs - atStoreMs),
-      );
-
   const sendHeartbeat = (): void => {
     writeRecord().catch((error: unknown) =>
       log.error({ reason: getErrorMessage(error) }, 'heartbeat'),
@@ -173,6 +157,15 @@
   };
   clock.every(HEARTBEAT_INTERVAL_MS, sendHeartbeat);
 
+  const restoreAdmissions = async (): Promise<void> => {
+    await checkpoint.restore();
+    hasRestored = true;
+    sendHeartbeat();
+  };
+  restoreAdmissions().catch((error: unknown) =>
+    log.error({ err: error }, 'admissions not restored'),
+  );
+
   newRecordWatch(
     store,
     { table: TABLE, hasPartitions: false, readIntervalMs: READ_INTERVAL_MS, isWatched: false },
@@ -182,7 +175,8 @@
       lastReadMs = requestedMs;
       storeOffsetMs = storeMs - requestedMs;
       if (isFirstRead) {
-        restoreAdmissions(records, storeMs);
+        // Gateways of an earlier version keep their checkpoints in their records.
+        checkpoint.restoreFrom(records, storeMs);
         sendHeartbeat();
       }
       const next = new Map(
@@ -212,7 +206,7 @@
       lastReadMs !== undefined &&
       !isFirstRead &&
       clock.monotonic() - lastReadMs < 2 * READ_INTERVAL_MS,
-    hasBeenRead: () => lastReadMs !== undefined,
+    hasBeenRead: () => lastReadMs !== undefined && hasRestored,
     addFromDatagram: (gateway) => {
       const { vm, incarnation } = gateway;
       const known = trackedGateways.get(vm);
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -1,4 +1,7 @@
-/** Gossip between gateways: each sends its load and admissions to all others in UDP datagrams. */
+/**
+ * Gossip between gateways: each sends its load and admissions to all others in UDP datagrams. Other
+ * failure domains get a datagram once; the gateway there that receives it passes it on to the others.
+ */
 import { createSocket } from 'node:dgram';
 import {
   getErrorMessage,
@@ -8,17 +11,20 @@
   type Logger,
   type Timer,
 } from '@anvilpaddle/common';
-import type {
-  ItemTracker,
-  LoadTracker,
-  PromptQuarantine,
-  GatewayVisibility,
-  SlidingWindowLimiter,
-  UpstreamLimits,
+import {
+  getRelayPlan,
+  type ItemTracker,
+  type LoadTracker,
+  type PromptQuarantine,
+  type GatewayVisibility,
+  type SlidingWindowLimiter,
+  type UpstreamLimits,
 } from '@anvilpaddle/decisions';
 import {
   decodeItems,
   encodeItems,
+  getRelayedContent,
+  markForRelay,
   parseDatagram,
   type Datagram,
   type GatewayState,
@@ -106,6 +112,7 @@
   let isClosed = false;
   let lastSentMs = -Infinity;
   let hasSocketFailed = false;
+  let sentCount = 0;
 
   /** Drops the loads of earlier processes on a VM: their connections closed when they ended. */
   const removeEarlierLoads = (vm: string): void =>
@@ -113,7 +120,17 @@
       if (peer.vm === vm) upstreamLoads.removePeer(incarnation);
     });
 
-  const receive = (content: Buffer, sender: Address): void => {
+  const send = (content: Buffer, { address: { host, port } }: Gateway): void =>
+    socket.send(content, port, host);
+
+  /** Passes a datagram from another failure domain on to the other gateways in this one. */
+  const relay = (content: Buffer): void =>
+    gatewayList
+      .getOthers()
+      .filter(({ failureDomain }) => failureDomain === self.failureDomain)
+      .forEach((peer) => send(content, peer));
+
+  const apply = (content: Buffer, sender: Address): void => {
     const datagram = parseDatagram(content);
     if (datagram === undefined) {
       log.warn({ bytes: content.length }, 'unreadable datagram');
@@ -125,7 +142,8 @@
     if (ageMs < (peers.get(from)?.ageMs ?? 0)) return;
     // A new process on a VM may send its first datagram before its record has been read.
     if (!peers.has(from)) {
-      gatewayList.addFromDatagram({ vm, incarnation: from, address: sender });
+      const { address = sender, failureDomain } = datagram;
+      gatewayList.addFromDatagram({ vm, incarnation: from, address, failureDomain });
       removeEarlierLoads(vm);
     }
     const state = { takesJobs, reachesStore, isServing };
@@ -149,9 +167,17 @@
     onPeerUpdate();
   };
 
+  const receive = (content: Buffer, sender: Address): void => {
+    const relayed = getRelayedContent(content);
+    if (relayed !== undefined) relay(relayed);
+    apply(relayed ?? content, sender);
+  };
+
   const newDatagram = (nowMs: number): Datagram => ({
     from: self.incarnation,
     vm: self.vm,
+    address: self.address,
+    failureDomain: self.failureDomain,
     ageMs: Math.round(nowMs - startedMs),
     loads: [...upstreamLoads.getOwn()].map(([id, { online, batch }]) => [id, online, batch]),
     spent: [...limiter.getOwn(nowMs)]
@@ -164,13 +190,21 @@
     ...getState(),
   });
 
+  const getSilenceMs = (peer: string): number =>
+    clock.monotonic() - (peers.get(peer)?.lastSeenMs ?? -Infinity);
+
+  const isRecentlySeen = (peer: string): boolean => getSilenceMs(peer) < PEER_TIMEOUT_MS;
+
   const broadcast = (): void => {
     const nowMs = clock.monotonic();
     lastSentMs = nowMs;
     const content = Buffer.from(JSON.stringify(newDatagram(nowMs)));
-    gatewayList
-      .getOthers()
-      .forEach(({ address: { host, port } }) => socket.send(content, port, host));
+    const isSeen = ({ incarnation }: Gateway): boolean => isRecentlySeen(incarnation);
+    const { direct, relays } = getRelayPlan(self, gatewayList.getOthers(), isSeen, sentCount);
+    direct.forEach((peer) => send(content, peer));
+    const markedContent = markForRelay(content);
+    relays.forEach((peer) => send(markedContent, peer));
+    sentCount += 1;
   };
 
   /** Delays the datagram to the minimum interval; it carries every change up to then. */
@@ -200,11 +234,6 @@
     });
   };
 
-  const getSilenceMs = (peer: string): number =>
-    clock.monotonic() - (peers.get(peer)?.lastSeenMs ?? -Infinity);
-
-  const isRecentlySeen = (peer: string): boolean => getSilenceMs(peer) < PEER_TIMEOUT_MS;
-
   const isIsolated = (): boolean => {
     const others = gatewayList.getOthers();
     return (
--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -17,7 +17,7 @@
  * Minimum time between two watch requests. Changes that follow one another closely are answered
  * together; in a large fleet each change would otherwise cost a store call of every gateway.
  */
-const MIN_WATCH_INTERVAL_MS = 100;
+const MIN_WATCH_INTERVAL_MS = 250;
 
 /** Table that a watch follows, and how it does so. */
 export interface WatchOptions {
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -22,6 +22,7 @@
 export * from './limits/upstreamSends';
 export * from './membership/contacts';
 export * from './membership/memberTable';
+export * from './membership/relayPlan';
 export * from './placement/batchPlan';
 export * from './placement/loadTracker';
 export * from './placement/outageRetryAfter';
