An upstream is chosen among six drawn ones, and a load model of the worst peaks

Cause: the least loaded of all upstreams by loads of the same age is the same one for all gateways. At 88 gateways loads are 218 ms old, in which some 80 requests are placed: upstreams are herded upon and reject while others have free slots.

A larger random part of the score was not tried.

Change: of six upstreams drawn at random the least loaded is chosen; where a request would wait too long there, all are looked at before it is refused.

--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -9,6 +9,7 @@
 import { measureRouting } from './routing';
 import { measureScheduling } from './scheduling';
 import { measureUpstreamLimits } from './upstreamLimits';
+import { measureWorstLoad } from './worstLoad';
 
 /** Measurements by the name that the command line takes. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
@@ -21,6 +22,7 @@
   routing: measureRouting,
   scheduling: measureScheduling,
   upstreamLimits: measureUpstreamLimits,
+  worstLoad: measureWorstLoad,
 };
 
 const main = async (): Promise<void> => {
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -48,6 +48,11 @@
 const SAME_FAILURE_DOMAIN_BONUS = 0.2;
 /** Random part of the score, in requests, so that gateways that know the same loads spread out. */
 const RANDOM_SPREAD = 2;
+/**
+ * Number of upstreams drawn at random, of which the least loaded is chosen. Gateways that know the same
+ * old loads would all choose the one that was least loaded then.
+ */
+export const DRAWN_UPSTREAMS = 6;
 /** Maximum fraction of the time left to the objective that a request may wait at the upstream. */
 const MAX_QUEUE_FRACTION = 0.5;
 
@@ -77,6 +82,28 @@
     undefined,
   );
 
+const getLeastLoaded = (
+  candidates: readonly Candidate[],
+  random: Random,
+): Candidate | undefined => {
+  const scored = candidates.map((candidate) => ({
+    candidate,
+    score: getLoadScore(candidate, random),
+  }));
+  return getMinBy(scored, ({ score }) => score)?.candidate;
+};
+
+/** Some of the items, drawn at random; all of them if there are no more than `count`. */
+const getDrawn = <T>(items: readonly T[], count: number, random: Random): readonly T[] => {
+  if (items.length <= count) return items;
+  const left = [...items];
+  return Array.from({ length: count }, () => {
+    const index = Math.floor(random() * left.length);
+    const [drawn] = left.splice(index, 1) as [T];
+    return drawn;
+  });
+};
+
 /** Shortage where no limit allows a request, or where there is no upstream. */
 const getLimitShortage = (candidates: readonly Candidate[]): Shortage =>
   candidates.length === 0
@@ -102,28 +129,29 @@
 };
 
 /**
- * Chooses the healthy upstream with the least load relative to its slots, among those whose limits
- * allow a request now; one with a limit only if no other has a free slot. The request is refused if there is none, or if its wait there would exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency
- * objective.
+ * Chooses the healthy upstream with the least load relative to its slots, among some of those whose
+ * limits allow a request now; one with a limit only if no other has a free slot. If the request would
+ * wait too long there, it looks at all of them. It is refused if there is none, or if its wait would
+ * exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency objective.
  */
 export const getPlacement = (
   candidates: readonly Candidate[],
-  timing: RequestTiming,
+  { timeLeftMs, objectiveLeftMs }: RequestTiming,
   random: Random,
+  drawnUpstreams = DRAWN_UPSTREAMS,
 ): Placement => {
   const healthy = candidates.filter(({ weight }) => weight > 0);
   // If no upstream is healthy, all are tried: a suspect one is better than none.
   const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
-  const scored = getPreferred(usable).map((candidate) => ({
-    candidate,
-    score: getLoadScore(candidate, random),
-  }));
-  const best = getMinBy(scored, ({ score }) => score)?.candidate;
-  if (best === undefined) {
-    return { kind: 'refuse', ...getLimitShortage(usable) };
-  }
+  const preferred = getPreferred(usable);
+  const maxQueueMs = Math.max(0, Math.min(timeLeftMs, objectiveLeftMs * MAX_QUEUE_FRACTION));
+  const drawn = getDrawn(preferred, drawnUpstreams, random);
+  const chosen = getLeastLoaded(drawn, random);
+  if (chosen === undefined) return { kind: 'refuse', ...getLimitShortage(usable) };
+  const isLookingFurther = drawn.length < preferred.length && getQueueMs(chosen) > maxQueueMs;
+  const best = isLookingFurther ? (getLeastLoaded(preferred, random) ?? chosen) : chosen;
   const queueMs = getQueueMs(best);
-  const limitMs = Math.min(timing.timeLeftMs, timing.objectiveLeftMs * MAX_QUEUE_FRACTION);
-  if (queueMs <= Math.max(0, limitMs)) return { kind: 'send', upstream: best.id, waitMs: queueMs };
-  return { kind: 'refuse', queueMs };
+  return queueMs <= maxQueueMs
+    ? { kind: 'send', upstream: best.id, waitMs: queueMs }
+    : { kind: 'refuse', queueMs };
 };
