Metrics of the gossip, and smaller files of the batch worker and the job store

Change: counters of datagrams and of their bytes by purpose and by whether they leave the failure domain, a gauge of the mean age of the view; the socket and its counters stand in gossipSocket.

Measured: tests of the gateway and of batch pass.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -145,6 +145,14 @@
     peersRef.gossip?.scheduleSend();
   };
   const quarantine = newStoredQuarantine(recordStore, onQuarantineChange, clock, log);
+  const metrics = newGatewayMetrics({
+    getActive: () => callerConnections.getActiveRequests(),
+    getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
+    getPeers: () => gatewayList.getOthers().length,
+    getQuarantinedParts: () => quarantine.getQuarantinedCount(),
+    getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
+    getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
+  });
   const isServing = (): boolean =>
     !isStopping && configWatch.current() !== undefined && configWatch.areKeysFresh();
   const getState = () => ({
@@ -157,7 +165,7 @@
     self,
     gatewayList,
     { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits },
-    { getState, onPeerUpdate },
+    { getState, onPeerUpdate, metrics },
     clock,
     log,
   );
@@ -170,13 +178,6 @@
     clock,
     log,
   );
-  const metrics = newGatewayMetrics({
-    getActive: () => callerConnections.getActiveRequests(),
-    getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
-    getPeers: () => gatewayList.getOthers().length,
-    getQuarantinedParts: () => quarantine.getQuarantinedCount(),
-    getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
-  });
   const upstreamClient = newUpstreamClient(
     protocol,
     upstreamLimits,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { getErrorMessage, listen, type Address, type Logger } from '@anvilpaddle/common';
+import type { GossipMetrics } from './gossipSocket';
 import type { AttemptMetrics, OnlineOutcome } from './online/types';
 import type { Route } from './types';
 import type { UpstreamMetrics } from './upstreamClient';
@@ -9,7 +10,7 @@
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
 /** Metrics of one gateway. */
-export interface GatewayMetrics extends AttemptMetrics, UpstreamMetrics {
+export interface GatewayMetrics extends AttemptMetrics, UpstreamMetrics, GossipMetrics {
   /** Counts an online request that has ended. */
   countRequest(route: Route, outcome: OnlineOutcome): void;
   /** Counts a request that was refused before it reached an upstream. */
@@ -29,6 +30,7 @@
   readonly getPeers: () => number;
   readonly getQuarantinedParts: () => number;
   readonly getLimitedUpstreams: () => number;
+  readonly getViewAgeMs: () => number;
 }
 
 /** Creates the metrics in a registry of their own. */
@@ -79,6 +81,18 @@
     help: 'Responses whose statement about their upstream makes no sense or is of another process',
     registers,
   });
+  const datagrams = new Counter({
+    name: 'anvilpaddle_gossip_datagrams_total',
+    help: 'Datagrams sent to gateways, by purpose and whether they leave the failure domain',
+    labelNames: ['purpose', 'leaves_failure_domain'],
+    registers,
+  });
+  const datagramBytes = new Counter({
+    name: 'anvilpaddle_gossip_bytes_total',
+    help: 'Bytes of datagrams sent to gateways, by purpose and whether they leave the failure domain',
+    labelNames: ['purpose', 'leaves_failure_domain'],
+    registers,
+  });
   const firstByte = new Histogram({
     name: 'anvilpaddle_first_byte_ms',
     help: 'Time to the first byte of the answer in milliseconds',
@@ -108,6 +122,11 @@
     'Upstreams that name a limit for the requests of all gateways',
     gauges.getLimitedUpstreams,
   );
+  addGauge(
+    'anvilpaddle_view_age_ms',
+    'Mean time since the last datagrams of the gateways that were seen recently',
+    gauges.getViewAgeMs,
+  );
 
   return {
     countRequest: ({ kind }, { result, firstByteMs }) => {
@@ -122,6 +141,11 @@
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
     countLeaving: () => leavingResponses.inc(),
     countUnusableStatus: () => unusableStatuses.inc(),
+    countDatagram: (purpose, leavesFailureDomain, bytes) => {
+      const labels = { purpose, leaves_failure_domain: String(leavesFailureDomain) };
+      datagrams.inc(labels);
+      datagramBytes.inc(labels, bytes);
+    },
     text: () => registry.metrics(),
   };
 };
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -2,9 +2,7 @@
  * Gossip between gateways: each sends its load and admissions to all others in UDP datagrams. Other
  * failure domains get a datagram once; the gateway there that receives it passes it on to the others.
  */
-import { createSocket } from 'node:dgram';
 import {
-  getErrorMessage,
   MS_PER_SECOND,
   type Address,
   type Clock,
@@ -30,6 +28,7 @@
   type GatewayState,
 } from './datagram';
 import type { Gateway, GatewayList } from './gatewayList';
+import { DATAGRAM_PURPOSE, newGossipSocket, type GossipMetrics } from './gossipSocket';
 import { decodeLimitReports, encodeLimitReports } from './limitReport';
 import { parsePartReports } from './partReport';
 
@@ -59,6 +58,8 @@
   isIsolated(): boolean;
   /** How many gateways there are, how many were seen recently, and how long they have run. */
   getVisibility(): GatewayVisibility;
+  /** Mean time since the last datagrams of the recently seen gateways, in milliseconds. */
+  getViewAgeMs(): number;
   /** Schedules a datagram to all peers; called when state changes that they should learn soon. */
   scheduleSend(): void;
   close(): void;
@@ -87,31 +88,23 @@
   getState(): GatewayState;
   /** Called after a peer's report has been applied. */
   onPeerUpdate(): void;
+  readonly metrics: GossipMetrics;
 }
 
-/** Takes the place of the name lookup at each send: peers are known by their IPv4 addresses. */
-const skipLookup = (
-  address: string,
-  _: unknown,
-  callback: (error: null, address: string, family: number) => void,
-): void => callback(null, address, 4);
-
 /** Starts the gossip on this gateway's address. */
 export const newGossip = (
   self: Gateway,
   gatewayList: GatewayList,
   { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits }: SharedState,
-  { getState, onPeerUpdate }: GossipHooks,
+  { getState, onPeerUpdate, metrics }: GossipHooks,
   clock: Clock,
   log: Logger,
 ): Gossip => {
-  const socket = createSocket({ type: 'udp4', lookup: skipLookup });
   const peers = new Map<string, PeerState>();
   const startedMs = clock.monotonic();
   let timer: Timer | undefined;
   let isClosed = false;
   let lastSentMs = -Infinity;
-  let hasSocketFailed = false;
   let sentCount = 0;
 
   /** Drops the loads of earlier processes on a VM: their connections closed when they ended. */
@@ -120,15 +113,13 @@
       if (peer.vm === vm) upstreamLoads.removePeer(incarnation);
     });
 
-  const send = (content: Buffer, { address: { host, port } }: Gateway): void =>
-    socket.send(content, port, host);
-
   /** Passes a datagram from another failure domain on to the other gateways in this one. */
   const relay = (content: Buffer): void =>
     gatewayList
       .getOthers()
       .filter(({ failureDomain }) => failureDomain === self.failureDomain)
-      .forEach((peer) => send(content, peer));
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called once it is open
+      .forEach((peer) => socket.send(content, peer, DATAGRAM_PURPOSE.relayed));
 
   const apply = (content: Buffer, sender: Address): void => {
     const datagram = parseDatagram(content);
@@ -173,6 +164,8 @@
     apply(relayed ?? content, sender);
   };
 
+  const socket = newGossipSocket(self, receive, metrics, log);
+
   const newDatagram = (nowMs: number): Datagram => ({
     from: self.incarnation,
     vm: self.vm,
@@ -201,9 +194,9 @@
     const content = Buffer.from(JSON.stringify(newDatagram(nowMs)));
     const isSeen = ({ incarnation }: Gateway): boolean => isRecentlySeen(incarnation);
     const { direct, relays } = getRelayPlan(self, gatewayList.getOthers(), isSeen, sentCount);
-    direct.forEach((peer) => send(content, peer));
+    direct.forEach((peer) => socket.send(content, peer, DATAGRAM_PURPOSE.own));
     const markedContent = markForRelay(content);
-    relays.forEach((peer) => send(markedContent, peer));
+    relays.forEach((peer) => socket.send(markedContent, peer, DATAGRAM_PURPOSE.own));
     sentCount += 1;
   };
 
@@ -243,12 +236,6 @@
     );
   };
 
-  socket.on('message', (content, { address, port }) => receive(content, { host: address, port }));
-  socket.on('error', (error) => {
-    if (!hasSocketFailed) log.warn({ reason: getErrorMessage(error) }, 'datagram socket error');
-    hasSocketFailed = true;
-  });
-  socket.bind(self.address.port, self.address.host);
   const timers = [
     clock.every(IDLE_SEND_INTERVAL_MS, sendIfIdle),
     clock.every(MS_PER_SECOND, removeSilentPeers),
@@ -276,6 +263,10 @@
         oldestUptimeMs: clock.monotonic() - Math.min(startedMs, ...startTimesMs),
       };
     },
+    getViewAgeMs: () => {
+      const agesMs = [...peers.keys()].map(getSilenceMs).filter((ms) => ms < PEER_TIMEOUT_MS);
+      return agesMs.reduce((sum, ageMs) => sum + ageMs, 0) / Math.max(1, agesMs.length);
+    },
     scheduleSend,
     close: () => {
       isClosed = true;
--- a/anvilpaddle-app/gateway/jobs/jobClaimer.ts
+++ b/anvilpaddle-app/gateway/jobs/jobClaimer.ts
@@ -4,7 +4,7 @@
 import { getPlatformErrorMessage } from '@anvilpaddle/platform';
 import { isUnfinished, type JobCache } from './jobCache';
 import type { StoredJob } from './jobRecords';
-import type { JobStore } from './jobStore';
+import type { JobStore } from './jobStoreTypes';
 import { newOwnedJob, type OwnedJob } from './ownedJob';
 
 /** Interval of the checks for jobs to claim or to remove. */
--- a/anvilpaddle-app/gateway/jobs/jobService.ts
+++ b/anvilpaddle-app/gateway/jobs/jobService.ts
@@ -8,7 +8,7 @@
 import type { Route } from '../types';
 import { isUnfinished, type JobCache } from './jobCache';
 import type { StoredJob } from './jobRecords';
-import type { JobStore } from './jobStore';
+import type { JobStore } from './jobStoreTypes';
 import type { JobRecord, NewJob } from './types';
 
 const ACCEPTED = 202;
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -5,7 +5,7 @@
 import type { JobCache } from './jobCache';
 import type { ItemProgress } from './runItem';
 import type { StoredJob } from './jobRecords';
-import type { JobStore } from './jobStore';
+import type { JobStore } from './jobStoreTypes';
 import type { ItemCheckpoint, ItemResult, JobItem, JobRecord } from './types';
 
 /** Delay before a commit that failed is retried. */
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -11,6 +11,7 @@
 import type { GatewayState } from '../datagram';
 import type { Gateway, GatewayList } from '../gatewayList';
 import { newGossip, type Gossip } from '../gossip';
+import type { GossipMetrics } from '../gossipSocket';
 
 const WINDOW_MS = 5000;
 const SERVING: GatewayState = { takesJobs: true, reachesStore: true, isServing: true };
@@ -57,14 +58,19 @@
     }),
   };
   let onPeerUpdate = (): void => undefined;
-  const hooks = { getState: () => state, onPeerUpdate: () => onPeerUpdate() };
+  const sent: string[] = [];
+  const metrics: GossipMetrics = {
+    countDatagram: (purpose, leavesFailureDomain) =>
+      sent.push(`${purpose}${leavesFailureDomain ? ' to another failure domain' : ''}`),
+  };
+  const hooks = { getState: () => state, onPeerUpdate: () => onPeerUpdate(), metrics };
   const gossip = newGossip(self, newList(others, added), shared, hooks, clock, newSilentLogger());
   running.push(gossip);
   const waitForUpdate = (): Promise<void> =>
     new Promise((resolve) => {
       onPeerUpdate = resolve;
     });
-  return { clock, gossip, waitForUpdate, added, ...shared };
+  return { clock, gossip, waitForUpdate, added, sent, ...shared };
 };
 
 const newGateway = async (
@@ -149,6 +155,8 @@
       { online: 1, batch: 0 },
     ]);
     expect(receiver.added).toEqual([a]);
+    expect(sender.sent).toEqual(['own to another failure domain']);
+    expect(relay.sent).toContain('relayed');
   });
 
   it('ignores a datagram that a later one has overtaken', async () => {
--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -1,16 +1,12 @@
 /** Claims chunks of batch jobs and runs their items in spare slots of the upstream. */
 import { setMaxListeners } from 'node:events';
 import {
-  getEffectiveSettings,
   getLeaseMs,
   getRenewalMs,
   isSuspectItem,
   newMissingModels,
   JOB_STATE,
   type Config,
-  type EffectiveSettings,
-  type ItemRules,
-  type Job,
 } from '@anvilpaddle/decisions';
 import {
   BYTES_PER_MIB,
@@ -29,6 +25,7 @@
 import { newModelRegistry } from '../batch/modelRegistry';
 import { newItemRate } from '../batch/itemRate';
 import { wait } from '../batch/verifiedCommit';
+import { getItemRules, newSettingsCache } from './jobSettings';
 import type { UpstreamClient } from './upstreamClient';
 import type { UpstreamDispatcher } from './upstreamDispatcher';
 
@@ -50,7 +47,6 @@
 const STALL_TIMEOUT_MS = 30_000;
 /** Time limit of each step of a planned stop: running items, then commits and releases. */
 const STOP_STEP_TIMEOUT_MS = 5000;
-const MAX_CACHED_SETTINGS = 100;
 
 /** What the batch worker needs from its sidecar. */
 export interface BatchWorkerDependencies {
@@ -86,33 +82,6 @@
   close(): Promise<void>;
 }
 
-/** Returns a lookup of a job's effective settings, or of the general ones without a job. */
-const newSettingsCache = (getConfig: () => Config): ((job?: Job) => EffectiveSettings) => {
-  let config = getConfig();
-  let cache = new Map<string, EffectiveSettings>();
-  return (job) => {
-    if (getConfig() !== config) {
-      config = getConfig();
-      cache = new Map();
-    }
-    const id = job?.id ?? '';
-    const cached = cache.get(id);
-    if (cached !== undefined) return cached;
-    const subject = { route: job?.route, team: job?.team, job: job?.id };
-    const settings = getEffectiveSettings(config.settingsByLevel, subject);
-    if (cache.size >= MAX_CACHED_SETTINGS) cache.clear();
-    cache.set(id, settings);
-    return settings;
-  };
-};
-
-const getItemRules = (config: Config, job: Job): ItemRules => ({
-  endpoint: job.endpoint,
-  route: config.routes.find(({ name }) => name === job.route),
-  routeName: job.route,
-  team: config.teams.get(job.team),
-});
-
 /** Starts a batch worker. */
 export const newBatchWorker = (dependencies: BatchWorkerDependencies): BatchWorker => {
   const { tables, dispatcher, clock, log, random } = dependencies;
