Watches start from the response before the last, and owners are judged by a newer list

Configurations came in quick succession. A response of a watch names the newest revision, which a change may have that the store is still committing; a watch from there never returns it. It could happen to the list of upstreams before, where full reads hid it for at most 1.2 s.

Change 1: a watch starts from the revision of the response before the last one, at least 250 ms older, and records that were passed on already are left out. The configuration is also read in full each second, jobs again each 5 s.

Change 2: a job with an owner is claimed only by a list of gateways that was read at its record's revision or later.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -39,8 +39,11 @@
 import { newUpstreamFleet } from './upstreamFleet';
 import type { UpstreamSource } from './upstreamWatch';
 
-/** Time between full reads of the configuration; changes in between arrive through the watch. */
-const CONFIG_READ_INTERVAL_MS = 5000;
+/**
+ * Time between full reads of the configuration; changes in between arrive through the watch. Below the
+ * time in which a change must be in force, in case a watch passes over one.
+ */
+const CONFIG_READ_INTERVAL_MS = 1000;
 /** Short name of an upstream's run, the same at all gateways. */
 const getUpstreamKey = ({ incarnation }: Upstream): string => getHash(incarnation).toString(36);
 
@@ -227,6 +230,7 @@
     ],
     isAlive: (other) => gossip.isRecentlySeen(other) || gatewayList.hasRecentHeartbeat(other),
     isViewCurrent: () => gatewayList.isCurrent() && jobCache.isCurrent(),
+    getListRevision: () => gatewayList.getReadRevision(),
     retentionMs: bounds.jobRetentionMs,
     clock,
     random,
--- a/anvilpaddle-app/gateway/gatewayList.ts
+++ b/anvilpaddle-app/gateway/gatewayList.ts
@@ -60,6 +60,8 @@
   hasRecentHeartbeat(incarnation: string): boolean;
   /** Whether the list was read recently enough to tell which gateways have stopped. */
   isCurrent(): boolean;
+  /** Revision of the store as of the last read. */
+  getReadRevision(): number;
   /** Whether the list has been read and the admissions before this start have been restored. */
   hasBeenRead(): boolean;
   /** Adds a gateway that sent a datagram; it replaces an earlier process on the same VM. */
@@ -97,6 +99,7 @@
   let storeOffsetMs = 0;
   let isLeaving = false;
   let lastReadMs: number | undefined;
+  let readRevision = 0;
   /** Whether the last read was the first, which misses gateways that started at the same time. */
   let isFirstRead = true;
   let isWriting = false;
@@ -169,7 +172,8 @@
   newRecordWatch(
     store,
     { table: TABLE, hasPartitions: false, readIntervalMs: READ_INTERVAL_MS, isWatched: false },
-    ({ records, requestedMs, storeMs }) => {
+    ({ records, requestedMs, storeMs, revision }) => {
+      readRevision = revision;
       isFirstRead = lastReadMs === undefined;
       const sinceLastReadMs = requestedMs - (lastReadMs ?? requestedMs);
       lastReadMs = requestedMs;
@@ -206,6 +210,7 @@
       lastReadMs !== undefined &&
       !isFirstRead &&
       clock.monotonic() - lastReadMs < 2 * READ_INTERVAL_MS,
+    getReadRevision: () => readRevision,
     hasBeenRead: () => lastReadMs !== undefined && hasRestored,
     addFromDatagram: (gateway) => {
       const { vm, incarnation } = gateway;
--- a/anvilpaddle-app/gateway/jobs/jobCache.ts
+++ b/anvilpaddle-app/gateway/jobs/jobCache.ts
@@ -5,7 +5,7 @@
 import { JOB_TABLE, parseStoredJob, type StoredJob } from './jobRecords';
 
 /** Interval of full reads of the table; changes in between arrive through the watch. */
-const FULL_READ_INTERVAL_MS = 30_000;
+const FULL_READ_INTERVAL_MS = 5000;
 
 /** Age of the last update up to which the cache counts as current; a watch is answered each second. */
 const MAX_CURRENT_AGE_MS = 2500;
--- a/anvilpaddle-app/gateway/jobs/jobClaimer.ts
+++ b/anvilpaddle-app/gateway/jobs/jobClaimer.ts
@@ -26,6 +26,8 @@
   readonly isAlive: (incarnation: string) => boolean;
   /** Whether this gateway's view of jobs and gateways is recent enough to judge owners by it. */
   readonly isViewCurrent: () => boolean;
+  /** Revision of the store as of the last read of the list of gateways. */
+  readonly getListRevision: () => number;
   /** Time after submission for which a job is kept, in milliseconds. */
   readonly retentionMs: number;
   readonly clock: Clock;
@@ -149,6 +151,13 @@
     work.catch((error: unknown) => log.error({ reason: getErrorMessage(error) }, message));
   };
 
+  /**
+   * Whether the list of gateways is newer than the job's record. A gateway that has just started may
+   * have accepted the job before its peers know that it is there.
+   */
+  const canJudgeOwner = ({ record, revision }: StoredJob): boolean =>
+    record.owner === undefined || revision <= dependencies.getListRevision();
+
   /** Starts the jobs owned here, claims those without a live owner, and removes expired ones. */
   const checkJobs = (): void => {
     if (isStopped || !dependencies.isViewCurrent()) return;
@@ -162,7 +171,7 @@
       const { record } = stored;
       if (isUnfinished(stored)) {
         if (record.owner === self) logErrors(load(stored), 'job not started');
-        else if (shouldClaimJob(record.id, record.owner, ownership)) {
+        else if (canJudgeOwner(stored) && shouldClaimJob(record.id, record.owner, ownership)) {
           logErrors(claim(stored), 'job claim failed');
         }
         return;
--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -62,7 +62,32 @@
   let isStoreUnreachable = false;
   let isWatchFailing = false;
   let recoveredMs: number | undefined;
+  /** Revision of the last response. */
   let revision = 0;
+  /**
+   * Revision of the response before, from which watches start: the last one may be newer than a change
+   * that the store was still committing, and which a watch from there would never return.
+   */
+  let settledRevision = 0;
+  /** Revisions of the records that were passed on, by partition and key. */
+  let passedRevisions = new Map<string, number>();
+
+  const getRecordKey = ({ partition, key }: StoredRecord): string => `${partition}\n${key}`;
+
+  const advance = (nextRevision: number): void => {
+    // There is no response before the first one.
+    settledRevision = revision === 0 ? nextRevision : revision;
+    revision = nextRevision;
+  };
+
+  /** Records of a watch that have not been passed on yet. */
+  const takeNew = (records: readonly StoredRecord[]): StoredRecord[] => {
+    const added = records.filter(
+      (record) => record.revision > (passedRevisions.get(getRecordKey(record)) ?? 0),
+    );
+    added.forEach((record) => passedRevisions.set(getRecordKey(record), record.revision));
+    return added;
+  };
 
   const reportUnreachable = (error: PlatformError): void => {
     if (isStoreUnreachable) return;
@@ -119,7 +144,10 @@
     }
     reportReachable();
     if (page.value.revision < revision) return true;
-    revision = page.value.revision;
+    advance(page.value.revision);
+    passedRevisions = new Map(
+      page.value.records.map((record) => [getRecordKey(record), record.revision]),
+    );
     onUpdate({ ...page.value, isSnapshot: true, requestedMs, recoveredMs });
     return true;
   };
@@ -135,15 +163,16 @@
           Math.ceil(deadlineMs - requestedMs),
         ),
       );
-      const page = await store.watch(options.table, revision, timeoutMs);
+      const page = await store.watch(options.table, settledRevision, timeoutMs);
       if (!page.ok) {
         reportFailedWatch(page.error);
         return false;
       }
       isWatchFailing = false;
       if (page.value.revision >= revision) {
-        revision = page.value.revision;
-        onUpdate({ ...page.value, isSnapshot: false, requestedMs, recoveredMs });
+        advance(page.value.revision);
+        const records = takeNew(page.value.records);
+        onUpdate({ ...page.value, records, isSnapshot: false, requestedMs, recoveredMs });
       }
       const nextMs = Math.min(requestedMs + MIN_WATCH_INTERVAL_MS, deadlineMs);
       const restMs = nextMs - clock.monotonic();
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -31,6 +31,7 @@
   getOthers: () => others,
   hasRecentHeartbeat: () => true,
   isCurrent: () => true,
+  getReadRevision: () => 0,
   hasBeenRead: () => true,
   addFromDatagram: (gateway) => added.push(gateway),
   leave: () => Promise.resolve(),
--- a/anvilpaddle-app/gateway/tests/jobClaimer.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobClaimer.test.ts
@@ -1,4 +1,5 @@
-import { newSilentLogger, SystemClock } from '@anvilpaddle/common';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { loadHashing, newSilentLogger, SystemClock } from '@anvilpaddle/common';
 import { waitFor } from 'anvilpaddle-app/tests/kit/waitFor';
 import type { JobCache } from '../jobs/jobCache';
 import { newJobClaimer } from '../jobs/jobClaimer';
@@ -24,15 +25,22 @@
   isEnded: false,
 };
 
+beforeAll(loadHashing);
+
+/** Time in which a claimer that may take a job has done so. */
+const CLAIM_MS = 700;
+
 /** A claimer on an empty store, and the job that its gateway accepts. */
-const newScene = () => {
+const newScene = (owner = SELF) => {
+  let listRevision = 0;
+  const cached: StoredJob[] = [];
   const clock = new SystemClock();
   const log = newSilentLogger();
   const memory = newMemoryStore();
   const store = newJobStore(memory.records, memory.objects);
   const jobCache: JobCache = {
     get: () => undefined,
-    getAll: () => [],
+    getAll: () => cached,
     put: () => undefined,
     waitForChange: () => Promise.resolve(),
     isCurrent: () => true,
@@ -44,8 +52,9 @@
       store,
       jobs: jobCache,
       getEligibleOwners: () => [SELF],
-      isAlive: () => true,
+      isAlive: (other) => other === SELF,
       isViewCurrent: () => true,
+      getListRevision: () => listRevision,
       retentionMs: 1000,
       clock,
       log,
@@ -53,17 +62,40 @@
     { onOwned: () => undefined, onReleased: () => undefined },
   );
   const accept = async (): Promise<StoredJob> => {
-    const submission = await store.submit(RECORD, { items: [ITEM] }, { maxWaitingTokens: 0 });
+    const submission = await store.submit(
+      { ...RECORD, owner },
+      { items: [ITEM] },
+      { maxWaitingTokens: 0 },
+    );
     if (submission.kind !== 'accepted') throw new Error(submission.kind);
+    cached.push(submission.job);
     return submission.job;
   };
   const getOwner = async (): Promise<string | undefined> => {
     const job = await store.read(TEAM, RECORD.id);
     return job.ok ? job.value?.record.owner : 'the store does not answer';
   };
-  return { claimer, accept, getOwner };
+  const readList = (revision: number): void => {
+    listRevision = revision;
+  };
+  return { claimer, accept, getOwner, readList };
 };
 
+describe('a job of a gateway that its peers don’t know', () => {
+  it('is claimed only once they have read the list of gateways after it was stored', async () => {
+    const { claimer, accept, getOwner, readList } = newScene('started just now');
+    const { revision } = await accept();
+    readList(revision - 1);
+    await sleep(CLAIM_MS);
+    const ownerBefore = await getOwner();
+    readList(revision);
+    await waitFor('a claimed job', async () => (await getOwner()) === SELF, 2000);
+    claimer.stopClaiming();
+
+    expect(ownerBefore).toBe('started just now');
+  });
+});
+
 describe('a job that a gateway accepts while it begins to stop', () => {
   it('is left to the other gateways when it is stored after the hand-over', async () => {
     const { claimer, accept, getOwner } = newScene();
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -94,6 +94,7 @@
     getEligibleOwners: () => [SELF],
     isAlive: () => true,
     isViewCurrent: () => true,
+    getListRevision: () => Infinity,
     retentionMs: 1000,
     clock,
     random: Math.random,
--- a/anvilpaddle-app/gateway/tests/jobRunnerTicks.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerTicks.test.ts
@@ -41,6 +41,7 @@
     },
     jobs: { get: () => undefined, getAll: () => [], getStoreMs: () => 0 },
     isViewCurrent: () => false,
+    getListRevision: () => Infinity,
     configWatch: { current: () => undefined, areKeysFresh: () => false },
     items: {
       setOwn: () => {
--- a/anvilpaddle-app/gateway/tests/recordWatch.test.ts
+++ b/anvilpaddle-app/gateway/tests/recordWatch.test.ts
@@ -16,15 +16,17 @@
 const newStore = () => {
   let revision = 1;
   let watches = 0;
+  /** Revision that the first responses after it don't have yet. */
+  let lateRevision: number | undefined;
   const wakers = new Set<() => void>();
 
-  const getPage = (afterRevision: number): RecordPage => ({
-    revision,
-    storeMs: 0,
-    records: Array.from({ length: revision - afterRevision }, (_, index) =>
+  const getPage = (afterRevision: number): RecordPage => {
+    const records = Array.from({ length: revision - afterRevision }, (_, index) =>
       newRecord(afterRevision + index + 1),
-    ),
-  });
+    ).filter((record) => record.revision !== lateRevision);
+    lateRevision = undefined;
+    return { revision, storeMs: 0, records };
+  };
 
   const waitForChange = (afterRevision: number): Promise<void> =>
     new Promise((resolve) => {
@@ -47,7 +49,12 @@
     wakers.forEach((wake) => wake());
     wakers.clear();
   };
-  return { store, change, getWatches: () => watches };
+  /** Assigns a revision to a change that the next response does not have yet. */
+  const commitLate = (): void => {
+    revision += 1;
+    lateRevision = revision;
+  };
+  return { store, change, commitLate, getWatches: () => watches };
 };
 
 const settle = async (): Promise<void> => {
@@ -56,7 +63,7 @@
 
 const startWatch = async () => {
   const clock = new ManualClock();
-  const { store, change, getWatches } = newStore();
+  const { store, change, commitLate, getWatches } = newStore();
   const seen: string[] = [];
   const watch = newRecordWatch(
     store,
@@ -66,7 +73,7 @@
     newSilentLogger(),
   );
   await settle();
-  return { clock, change, getWatches, seen, watch };
+  return { clock, change, commitLate, getWatches, seen, watch };
 };
 
 describe('watch of a table', () => {
@@ -86,6 +93,18 @@
     expect(new Set(seen).size).toBe(seen.length);
   });
 
+  it('passes on a change that was still being committed when a later revision was read', async () => {
+    const { clock, change, commitLate, seen, watch } = await startWatch();
+    commitLate();
+    change();
+    await settle();
+    clock.advance(500);
+    await settle();
+    watch.stop();
+
+    expect(seen).toEqual(['k1', 'k3', 'k2']);
+  });
+
   it('passes on a single change at once', async () => {
     const { clock, change, seen, watch } = await startWatch();
     clock.advance(500);
