Datagrams with an address that can't be sent to are dropped, before they are passed on

Cause: a datagram names its sender's address since relays exist. One with a name, a text or a port out of range in its place would have been put on the list, and a send to it throws. A relay also passed on what it could not read itself.

Change: the address is checked like the other outer fields, and a relay reads a datagram before it passes it on.

--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,4 +1,5 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
+import { isIPv4 } from 'node:net';
 import type { Address } from '@anvilpaddle/common';
 import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
@@ -45,6 +46,17 @@
   readonly limits?: readonly EncodedLimitReport[];
 }
 
+const MAX_PORT = 65_535;
+
+/** Whether datagrams can be sent to an address; a peer of an earlier version names none. */
+const isUsableAddress = (address: Partial<Address> | undefined): boolean =>
+  address === undefined ||
+  (typeof address.host === 'string' &&
+    isIPv4(address.host) &&
+    Number.isInteger(address.port) &&
+    (address.port ?? 0) > 0 &&
+    (address.port ?? 0) <= MAX_PORT);
+
 /**
  * Parses a peer's datagram; undefined when it is invalid. The sender runs the same program, so only
  * the outer structure is checked.
@@ -56,6 +68,7 @@
       typeof datagram?.from === 'string' &&
       typeof datagram.vm === 'string' &&
       typeof datagram.ageMs === 'number' &&
+      isUsableAddress(datagram.address) &&
       [datagram.loads, datagram.spent, datagram.running, datagram.waiting].every(Array.isArray);
     return isValid ? (datagram as Datagram) : undefined;
   } catch {
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -121,12 +121,7 @@
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called once it is open
       .forEach((peer) => socket.send(content, peer, DATAGRAM_PURPOSE.relayed));
 
-  const apply = (content: Buffer, sender: Address): void => {
-    const datagram = parseDatagram(content);
-    if (datagram === undefined) {
-      log.warn({ bytes: content.length }, 'unreadable datagram');
-      return;
-    }
+  const apply = (datagram: Datagram, sender: Address): void => {
     const nowMs = clock.monotonic();
     const { from, vm, ageMs, loads, spent, takesJobs, reachesStore, isServing } = datagram;
     // A datagram that was overtaken by a later one has older state.
@@ -160,8 +155,13 @@
 
   const receive = (content: Buffer, sender: Address): void => {
     const relayed = getRelayedContent(content);
+    const datagram = parseDatagram(relayed ?? content);
+    if (datagram === undefined) {
+      log.warn({ bytes: content.length }, 'unreadable datagram');
+      return;
+    }
     if (relayed !== undefined) relay(relayed);
-    apply(relayed ?? content, sender);
+    apply(datagram, sender);
   };
 
   const socket = newGossipSocket(self, receive, metrics, log);
