--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -52,7 +52,7 @@
  * Number of upstreams drawn at random, of which the least loaded is chosen. Gateways that know the same
  * old loads would all choose the one that was least loaded then.
  */
-export const DRAWN_UPSTREAMS = 6;
+export const DRAWN_UPSTREAMS = 8;
 /** Maximum fraction of the time left to the objective that a request may wait at the upstream. */
 const MAX_QUEUE_FRACTION = 0.5;
 
