Digest of a request in the log lines of crashed upstreams

The digest covers method, host, path with query, team and body, and is the same at all gateways. Logic is unchanged.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { JobService } from './jobs/jobService';
 import { serveOnlineRequest } from './online/onlineRequest';
+import { newRequestDigest } from './online/requestDigest';
 import type { OnlineDependencies } from './online/types';
 import { findRoute } from './routeTable';
 import { ROUTE_KIND, type GatewayConfig, type Route, type Team } from './types';
@@ -168,6 +169,13 @@
       refuse(overLimit);
       return;
     }
+    const digest = newRequestDigest({
+      method: message.method ?? 'GET',
+      host: head.host,
+      url: message.url ?? '/',
+      team: team?.name,
+      body: body.value,
+    });
     const outcome = await serveOnlineRequest(
       {
         head,
@@ -175,6 +183,7 @@
         team: team?.name,
         message,
         body: body.value,
+        digest,
         response,
         startedMs,
         signal,
--- a/anvilpaddle-app/gateway/crashDetector.ts
+++ b/anvilpaddle-app/gateway/crashDetector.ts
@@ -16,6 +16,8 @@
   /** Id of the request or the item. */
   readonly id: string;
   readonly promptParts: readonly string[];
+  /** Digest of the request; undefined for an item. */
+  readonly digest?: string;
 }
 
 /** End of an upstream's process that nobody announced. */
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -67,7 +67,7 @@
 
 /** Sends the request to the upstream; `signal` aborts the attempt. */
 export const openAttempt = (
-  { head, team, message, body }: OnlineRequest,
+  { head, team, message, body, digest }: OnlineRequest,
   { upstream, reason, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
@@ -186,7 +186,8 @@
     if (attemptSignal.aborted) return outcome;
     recordAttempt(callResult, outcome);
     if (!isLostWithoutContent(callResult, outcome, hasContent)) return outcome;
-    crashDetector.reportLost(upstream, { id: head.id, promptParts: head.promptParts });
+    const { id, promptParts } = head;
+    crashDetector.reportLost(upstream, { id, promptParts, digest: digest.get() });
     return { ...outcome, isLostWithoutContent: true };
   };
 
--- a/anvilpaddle-app/gateway/online/types.ts
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -15,6 +15,7 @@
 import type { ResponseEnd } from '../responseEnd';
 import type { Route } from '../types';
 import type { UpstreamClient } from '../upstreamClient';
+import type { RequestDigest } from './requestDigest';
 
 /** Counters of the attempts of online requests. */
 export interface AttemptMetrics {
@@ -50,6 +51,7 @@
   readonly team: string | undefined;
   readonly message: IncomingMessage;
   readonly body: Buffer;
+  readonly digest: RequestDigest;
   readonly response: ServerResponse;
   /** Monotonic time at which the head was received. */
   readonly startedMs: number;
