A request that ends the upstreams that run it is kept from all of them

Callers saw requests of one service refused or lost for seconds, again and again: one and the same request ended all its upstreams as often as they came back.

Cause: the quarantine knew input by the shared parts of its prompt alone. A request without such parts had no identity there: nothing was recorded when an upstream ended under it, and nothing was found when it came again.

Now a request is known by a digest of method, host, path with query, team and body. An answer makes up for one crash at which it was aboard; from three open crashes on, seen by all gateways together (datagrams, the store), it is refused with 503 before anything runs. A sound one that was aboard by chance is released by a trial, of which the store grants two for ever. A crash that a held request explains does not speak against the parts of its prompt if these were aboard at no other.

Ruled out: a verdict of one gateway sent to the others (one wrong gateway would refuse everywhere); counting crashes within 50 ms once (three gateways may send the request at the same moment; a failure domain that ends is what trials are for).

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -3,6 +3,7 @@
 import { readBody, type Clock, type Logger } from '@anvilpaddle/common';
 import {
   getOutageRetryAfterMs,
+  newRequestDigest,
   OUTAGE,
   PART_STATE,
   type Outage,
@@ -11,11 +12,10 @@
 } from '@anvilpaddle/decisions';
 import type { RequestHead, CallerProtocol } from './callerProtocol';
 import type { ConfigWatch } from './configWatch';
-import { QUARANTINE_REFUSAL, sendRefusal, STATUS, type Refusal } from './refusal';
+import { getQuarantineRefusal, sendRefusal, STATUS, type Refusal } from './refusal';
 import type { GatewayMetrics } from './gatewayMetrics';
 import type { JobService } from './jobs/jobService';
 import { serveOnlineRequest } from './online/onlineRequest';
-import { newRequestDigest } from './online/requestDigest';
 import type { OnlineDependencies } from './online/types';
 import { findRoute } from './routeTable';
 import { ROUTE_KIND, type GatewayConfig, type Route, type Team } from './types';
@@ -159,16 +159,6 @@
       await jobs.submit({ ...submission, response, signal });
       return;
     }
-    const assessment = dependencies.online.quarantine.assess(head.promptParts, clock.monotonic());
-    if (assessment.state === PART_STATE.quarantined) {
-      refuse(QUARANTINE_REFUSAL, assessment);
-      return;
-    }
-    const overLimit = checkRateLimit(team);
-    if (overLimit !== undefined) {
-      refuse(overLimit);
-      return;
-    }
     const digest = newRequestDigest({
       method: message.method ?? 'GET',
       host: head.host,
@@ -176,6 +166,18 @@
       team: team?.name,
       body: body.value,
     });
+    const { quarantine } = dependencies.online;
+    const input = { promptParts: head.promptParts, digest };
+    const assessment = quarantine.assess(input, clock.monotonic());
+    if (assessment.state === PART_STATE.quarantined && !quarantine.trials.isDue(assessment)) {
+      refuse(getQuarantineRefusal(assessment), assessment);
+      return;
+    }
+    const overLimit = checkRateLimit(team);
+    if (overLimit !== undefined) {
+      refuse(overLimit);
+      return;
+    }
     const outcome = await serveOnlineRequest(
       {
         head,
--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -22,8 +22,8 @@
 /** Outcome of an attempt, with how the body of its response ended if it was read. */
 export interface AttemptReport extends AttemptOutcome {
   readonly responseEnd?: ResponseEnd;
-  /** Whether the upstream broke off before any content had arrived. */
-  readonly isLostWithoutContent?: boolean;
+  /** Parts of the input that the upstream may have broken off for. */
+  readonly suspectedParts?: readonly string[];
 }
 
 /** What a relay asks and tells its attempt. */
--- a/anvilpaddle-app/gateway/crashDetector.ts
+++ b/anvilpaddle-app/gateway/crashDetector.ts
@@ -3,6 +3,7 @@
  * if nothing listens at the upstream's address right after it has its process ended.
  */
 import type { Clock, Logger } from '@anvilpaddle/common';
+import type { LostInput } from '@anvilpaddle/decisions';
 import { PROBE_RESULT, type ProbeResult } from './connectProbe';
 import type { Upstream } from './types';
 
@@ -11,13 +12,10 @@
 /** Time for which a refused connection of another request can still confirm a crash. */
 const CONFIRMATION_PERIOD_MS = 2000;
 
-/** Attempt or run that was lost before any of its content arrived. */
-export interface LostAttempt {
+/** Attempt or run that was lost, and what it had brought. */
+export interface LostAttempt extends LostInput {
   /** Id of the request or the item. */
   readonly id: string;
-  readonly promptParts: readonly string[];
-  /** Digest of the request; undefined for an item. */
-  readonly digest?: string;
 }
 
 /** End of an upstream's process that nobody announced. */
@@ -28,7 +26,7 @@
 
 /** Detector of crashes. */
 export interface CrashDetector {
-  /** Reports an attempt that the upstream broke off before any of its content arrived. */
+  /** Reports an attempt that the upstream broke off, and whose input may be the cause. */
   reportLost(upstream: Upstream, attempt: LostAttempt): void;
   /** Reports that the upstream's address has refused a connection. */
   reportRefused(upstream: Upstream): void;
--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -42,6 +42,8 @@
   readonly waiting: EncodedItems;
   /** Prompt parts that were present at crashes of upstreams; a peer of an earlier version sends none. */
   readonly suspects?: readonly PartReport[];
+  /** Requests that were aboard at crashes; a peer of an earlier version sends none. */
+  readonly requests?: readonly PartReport[];
   /** Limits that upstreams named; a peer of an earlier version sends none. */
   readonly limits?: readonly EncodedLimitReport[];
 }
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -11,6 +11,7 @@
   type Logger,
 } from '@anvilpaddle/common';
 import {
+  DIGEST_MARK,
   newItemTracker,
   newRetryAfterSchedule,
   newSlidingWindowLimiter,
@@ -143,7 +144,8 @@
     log,
   );
   const onQuarantineChange = ({ report, soundRates }: QuarantineChange): void => {
-    const change = report.isQuarantined ? 'part quarantined' : 'part released';
+    const subject = report.part.startsWith(DIGEST_MARK) ? 'request' : 'part';
+    const change = `${subject} ${report.isQuarantined ? 'quarantined' : 'released'}`;
     log.warn({ ...report, soundRates }, change);
     peersRef.gossip?.scheduleSend();
   };
@@ -152,7 +154,8 @@
     getActive: () => callerConnections.getActiveRequests(),
     getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
     getPeers: () => gatewayList.getOthers().length,
-    getQuarantinedParts: () => quarantine.getQuarantinedCount(),
+    getQuarantinedParts: () => quarantine.parts.getQuarantinedCount(),
+    getQuarantinedRequests: () => quarantine.requests.getQuarantinedCount(),
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
   });
@@ -198,8 +201,8 @@
       isLeaving: ({ id }) => fleetView.getUpstream(id)?.isDraining === true,
       onCrash: ({ upstream, lostAttempts }) => {
         metrics.countUpstreamCrash();
-        lostAttempts.forEach(({ promptParts }) =>
-          quarantine.recordCrash(getUpstreamKey(upstream), promptParts, clock.monotonic()),
+        lostAttempts.forEach((lost) =>
+          quarantine.recordCrash(getUpstreamKey(upstream), lost, clock.monotonic()),
         );
         gossip.scheduleSend();
       },
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -29,6 +29,7 @@
   readonly getJobs: () => number;
   readonly getPeers: () => number;
   readonly getQuarantinedParts: () => number;
+  readonly getQuarantinedRequests: () => number;
   readonly getLimitedUpstreams: () => number;
   readonly getViewAgeMs: () => number;
 }
@@ -57,7 +58,7 @@
   });
   const upstreamCrashes = new Counter({
     name: 'anvilpaddle_upstream_crashes_total',
-    help: 'Upstreams whose process ended before the first content of a response to this gateway',
+    help: 'Upstreams whose process ended unannounced, with requests of this gateway aboard',
     registers,
   });
   const silences = new Counter({
@@ -117,6 +118,11 @@
     'Parts of prompts that are kept from all upstreams',
     gauges.getQuarantinedParts,
   );
+  addGauge(
+    'anvilpaddle_quarantined_requests',
+    'Requests that are kept from all upstreams, each however often it comes',
+    gauges.getQuarantinedRequests,
+  );
   addGauge(
     'anvilpaddle_limited_upstreams',
     'Upstreams that name a limit for the requests of all gateways',
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -13,7 +13,7 @@
   getRelayPlan,
   type ItemTracker,
   type LoadTracker,
-  type PromptQuarantine,
+  type InputQuarantine,
   type GatewayVisibility,
   type SlidingWindowLimiter,
   type UpstreamLimits,
@@ -79,7 +79,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly items: ItemTracker;
   readonly limit: SlidingWindowLimiter;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: Pick<InputQuarantine, 'parts' | 'requests'>;
   readonly upstreamLimits: UpstreamLimits;
 }
 
@@ -148,7 +148,8 @@
       ([team, total, inWindow]) => [team, { total, inWindow }] as const,
     );
     limiter.updatePeer(from, new Map(admissionCounts), nowMs);
-    quarantine.updatePeer(from, parsePartReports(datagram.suspects), nowMs);
+    quarantine.requests.updatePeer(from, parsePartReports(datagram.requests), nowMs);
+    quarantine.parts.updatePeer(from, parsePartReports(datagram.suspects), nowMs);
     upstreamLimits.updatePeer(from, decodeLimitReports(datagram.limits), nowMs);
     onPeerUpdate();
   };
@@ -178,7 +179,8 @@
       .map(([team, { total, inWindow }]) => [team, total, inWindow]),
     running: encodeItems(itemTracker.getOwn().running),
     waiting: encodeItems(itemTracker.getOwn().waiting),
-    suspects: quarantine.getReports(nowMs),
+    suspects: quarantine.parts.getReports(nowMs),
+    requests: quarantine.requests.getReports(nowMs),
     limits: encodeLimitReports(upstreamLimits.getReports(nowMs)),
     ...getState(),
   });
--- a/anvilpaddle-app/gateway/jobs/itemSelection.ts
+++ b/anvilpaddle-app/gateway/jobs/itemSelection.ts
@@ -5,8 +5,8 @@
   isLimited,
   PART_STATE,
   type ItemTiming,
-  type PromptAssessment,
-  type PromptQuarantine,
+  type InputAssessment,
+  type InputQuarantine,
 } from '@anvilpaddle/decisions';
 import type { Clock, Logger, Random } from '@anvilpaddle/common';
 import type { CallerProtocol } from '../callerProtocol';
@@ -31,7 +31,7 @@
   readonly configWatch: ConfigWatch;
   readonly view: FleetView;
   readonly protocol: CallerProtocol;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: InputQuarantine;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -85,12 +85,12 @@
     return config !== undefined && config.version >= configVersion && configWatch.areKeysFresh();
   };
 
-  const assess = ({ item }: PendingItem): PromptAssessment =>
-    quarantine.assess(protocol.getItemPromptParts(item), clock.monotonic());
+  const assess = ({ item }: PendingItem): InputAssessment =>
+    quarantine.assess({ promptParts: protocol.getItemPromptParts(item) }, clock.monotonic());
 
   /** Whether an item must wait because a part of its prompt crashes upstreams. */
   const isHeld = (pending: PendingItem): boolean => {
-    if (quarantine.getQuarantinedCount() === 0) return false;
+    if (quarantine.parts.getQuarantinedCount() === 0) return false;
     const assessment = assess(pending);
     if (assessment.state !== PART_STATE.quarantined) return false;
     if (!heldItems.has(pending)) {
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,6 +1,6 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
 import { ResponseTooLargeError, SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
-import type { Health, LoadTracker, PromptQuarantine } from '@anvilpaddle/decisions';
+import type { Health, InputQuarantine, LoadTracker } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
 import {
@@ -90,7 +90,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly health: Health;
   readonly crashDetector: CrashDetector;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: InputQuarantine;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
@@ -128,7 +128,7 @@
   const addEvents = (events: readonly Buffer[]): void => {
     if (events.length > 0 && !hasContent) {
       hasContent = true;
-      quarantine.recordSurvival(promptParts, clock.monotonic());
+      quarantine.parts.recordSurvival(promptParts, clock.monotonic());
     }
     events
       .filter((event) => isEventAfter(event, progress.lastEventId))
@@ -213,7 +213,7 @@
       outcome.kind === 'broken' && !signal.aborted && outcome.cause !== BREAK_CAUSE.status;
     if (isUpstreamFailure) {
       if (outcome.cause !== BREAK_CAUSE.notSent && !hasContent) {
-        crashDetector.reportLost(upstream, { id: item.id, promptParts });
+        crashDetector.reportLost(upstream, { id: item.id, promptParts, digest: undefined });
       }
       const nowMs = clock.monotonic();
       health.record(upstream.id, 'failed', nowMs - startedMs, nowMs);
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt to serve an online request on one upstream. */
-import { SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
+import { MS_PER_SECOND, SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
 import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
 import { isResponseComplete } from '../responseEnd';
@@ -51,13 +51,11 @@
   return isRejected ? ATTEMPT_RESULT.refused : ATTEMPT_RESULT.failed;
 };
 
-/** Whether the upstream broke off before any whole event, or any whole response, had arrived. */
-const isLostWithoutContent = (
-  callResult: HttpCallResult,
-  { responseEnd }: AttemptReport,
-  hasContent: boolean,
-): boolean => {
-  if (hasContent) return false;
+/** Time from the first content of a response after which its request did not crash the upstream. */
+const OUTLIVED_MS = MS_PER_SECOND;
+
+/** Whether the upstream broke the attempt off, before or during its response. */
+const isLost = (callResult: HttpCallResult, { responseEnd }: AttemptReport): boolean => {
   if (callResult.kind !== 'answered') return callResult.kind === 'lost';
   return responseEnd !== undefined && !isResponseComplete(responseEnd);
 };
@@ -80,11 +78,15 @@
   const abandonment = new AbortController();
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
   let firstByteMs = 0;
-  let hasContent = false;
+  let contentMs: number | undefined;
   let isSilent = false;
   let hasBeenSilent = false;
   let listener: AttemptListener | undefined;
 
+  const hasContent = (): boolean => contentMs !== undefined;
+  const hasOutlived = (): boolean =>
+    contentMs !== undefined && clock.monotonic() - contentMs >= OUTLIVED_MS;
+
   const silenceTimer = newSilenceTimer(clock, (isFirstReport) => {
     if (isFirstReport) {
       isSilent = true;
@@ -92,7 +94,12 @@
       health.recordSilence(upstream.id, clock.monotonic());
       metrics.countSilence();
       log.warn(
-        { request: head.id, upstream: upstream.id, hasContent, silenceMs: SILENCE_TIMEOUT_MS },
+        {
+          request: head.id,
+          upstream: upstream.id,
+          hasContent: hasContent(),
+          silenceMs: SILENCE_TIMEOUT_MS,
+        },
         'upstream silent',
       );
     }
@@ -103,8 +110,8 @@
     silenceTimer.recordContent();
     if (isSilent) health.recordSilenceEnd(upstream.id, clock.monotonic());
     isSilent = false;
-    if (!hasContent) quarantine.recordSurvival(head.promptParts, clock.monotonic());
-    hasContent = true;
+    if (!hasContent()) quarantine.parts.recordSurvival(head.promptParts, clock.monotonic());
+    contentMs ??= clock.monotonic();
     listener?.onContent();
   };
 
@@ -160,7 +167,7 @@
         upstream: upstream.id,
         run: outcome.run,
         detail,
-        hasContent,
+        hasContent: hasContent(),
         promptParts: head.promptParts,
         ...outcome.responseEnd,
       },
@@ -168,6 +175,13 @@
     );
   };
 
+  /** Reports that the upstream broke the attempt off; returns the parts that may be the cause. */
+  const reportLost = (): readonly string[] => {
+    const promptParts = hasContent() ? undefined : head.promptParts;
+    crashDetector.reportLost(upstream, { id: head.id, promptParts, digest: digest.get() });
+    return [...(promptParts ?? []), digest.get()];
+  };
+
   const run = async (): Promise<AttemptReport> => {
     const callResult = await call();
     if (callResult.kind === 'answered' && callerResponse.isAnswer(callResult.message)) {
@@ -182,13 +196,14 @@
           })
         : getFailedOutcome(callResult);
     if (outcome.responseEnd !== undefined) metrics.countResponseEnd(outcome.responseEnd);
+    const { responseEnd } = outcome;
+    const isAnswered = responseEnd !== undefined && isResponseComplete(responseEnd);
+    if (isAnswered || hasOutlived()) quarantine.recordAnswer(digest, clock.monotonic());
     // An end that the gateway or the caller caused says nothing about the upstream's health.
     if (attemptSignal.aborted) return outcome;
     recordAttempt(callResult, outcome);
-    if (!isLostWithoutContent(callResult, outcome, hasContent)) return outcome;
-    const { id, promptParts } = head;
-    crashDetector.reportLost(upstream, { id, promptParts, digest: digest.get() });
-    return { ...outcome, isLostWithoutContent: true };
+    if (!isLost(callResult, outcome) || hasOutlived()) return outcome;
+    return { ...outcome, suspectedParts: reportLost() };
   };
 
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -4,10 +4,10 @@
   isRetryable,
   PART_STATE,
   type AttemptOutcome,
-  type PromptAssessment,
+  type InputAssessment,
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
-import { QUARANTINE_REFUSAL, STATUS, type Refusal } from '../refusal';
+import { getQuarantineRefusal, STATUS, type Refusal } from '../refusal';
 import type { ResponseEnd } from '../responseEnd';
 import { pickService } from '../routeTable';
 import { ROUTE_KIND } from '../types';
@@ -31,7 +31,7 @@
 /** Attempt under way, with the knowledge on which its upstream was chosen. */
 interface OpenRequest {
   readonly attempt: OnlineAttempt;
-  readonly assessment: PromptAssessment;
+  readonly assessment: InputAssessment;
   readonly choice: PlacementChoice;
 }
 
@@ -40,7 +40,7 @@
   request: OnlineRequest,
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
-  const { head, route, response, startedMs, signal } = request;
+  const { head, digest, route, response, startedMs, signal } = request;
   const { protocol, quarantine, clock, random, log } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
@@ -100,10 +100,13 @@
     else runCount += 1;
   };
 
-  const shouldRetry = (outcome: AttemptReport, assessment: PromptAssessment): boolean =>
+  const shouldRetry = (outcome: AttemptReport, assessment: InputAssessment): boolean =>
     rejectionCount < MAX_REJECTIONS &&
-    // The loss of a suspect without content may be its own doing.
-    !(outcome.isLostWithoutContent === true && assessment.state === PART_STATE.suspect) &&
+    // The loss of a suspect may be its own doing.
+    !(
+      assessment.state !== PART_STATE.clear &&
+      outcome.suspectedParts?.includes(assessment.part) === true
+    ) &&
     isRetryable(outcome, {
       idempotent: callerResponse.canRetry(),
       attempts: runCount,
@@ -111,7 +114,18 @@
       timeLeftMs: getTimeLeftMs(),
     });
 
-  const open = ({ upstream, choice }: SendStep, assessment: PromptAssessment): OpenRequest => {
+  const assess = (): InputAssessment =>
+    quarantine.assess({ promptParts: head.promptParts, digest }, clock.monotonic());
+
+  /** Takes a trial of a quarantined request, if an upstream has a free slot for it. */
+  const takeTrial = async (assessment: InputAssessment, { choice }: SendStep): Promise<boolean> =>
+    triedUpstreams.size === 0 &&
+    choice.waitMs === 0 &&
+    quarantine.trials.isDue(assessment) &&
+    (await quarantine.trials.take(digest.get())) &&
+    !abortSignal.aborted;
+
+  const open = ({ upstream, choice }: SendStep, assessment: InputAssessment): OpenRequest => {
     const isFirst = triedUpstreams.size === 0;
     triedUpstreams.add(upstream.id);
     const isClear = assessment.state === PART_STATE.clear;
@@ -140,7 +154,7 @@
   const openSuccessor = (service: string): OpenRequest | undefined => {
     const hasAttemptLeft = callerResponse.canRetry() && runCount + 1 < route.maxAttempts;
     if (abortSignal.aborted || !hasAttemptLeft) return undefined;
-    const assessment = quarantine.assess(head.promptParts, clock.monotonic());
+    const assessment = assess();
     if (assessment.state === PART_STATE.quarantined) return undefined;
     const step = getNextStep(service, assessment, true);
     return step.kind === 'send' ? open(step, assessment) : undefined;
@@ -184,16 +198,16 @@
   if (service === undefined) return refuse('the route has no service', NO_SERVICE_RETRY_MS);
   for (;;) {
     if (current === undefined) {
-      const assessment = quarantine.assess(head.promptParts, clock.monotonic());
-      if (assessment.state === PART_STATE.quarantined) {
-        const { reason, retryAfterMs } = QUARANTINE_REFUSAL;
-        return refuse(reason, retryAfterMs);
-      }
+      const assessment = assess();
       const step = getNextStep(service, assessment, runCount > 0);
       if (step.kind === 'refuse') {
         const reason = step.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
         return refuse(reason, getRetryAfterMs(service, step));
       }
+      if (assessment.state === PART_STATE.quarantined && !(await takeTrial(assessment, step))) {
+        const { reason, retryAfterMs } = getQuarantineRefusal(assessment);
+        return refuse(reason, retryAfterMs);
+      }
       current = open(step, assessment);
     }
     const { assessment, choice } = current;
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -5,7 +5,7 @@
   PART_STATE,
   URGENCY,
   type Placement,
-  type PromptAssessment,
+  type InputAssessment,
   type RequestTiming,
   type Shortage,
   type Urgency,
@@ -38,7 +38,7 @@
 /** Placement of one request. */
 export interface RequestPlacement {
   /** Next place for the request; `isUnderWay` tells whether it may have run already. */
-  getNextStep(service: string, assessment: PromptAssessment, isUnderWay: boolean): PlacementStep;
+  getNextStep(service: string, assessment: InputAssessment, isUnderWay: boolean): PlacementStep;
   /** Time after which a caller that is refused may come back, in milliseconds. */
   getRetryAfterMs(service: string, shortage: Shortage): number;
 }
@@ -48,15 +48,15 @@
   { route, getElapsedMs, getTimeLeftMs, triedUpstreams }: PlacedRequest,
   { view, upstreamLoads, retrySchedule, getGatewayCount, clock, random }: OnlineDependencies,
 ): RequestPlacement => {
-  /** Places the request; a suspect goes to the upstream of its part if that has room. */
+  /** Places the request; a suspect, or a trial, goes to the upstream of its part if that has room. */
   const place = (
     service: string,
-    assessment: PromptAssessment,
+    assessment: InputAssessment,
     demand: RequestTiming,
     urgency: Urgency,
   ): Placement => {
     const candidates = view.getCandidates(service, triedUpstreams, urgency);
-    if (assessment.state === PART_STATE.suspect) {
+    if (assessment.state !== PART_STATE.clear) {
       const isolated = getIsolatedCandidates(assessment.part, candidates);
       const placement = getPlacement(isolated, demand, random);
       if (placement.kind === 'send') return placement;
--- a/anvilpaddle-app/gateway/online/types.ts
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -3,9 +3,9 @@
 import type { Clock, Logger, Random } from '@anvilpaddle/common';
 import type {
   Health,
+  InputAssessment,
   LoadTracker,
-  PromptAssessment,
-  PromptQuarantine,
+  RequestDigest,
   RetryAfterSchedule,
   ServiceTimes,
 } from '@anvilpaddle/decisions';
@@ -15,7 +15,7 @@
 import type { ResponseEnd } from '../responseEnd';
 import type { Route } from '../types';
 import type { UpstreamClient } from '../upstreamClient';
-import type { RequestDigest } from './requestDigest';
+import type { StoredQuarantine } from '../storedQuarantine';
 
 /** Counters of the attempts of online requests. */
 export interface AttemptMetrics {
@@ -34,7 +34,7 @@
   readonly health: Health;
   readonly serviceTimes: ServiceTimes;
   readonly crashDetector: CrashDetector;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: StoredQuarantine;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -67,8 +67,8 @@
   readonly batch: number;
   /** Expected wait for a slot, in milliseconds. */
   readonly waitMs: number;
-  /** What was known of the prompt's parts, if any of them was suspect. */
-  readonly assessment?: PromptAssessment;
+  /** What was known of the request's input, if any part of it was suspect. */
+  readonly assessment?: InputAssessment;
 }
 
 /** How a request ended, for the log and the metrics. */
--- /dev/null
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -0,0 +1,107 @@
+/**
+ * Trials of quarantined requests. A sound request may have been aboard at three crashes by chance: one
+ * trial is answered, and releases it. The store counts the trials of all gateways together, so that a
+ * harmful request gets no more of them for ever, whatever restarts or is cut off.
+ */
+import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
+import { PART_STATE, QUARANTINE_CRASHES, type InputAssessment } from '@anvilpaddle/decisions';
+import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
+
+/** Table of the quarantined parts and requests. */
+export const QUARANTINE_TABLE = 'quarantine';
+/** Number of trials of a request. */
+const MAX_TRIALS = 2;
+/** Time from the last crash to the first trial: crashed upstreams need some seconds to restart. */
+const FIRST_TRIAL_DELAY_MS = 3 * MS_PER_SECOND;
+/** Time from the first trial to the second one, which is for a trial that was lost by chance. */
+const SECOND_TRIAL_DELAY_MS = 5 * MS_PER_MINUTE;
+/** Time after which this gateway asks the store again for a trial of the same request. */
+const ASK_INTERVAL_MS = 3 * MS_PER_SECOND;
+
+/** Trials of requests, for one gateway. */
+export interface QuarantineTrials {
+  /** Whether a trial of a quarantined request may be asked for now. */
+  isDue(assessment: InputAssessment): boolean;
+  /** Takes a trial of a request; false if it has none, or if the store doesn't say so. */
+  take(digest: string): Promise<boolean>;
+}
+
+/** Trials that the store has counted. */
+interface TrialCount {
+  readonly trials: number;
+  /** Time of the last one on the store's clock, in milliseconds. */
+  readonly lastTrialMs: number;
+}
+
+const parseJson = (value: Buffer): Readonly<Record<string, unknown>> | undefined => {
+  try {
+    const json: unknown = JSON.parse(value.toString());
+    return typeof json === 'object' && json !== null ? { ...json } : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Trials so far; a row that makes no sense allows none. */
+const getTrialCount = ({ trials = 0, lastTrialMs = 0 }: Record<string, unknown>): TrialCount =>
+  typeof trials === 'number' && typeof lastTrialMs === 'number'
+    ? { trials, lastTrialMs }
+    : { trials: MAX_TRIALS, lastTrialMs: 0 };
+
+const isAllowed = ({ trials, lastTrialMs }: TrialCount, storeMs: number): boolean =>
+  trials === 0 || (trials < MAX_TRIALS && storeMs - lastTrialMs >= SECOND_TRIAL_DELAY_MS);
+
+/** Creates the trials of the requests whose rows the store has. */
+export const newQuarantineTrials = (
+  store: RecordStore,
+  clock: Clock,
+  log: Logger,
+): QuarantineTrials => {
+  /** Time of the next question to the store, by digest; the earliest are dropped as they pass. */
+  const nextAskMs = new Map<string, number>();
+
+  const commitTrial = async (row: StoredRecord, storeMs: number): Promise<boolean> => {
+    const json = row.value && parseJson(row.value);
+    if (json === undefined) return false;
+    const count = getTrialCount(json);
+    if (!isAllowed(count, storeMs)) return false;
+    const name = { table: QUARANTINE_TABLE, partition: '', key: row.key };
+    const value = { ...json, trials: count.trials + 1, lastTrialMs: storeMs };
+    const commit = await store.commit({
+      checks: [{ ...name, revision: row.revision }],
+      writes: [{ ...name, value: Buffer.from(JSON.stringify(value)) }],
+    });
+    // An unknown outcome may have used up the trial.
+    return commit.ok && commit.value.committed;
+  };
+
+  const ask = async (digest: string): Promise<boolean> => {
+    const range = { from: digest, to: `${digest}\u0001` };
+    const page = await store.read(QUARANTINE_TABLE, '', range);
+    if (!page.ok) return false;
+    const row = page.value.records.find(({ key }) => key === digest);
+    return row !== undefined && commitTrial(row, page.value.storeMs);
+  };
+
+  const hasAskedLately = (digest: string): boolean =>
+    clock.monotonic() < (nextAskMs.get(digest) ?? 0);
+
+  return {
+    isDue: (assessment) =>
+      assessment.state === PART_STATE.quarantined &&
+      assessment.crashes < QUARANTINE_CRASHES + MAX_TRIALS &&
+      assessment.ageMs >= FIRST_TRIAL_DELAY_MS &&
+      !hasAskedLately(assessment.part),
+    take: async (digest) => {
+      if (hasAskedLately(digest)) return false;
+      const nowMs = clock.monotonic();
+      nextAskMs.forEach((askMs, asked) => {
+        if (askMs <= nowMs) nextAskMs.delete(asked);
+      });
+      nextAskMs.set(digest, nowMs + ASK_INTERVAL_MS);
+      const isTaken = await ask(digest);
+      log.warn({ part: digest, isTaken }, 'trial of a quarantined request');
+      return isTaken;
+    },
+  };
+};
--- a/anvilpaddle-app/gateway/refusal.ts
+++ b/anvilpaddle-app/gateway/refusal.ts
@@ -1,6 +1,7 @@
 /** Error responses that a gateway sends itself, instead of relaying a response of an upstream. */
 import type { ServerResponse } from 'node:http';
-import { MS_PER_SECOND, sendJson } from '@anvilpaddle/common';
+import { MS_PER_HOUR, MS_PER_SECOND, sendJson } from '@anvilpaddle/common';
+import { DIGEST_MARK, QUARANTINE_CRASHES, type QuarantineAssessment } from '@anvilpaddle/decisions';
 
 /** Status codes of these responses; some also state whether the request may have run. */
 export const STATUS = {
@@ -27,14 +28,20 @@
 }
 
 /** Time after which a request with a quarantined part may come back: it won't be served sooner. */
-const QUARANTINE_RETRY_AFTER_MS = 60 * 60 * MS_PER_SECOND;
+const QUARANTINE_RETRY_AFTER_MS = MS_PER_HOUR;
+/** The same while the first trial of a request may still release it. */
+const TRIAL_RETRY_AFTER_MS = 3 * MS_PER_SECOND;
 
-/** Refusal of a request that has not run, because a part of its prompt crashes upstreams. */
-export const QUARANTINE_REFUSAL = {
-  status: STATUS.unavailable,
-  reason: 'a part of the prompt crashes upstreams',
-  retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
-} as const satisfies Refusal;
+/** Refusal of a request that has not run, because something in its input crashes upstreams. */
+export const getQuarantineRefusal = (assessment: QuarantineAssessment): Required<Refusal> => {
+  const isRequest = assessment.part.startsWith(DIGEST_MARK);
+  const mayBeReleased = isRequest && assessment.crashes <= QUARANTINE_CRASHES;
+  return {
+    status: STATUS.unavailable,
+    reason: `${isRequest ? 'the request' : 'a part of the prompt'} crashes upstreams`,
+    retryAfterMs: mayBeReleased ? TRIAL_RETRY_AFTER_MS : QUARANTINE_RETRY_AFTER_MS,
+  };
+};
 
 /** Sends a refusal; does nothing when the response has started or its connection is closed. */
 export const sendRefusal = (response: ServerResponse, refusal: Refusal): void => {
--- a/anvilpaddle-app/gateway/storedQuarantine.ts
+++ b/anvilpaddle-app/gateway/storedQuarantine.ts
@@ -1,9 +1,10 @@
-/** Quarantine of prompt parts that is kept in the store, so that it outlasts all gateways. */
+/** Quarantine that is kept in the store, so that it outlasts all gateways. */
 import { getErrorMessage, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
 import {
-  newPromptQuarantine,
+  DIGEST_MARK,
+  newInputQuarantine,
+  type InputQuarantine,
   type PartReport,
-  type PromptQuarantine,
   type QuarantineChange,
 } from '@anvilpaddle/decisions';
 import {
@@ -14,14 +15,14 @@
 } from '@anvilpaddle/platform';
 import { sleep } from '../process/program';
 import { parsePartReport } from './partReport';
+import { newQuarantineTrials, QUARANTINE_TABLE, type QuarantineTrials } from './quarantineTrials';
 import { newRecordWatch } from './recordWatch';
 
-const TABLE = 'quarantine';
 /** Interval of the reads: peers tell sooner, and only a gateway that was cut off from them learns here. */
 const READ_INTERVAL_MS = 30 * MS_PER_SECOND;
 const WRITE_RETRY_MS = MS_PER_SECOND;
 
-const getName = (part: string) => ({ table: TABLE, partition: '', key: part });
+const getName = (part: string) => ({ table: QUARANTINE_TABLE, partition: '', key: part });
 
 const parseRecord = ({ value }: StoredRecord): PartReport | undefined => {
   try {
@@ -31,13 +32,18 @@
   }
 };
 
-/** Creates the quarantine and starts to read the stored parts into it. */
+/** Quarantine of one gateway, with the trials of its requests. */
+export interface StoredQuarantine extends InputQuarantine {
+  readonly trials: QuarantineTrials;
+}
+
+/** Creates the quarantine and starts to read what is stored into it. */
 export const newStoredQuarantine = (
   store: RecordStore,
   onChange: (change: QuarantineChange) => void,
   clock: Clock,
   log: Logger,
-): PromptQuarantine => {
+): StoredQuarantine => {
   /** Whether each part that was read or saved is to be in the store. */
   const wanted = new Map<string, boolean>();
 
@@ -72,25 +78,32 @@
     );
   };
 
-  const quarantine = newPromptQuarantine((change) => {
+  const quarantine = newInputQuarantine((change) => {
     onChange(change);
     save(change.report);
   });
 
   newRecordWatch(
     store,
-    { table: TABLE, hasPartitions: false, readIntervalMs: READ_INTERVAL_MS, isWatched: false },
+    {
+      table: QUARANTINE_TABLE,
+      hasPartitions: false,
+      readIntervalMs: READ_INTERVAL_MS,
+      isWatched: false,
+    },
     ({ records }) =>
       records
         .flatMap((record) => parseRecord(record) ?? [])
         .filter(({ part }) => !wanted.has(part))
         .forEach((report) => {
           wanted.set(report.part, true);
-          quarantine.restore(report, clock.monotonic());
+          const isRequest = report.part.startsWith(DIGEST_MARK);
+          const { requests, parts } = quarantine;
+          (isRequest ? requests : parts).restore(report, clock.monotonic());
         }),
     clock,
     log,
   );
 
-  return quarantine;
+  return { ...quarantine, trials: newQuarantineTrials(store, clock, log) };
 };
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -2,9 +2,9 @@
 import { once } from 'node:events';
 import { loadHashing, ManualClock, newSilentLogger, type Address } from '@anvilpaddle/common';
 import {
+  newInputQuarantine,
   newItemTracker,
   newLoadTracker,
-  newPromptQuarantine,
   newSlidingWindowLimiter,
   newUpstreamLimits,
 } from '@anvilpaddle/decisions';
@@ -52,7 +52,7 @@
     upstreamLoads: newLoadTracker(),
     items: newItemTracker(),
     limit: newSlidingWindowLimiter(WINDOW_MS),
-    quarantine: newPromptQuarantine(),
+    quarantine: newInputQuarantine(),
     upstreamLimits: newUpstreamLimits({
       getVisibility: () => ({ members: 1, recentlySeen: 1 }),
       random: Math.random,
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -3,7 +3,7 @@
   newHealth,
   newItemTracker,
   newLoadTracker,
-  newPromptQuarantine,
+  newInputQuarantine,
 } from '@anvilpaddle/decisions';
 import { sleep } from '../../process/program';
 import { waitFor } from '../../tests/kit/waitFor';
@@ -89,7 +89,7 @@
     items: newItemTracker(),
     health: newHealth(),
     crashDetector: { reportLost: () => undefined, reportRefused: () => undefined },
-    quarantine: newPromptQuarantine(),
+    quarantine: newInputQuarantine(),
     metrics: { countResponseEnd: () => undefined },
     getEligibleOwners: () => [SELF],
     isAlive: () => true,
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -18,6 +18,10 @@
 export const SUSPECT_EVIDENCE = 4;
 /** Crashes from which they are. */
 export const MIN_SUSPECT_CRASHES = 2;
+/** Crashes without an answer in between at which a whole request is quarantined. */
+export const QUARANTINE_CRASHES = 3;
+/** Number of changed or other requests that are reported at most; those with more crashes go first. */
+export const MAX_REQUESTS_REPORTED = 8;
 /** Crashes of several upstreams within this time count once: they have a common cause. */
 export const COMMON_CAUSE_MS = 50;
 /** Time without a crash after which a part that is not quarantined is forgotten. */
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -39,8 +39,8 @@
 } from './suspect';
 import {
   PART_STATE,
+  type InputAssessment,
   type PartReport,
-  type PromptAssessment,
   type QuarantineChange,
   type ServedCount,
   type SoundRates,
@@ -52,7 +52,7 @@
   recordSurvival(promptParts: readonly string[], nowMs: number): void;
   /** Records a request that was lost without content when its upstream crashed. */
   recordCrash(upstream: string, promptParts: readonly string[], nowMs: number): void;
-  assess(promptParts: readonly string[], nowMs: number): PromptAssessment;
+  assess(promptParts: readonly string[], nowMs: number): InputAssessment;
   /** Parts to report to the peers: those that changed lately, and the others in turn. */
   getReports(nowMs: number): PartReport[];
   /** Adds what a peer knows. */
@@ -63,7 +63,7 @@
 }
 
 const NONE_EXPLAINED: ReadonlySet<string> = new Set();
-const CLEAR: PromptAssessment = { state: PART_STATE.clear };
+const CLEAR: InputAssessment = { state: PART_STATE.clear };
 
 /** Removes the keys that were set first until no more than `size` are left. */
 const removeOldest = (map: Map<string, unknown>, size: number): void => {
@@ -71,9 +71,13 @@
   if (excess > 0) [...map.keys()].slice(0, excess).forEach((key) => map.delete(key));
 };
 
-/** Creates a quarantine without suspects; `onChange` is called when a part enters or leaves it. */
+/**
+ * Creates a quarantine without suspects; `onChange` is called when a part enters or leaves it.
+ * `isExplained` tells whether something else than a part has caused all crashes of these upstreams.
+ */
 export const newPromptQuarantine = (
   onChange: (change: QuarantineChange) => void = () => undefined,
+  isExplained: (upstreams: readonly string[]) => boolean = () => false,
 ): PromptQuarantine => {
   const suspects = new Map<string, Suspect>();
   /** Served requests by part, the parts that were served last at the end. */
@@ -109,7 +113,8 @@
 
   /** Odds that a part is harmful, without the crashes that other parts explain. */
   const getOdds = (suspect: Suspect, explained: ReadonlySet<string>, nowMs: number): number => {
-    const crashes = countSeparateCrashes(suspect.crashTimes, explained);
+    const hasOtherCause = isExplained([...suspect.crashTimes.keys()]);
+    const crashes = hasOtherCause ? 0 : countSeparateCrashes(suspect.crashTimes, explained);
     return getEvidence(crashes, countSurvivals(suspect), getSoundRates(suspect, nowMs));
   };
 
@@ -160,7 +165,7 @@
       .forEach((suspect) => clearSuspect(suspect, nowMs));
   };
 
-  const assessPart = (part: string, nowMs: number): PromptAssessment => {
+  const assessPart = (part: string, nowMs: number): InputAssessment => {
     const record = suspects.get(part);
     if (record === undefined || record.crashTimes.size === 0) return CLEAR;
     const crashes = countSeparateCrashes(record.crashTimes);
--- a/anvilpaddle-app/gateway/online/requestDigest.ts
+++ b/packages/decisions/quarantine/requestDigest.ts
@@ -29,6 +29,11 @@
 /** Characters of the base64 text that are kept: 132 bits. */
 const BODY_HASH_CHARS = 22;
 const RADIX = 36;
+/** Ends the outline in a digest. */
+const OUTLINE_END = '-';
+
+/** Outline with which a digest begins. */
+export const getOutline = (digest: string): string => digest.split(OUTLINE_END, 1)[0] ?? '';
 
 /** Creates the digest of a request. */
 export const newRequestDigest = ({
@@ -44,7 +49,7 @@
   return {
     outline,
     get: () => {
-      digest ??= `${outline}-${createHash('sha256')
+      digest ??= `${outline}${OUTLINE_END}${createHash('sha256')
         .update(head)
         .update(body)
         .digest('base64url')
--- /dev/null
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -0,0 +1,185 @@
+/**
+ * Finds requests that crash the upstreams that run them and come again. A sound request is answered
+ * sooner or later, and each answer makes up for one crash at which it was aboard; a request that was
+ * aboard at three more crashes than it has got answers is quarantined.
+ */
+import {
+  MAX_REQUESTS_REPORTED,
+  MAX_SUSPECTS,
+  MEMORY_MS,
+  MIN_SUSPECT_CRASHES,
+  QUARANTINE_CRASHES,
+  RECENT_CHANGE_MS,
+} from './constants';
+import { getOutline } from './requestDigest';
+import {
+  addCrash,
+  addPeerSurvivals,
+  clearSuspect,
+  countSurvivals,
+  getReport,
+  newSuspect,
+  type Suspect,
+} from './suspect';
+import {
+  PART_STATE,
+  type InputAssessment,
+  type PartReport,
+  type QuarantineChange,
+  type ServedCount,
+} from './types';
+
+/** Quarantine of requests at one gateway, by their digests; all times are monotonic milliseconds. */
+export interface RequestQuarantine {
+  /** Whether a request with this outline was aboard at a crash. */
+  isKnown(outline: string): boolean;
+  /** Records that an upstream has answered a request. */
+  recordAnswer(digest: string, nowMs: number): void;
+  /** Records a request that was lost when its upstream crashed. */
+  recordCrash(upstream: string, digest: string, nowMs: number): void;
+  assess(digest: string, nowMs: number): InputAssessment;
+  /** Whether one quarantined request was aboard at the crashes of all these upstreams. */
+  explains(upstreams: readonly string[]): boolean;
+  /** Requests to report to the peers: those that changed lately, and the others in turn. */
+  getReports(nowMs: number): PartReport[];
+  /** Adds what a peer knows. */
+  updatePeer(peer: string, reports: readonly PartReport[], nowMs: number): void;
+  /** Adds a quarantined request that was stored. */
+  restore(report: PartReport, nowMs: number): void;
+  getQuarantinedCount(): number;
+}
+
+const CLEAR: InputAssessment = { state: PART_STATE.clear };
+/** How often requests are served says nothing here. */
+const NOT_COUNTED: ServedCount = { withPart: 0, all: 0 };
+
+/** Crashes that no answer makes up for. */
+const countOpenCrashes = (suspect: Suspect): number =>
+  suspect.crashTimes.size - countSurvivals(suspect);
+
+/** Creates a quarantine without suspects; `onChange` is called when a request enters or leaves it. */
+export const newRequestQuarantine = (
+  onChange: (change: QuarantineChange) => void = () => undefined,
+): RequestQuarantine => {
+  const suspects = new Map<string, Suspect>();
+  let outlines = new Set<string>();
+  let reportOffset = 0;
+
+  /** Forgets requests that are long unused, and beyond the largest number those with few crashes. */
+  const forget = (nowMs: number): void => {
+    const { size } = suspects;
+    suspects.forEach(({ isQuarantined, usedMs }, digest) => {
+      if (!isQuarantined && nowMs - usedMs > MEMORY_MS) suspects.delete(digest);
+    });
+    if (suspects.size > MAX_SUSPECTS) {
+      [...suspects.values()]
+        .sort((a, b) => countOpenCrashes(a) - countOpenCrashes(b) || a.usedMs - b.usedMs)
+        .slice(0, suspects.size - MAX_SUSPECTS)
+        .forEach(({ part }) => suspects.delete(part));
+    }
+    if (suspects.size < size) outlines = new Set([...suspects.keys()].map(getOutline));
+  };
+
+  const getOrAddSuspect = (digest: string, nowMs: number): Suspect => {
+    const known = suspects.get(digest);
+    if (known !== undefined) return known;
+    const suspect = newSuspect(digest, 0, 0, nowMs);
+    suspects.set(digest, suspect);
+    outlines.add(getOutline(digest));
+    forget(nowMs);
+    return suspect;
+  };
+
+  /** Adds a crash; the first one after answers have made up for all others counts alone. */
+  const addOpenCrash = (
+    suspect: Suspect,
+    upstream: string,
+    crash: { readonly atMs: number; readonly nowMs: number },
+  ): void => {
+    const { crashTimes } = suspect;
+    const isNew = !crashTimes.has(upstream) && crash.atMs >= suspect.sinceMs;
+    if (isNew && crashTimes.size > 0 && countOpenCrashes(suspect) <= 0) {
+      clearSuspect(suspect, crash.atMs);
+    }
+    addCrash(suspect, upstream, crash.atMs, crash.nowMs);
+  };
+
+  const decide = (suspect: Suspect, nowMs: number): void => {
+    const crashes = countOpenCrashes(suspect);
+    const isQuarantined = crashes >= QUARANTINE_CRASHES;
+    if (isQuarantined === suspect.isQuarantined) return;
+    Object.assign(suspect, { isQuarantined, changedMs: nowMs });
+    onChange({ report: getReport(suspect, NOT_COUNTED, nowMs) });
+  };
+
+  const addReport = (report: PartReport, nowMs: number): void => {
+    const recent = report.crashes.filter(([, ageMs]) => report.isQuarantined || ageMs < MEMORY_MS);
+    if (recent.length === 0) return;
+    const suspect = getOrAddSuspect(report.part, nowMs);
+    recent.forEach(([upstream, ageMs]) =>
+      addOpenCrash(suspect, upstream, { atMs: nowMs - Math.max(0, ageMs), nowMs }),
+    );
+  };
+
+  return {
+    isKnown: (outline) => outlines.has(outline),
+    recordAnswer: (digest, nowMs) => {
+      const suspect = suspects.get(digest);
+      if (suspect === undefined || countOpenCrashes(suspect) <= 0) return;
+      Object.assign(suspect, { survivals: suspect.survivals + 1, changedMs: nowMs });
+      decide(suspect, nowMs);
+    },
+    recordCrash: (upstream, digest, nowMs) => {
+      const suspect = getOrAddSuspect(digest, nowMs);
+      addOpenCrash(suspect, upstream, { atMs: nowMs, nowMs });
+      decide(suspect, nowMs);
+    },
+    assess: (digest, nowMs) => {
+      const suspect = suspects.get(digest);
+      const crashes = suspect === undefined ? 0 : countOpenCrashes(suspect);
+      if (suspect === undefined || crashes < MIN_SUSPECT_CRASHES) return CLEAR;
+      const { isQuarantined, crashTimes } = suspect;
+      if (isQuarantined) suspect.usedMs = nowMs;
+      return {
+        state: isQuarantined ? PART_STATE.quarantined : PART_STATE.suspect,
+        part: digest,
+        crashes,
+        ageMs: nowMs - Math.max(...crashTimes.values()),
+      };
+    },
+    explains: (upstreams) =>
+      upstreams.length > 0 &&
+      [...suspects.values()].some(
+        ({ isQuarantined, crashTimes }) =>
+          isQuarantined && upstreams.every((upstream) => crashTimes.has(upstream)),
+      ),
+    getReports: (nowMs) => {
+      const reported = [...suspects.values()].filter(({ crashTimes }) => crashTimes.size > 0);
+      const recent = reported
+        .filter(({ changedMs }) => nowMs - changedMs <= RECENT_CHANGE_MS)
+        .sort((a, b) => b.crashTimes.size - a.crashTimes.size || b.changedMs - a.changedMs)
+        .slice(0, MAX_REQUESTS_REPORTED);
+      const others = reported.filter((suspect) => !recent.includes(suspect));
+      const other = others[reportOffset % Math.max(1, others.length)];
+      reportOffset += 1;
+      return [...recent, ...(other === undefined ? [] : [other])].map((suspect) =>
+        getReport(suspect, NOT_COUNTED, nowMs),
+      );
+    },
+    updatePeer: (peer, reports, nowMs) =>
+      reports.forEach((report) => {
+        addReport(report, nowMs);
+        const suspect = suspects.get(report.part);
+        if (suspect === undefined || suspect.crashTimes.size === 0) return;
+        addPeerSurvivals(suspect, peer, report.survivals);
+        decide(suspect, nowMs);
+      }),
+    restore: (report, nowMs) => {
+      addReport({ ...report, isQuarantined: true }, nowMs);
+      const suspect = suspects.get(report.part);
+      if (suspect !== undefined) decide(suspect, nowMs);
+    },
+    getQuarantinedCount: () =>
+      [...suspects.values()].filter(({ isQuarantined }) => isQuarantined).length,
+  };
+};
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -1,4 +1,4 @@
-/** A part of prompts that was present at a crash, with what speaks for and against it. */
+/** A part of the input that was present at a crash, with what speaks for and against it. */
 import { MAX_CRASHES_PER_PART } from './constants';
 import { countSeparateCrashes, getEvidence, RARE_PART_RATES } from './crashEvidence';
 import type { PartReport, ServedCount } from './types';
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -1,4 +1,7 @@
-/** Types of the quarantine of prompt parts. */
+/**
+ * Types of the quarantine. A part of the input is a part of a prompt, by its id, or a whole request, by
+ * its digest.
+ */
 
 /** How often a sound part has what speaks against a part. */
 export interface SoundRates {
@@ -8,7 +11,7 @@
   readonly presence: number;
 }
 
-/** What is known of the most suspicious part of a prompt. */
+/** What is known of the most suspicious part of a request's input. */
 export const PART_STATE = {
   clear: 'clear',
   /** Present at several crashes, not proved harmful. */
@@ -19,17 +22,24 @@
 /** One of the states. */
 export type PartState = (typeof PART_STATE)[keyof typeof PART_STATE];
 
-/** Assessment of a prompt by its parts. */
-export type PromptAssessment =
+/** What is known of a part that was present at crashes. */
+interface PartAssessment<State extends PartState> {
+  readonly state: State;
+  readonly part: string;
+  /** Crashes with causes of their own, or that no answer makes up for, at which it was present. */
+  readonly crashes: number;
+  /** Time since the last of them was known here, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Assessment of input that must reach no upstream. */
+export type QuarantineAssessment = PartAssessment<typeof PART_STATE.quarantined>;
+
+/** Assessment of a request's input by its parts. */
+export type InputAssessment =
   | { readonly state: typeof PART_STATE.clear }
-  | {
-      readonly state: typeof PART_STATE.suspect | typeof PART_STATE.quarantined;
-      readonly part: string;
-      /** Crashes with causes of their own at which the part was present. */
-      readonly crashes: number;
-      /** Time since the last of them was known here, in milliseconds. */
-      readonly ageMs: number;
-    };
+  | PartAssessment<typeof PART_STATE.suspect>
+  | QuarantineAssessment;
 
 /** Numbers of served requests, by which the share of requests with a part is known. */
 export interface ServedCount {
@@ -40,12 +50,12 @@
 /** What one gateway knows of a part, for its peers and the store. */
 export interface PartReport {
   readonly part: string;
-  /** Position of the part in its prompts; a later part is shared by fewer of them. */
+  /** Position of the part in its prompts; a later part is shared by fewer. 0 for a whole request. */
   readonly position: number;
   readonly isQuarantined: boolean;
-  /** Requests with the part that the reporter's upstreams began to answer without crashing. */
+  /** Requests with the part that the reporter's upstreams answered, or began to, without crashing. */
   readonly survivals: number;
-  /** Requests that the reporter has had served so far: those with the part, and all. */
+  /** Requests that the reporter has had served so far: those with the part of prompts, and all. */
   readonly served: ServedCount;
   /** Upstream and time since its crash in milliseconds. */
   readonly crashes: readonly (readonly [string, number])[];
@@ -54,6 +64,6 @@
 /** Change of a part's quarantine. */
 export interface QuarantineChange {
   readonly report: PartReport;
-  /** Rates of a sound part by which it was decided. */
-  readonly soundRates: SoundRates;
+  /** Rates of a sound part of prompts by which it was decided; whole requests need none. */
+  readonly soundRates?: SoundRates;
 }
