Items are never the cause of a crash, and sound company is served

An item that was aboard at four crashes for other reasons got its parts quarantined and was held until its job expired: the new test timed out waiting for its result before. Its loss now confirms a suspicion that online requests have raised, but raises none.

Ruled out: leaving items out altogether: then an item with a part that online requests have shown to be harmful reached seven upstreams where three are allowed (promptQuarantine's test of items).

Tests: a rare request that was aboard at three crashes in turn is served by its trial and from then on by all gateways; a popular one is served while 20 upstreams crash; an item is done after six.

--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -108,8 +108,8 @@
   const { protocol, view, upstreamLoads, health, crashDetector, quarantine } = dependencies;
   const { upstreamClient, clock, metrics } = dependencies;
   const { upstream, host, team } = target;
-  const promptParts = protocol.getItemPromptParts(item);
   const reason = progress.runMs === 0 ? SEND_REASON.item : SEND_REASON.resumption;
+  const promptParts = protocol.getItemPromptParts(item);
   let hasContent = false;
   const silenceTimeout = new AbortController();
   const startTimers = () => [
--- a/packages/decisions/quarantine/inputQuarantine.ts
+++ b/packages/decisions/quarantine/inputQuarantine.ts
@@ -15,6 +15,7 @@
 export interface LostInput {
   /** Undefined if content had arrived: a harmful part crashes its upstream before. */
   readonly promptParts: readonly string[] | undefined;
+  /** Undefined for an item of a job. */
   readonly digest: string | undefined;
 }
 
@@ -54,7 +55,11 @@
       if (requests.isKnown(digest.outline)) requests.recordAnswer(digest.get(), nowMs);
     },
     recordCrash: (upstream, { promptParts, digest }, nowMs) => {
-      if (digest !== undefined) requests.recordCrash(upstream, digest, nowMs);
+      if (digest === undefined) {
+        parts.recordLostItem(upstream, promptParts ?? [], nowMs);
+        return;
+      }
+      requests.recordCrash(upstream, digest, nowMs);
       if (promptParts !== undefined) parts.recordCrash(upstream, promptParts, nowMs);
     },
   };
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -52,6 +52,8 @@
   recordSurvival(promptParts: readonly string[], nowMs: number): void;
   /** Records a request that was lost without content when its upstream crashed. */
   recordCrash(upstream: string, promptParts: readonly string[], nowMs: number): void;
+  /** Records an item that was lost so: it confirms a suspicion of its parts, but raises none. */
+  recordLostItem(upstream: string, promptParts: readonly string[], nowMs: number): void;
   assess(promptParts: readonly string[], nowMs: number): InputAssessment;
   /** Parts to report to the peers: those that changed lately, and the others in turn. */
   getReports(nowMs: number): PartReport[];
@@ -227,6 +229,13 @@
       });
       decideAll(nowMs);
     },
+    recordLostItem: (upstream, promptParts, nowMs) => {
+      const known = promptParts.flatMap((part) => suspects.get(part) ?? []);
+      known
+        .filter(({ crashTimes }) => crashTimes.size > 0)
+        .forEach((suspect) => addCrash(suspect, upstream, nowMs, nowMs));
+      if (known.length > 0) decideAll(nowMs);
+    },
     assess: (promptParts, nowMs) => {
       if (suspects.size === 0) return CLEAR;
       const assessments = promptParts.map((part) => assessPart(part, nowMs));
