A record of a gateway that nothing can be sent to is left out

Callers lost all gateways at once: one record in the table gateways with a port of 99999, -1 or 1.5 made the send of the datagram socket throw a RangeError that nobody caught. Cause: the record's port was any number. It is now checked where it is read, as is the host; the entry alone is left out.

--- a/anvilpaddle-app/gateway/gatewayList.ts
+++ b/anvilpaddle-app/gateway/gatewayList.ts
@@ -1,6 +1,8 @@
 /** List of the running gateways: each renews its own record in the store and reads the others'. */
+import { isIPv4 } from 'node:net';
 import {
   getErrorMessage,
+  isPort,
   MS_PER_SECOND,
   type Address,
   type Clock,
@@ -32,9 +34,9 @@
 const MAX_COUNTED_GAP_MS = 1.5 * MS_PER_SECOND;
 
 const recordSchema = z.object({
-  incarnation: z.string(),
-  host: z.string(),
-  port: z.number(),
+  incarnation: z.string().min(1),
+  host: z.string().refine(isIPv4),
+  port: z.number().refine(isPort),
   /** A gateway of an earlier version names none. */
   failureDomain: z.string().optional(),
 });
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -8,11 +8,18 @@
   readonly port: number;
 }
 
-/** Parses `host:port`; undefined when the text is malformed. */
+const MAX_PORT = 65_535;
+
+/** Whether a value is a port to which something can be sent. */
+export const isPort = (value: unknown): value is number =>
+  Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_PORT;
+
+/** Parses `host:port`; undefined when the text is malformed. Port 0 stands for any free port. */
 export const parseAddress = (text: string): Address | undefined => {
   const match = /^([^:]+):(\d{1,5})$/.exec(text.trim());
-  if (match?.[1] === undefined) return undefined;
-  return { host: match[1], port: Number(match[2]) };
+  const port = Number(match?.[2]);
+  if (match?.[1] === undefined || port > MAX_PORT) return undefined;
+  return { host: match[1], port };
 };
 
 /** Formats an address as `host:port`. */
