--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -107,7 +107,14 @@
     }
     let isConnected = false;
     let response: IncomingMessage | undefined;
-    const outgoing = newOutgoingRequest(call);
+    let outgoing: ClientRequest;
+    try {
+      outgoing = newOutgoingRequest(call);
+    } catch (error) {
+      // An address, a path or a header with which no request can be made.
+      resolve({ kind: 'not_sent', detail: getErrorMessage(error), isRefused: false });
+      return;
+    }
     let connectTimer: Timer | undefined;
     const abort = (): void => {
       outgoing.destroy(new Error('aborted'));
