An odd entry of a datagram costs that entry alone

One datagram whose loads, admissions or items were no pairs or triples ended each gateway that received it (TypeError in the handler of the socket): only the outer lists were checked, on the ground that the sender runs the same program. Each entry is checked now, by hand, since datagrams are frequent.

--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,6 +1,6 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
 import { isIPv4 } from 'node:net';
-import type { Address } from '@anvilpaddle/common';
+import { isPort, type Address } from '@anvilpaddle/common';
 import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
 
@@ -48,31 +48,51 @@
   readonly limits?: readonly EncodedLimitReport[];
 }
 
-const MAX_PORT = 65_535;
+/** Longest name of a gateway, VM, team, upstream or service. */
+const MAX_NAME_CHARS = 256;
+
+const isName = (value: unknown): value is string =>
+  typeof value === 'string' && value.length > 0 && value.length <= MAX_NAME_CHARS;
+
+const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
 
 /** Whether datagrams can be sent to an address; a peer of an earlier version names none. */
-const isUsableAddress = (address: Partial<Address> | undefined): boolean =>
+const isUsableAddress = (address: Partial<Address> | null | undefined): boolean =>
   address === undefined ||
-  (typeof address.host === 'string' &&
-    isIPv4(address.host) &&
-    Number.isInteger(address.port) &&
-    (address.port ?? 0) > 0 &&
-    (address.port ?? 0) <= MAX_PORT);
+  (typeof address?.host === 'string' && isIPv4(address.host) && isPort(address.port));
 
-/**
- * Parses a peer's datagram; undefined when it is invalid. The sender runs the same program, so only
- * the outer structure is checked.
- */
+/** Whether an entry is a name and two numbers that `isNumber` accepts. */
+const isNamedPair = (entry: unknown, isNumber: (value: unknown) => boolean): boolean =>
+  Array.isArray(entry) && isName(entry[0]) && isNumber(entry[1]) && isNumber(entry[2]);
+
+const isItem = (entry: unknown): boolean =>
+  Array.isArray(entry) && Number.isFinite(entry[0]) && Number.isFinite(entry[1]);
+
+const isItemGroup = (entry: unknown): boolean =>
+  Array.isArray(entry) && isName(entry[0]) && Array.isArray(entry[1]) && entry[1].every(isItem);
+
+/** The datagram without its invalid entries; peers are frequent, so it is checked by hand. */
+const getValidEntries = (datagram: Datagram): Datagram => ({
+  ...datagram,
+  failureDomain: isName(datagram.failureDomain) ? datagram.failureDomain : undefined,
+  loads: datagram.loads.filter((entry) => isNamedPair(entry, isCount)),
+  spent: datagram.spent.filter((entry) => isNamedPair(entry, isCount)),
+  running: datagram.running.filter(isItemGroup),
+  waiting: datagram.waiting.filter(isItemGroup),
+});
+
+/** Parses a peer's datagram without its invalid entries; undefined when the rest is invalid. */
 export const parseDatagram = (content: Buffer): Datagram | undefined => {
   try {
     const datagram = JSON.parse(content.toString()) as Partial<Datagram> | null;
     const isValid =
-      typeof datagram?.from === 'string' &&
-      typeof datagram.vm === 'string' &&
-      typeof datagram.ageMs === 'number' &&
+      isName(datagram?.from) &&
+      isName(datagram.vm) &&
+      Number.isFinite(datagram.ageMs) &&
+      Number(datagram.ageMs) >= 0 &&
       isUsableAddress(datagram.address) &&
       [datagram.loads, datagram.spent, datagram.running, datagram.waiting].every(Array.isArray);
-    return isValid ? (datagram as Datagram) : undefined;
+    return isValid ? getValidEntries(datagram as Datagram) : undefined;
   } catch {
     return undefined;
   }
--- a/anvilpaddle-app/gateway/tests/datagram.test.ts
+++ b/anvilpaddle-app/gateway/tests/datagram.test.ts
@@ -28,10 +28,40 @@
     ['a port beyond the last one', { address: { host: '10.1.0.31', port: 70_000 } }],
     ['an age that is no number', { ageMs: 'old' }],
     ['loads that are no list', { loads: {} }],
+    ['a negative age', { ageMs: -1 }],
+    ['an empty name', { from: '' }],
+    ['an address of null', { address: null }],
   ])('with %s is dropped', (_, overrides) => {
     expect(parse(overrides)).toBeUndefined();
   });
 
+  it.each([
+    ['loads', [['u1', 1, 0], 5, null, ['u2'], ['u3', -1, 0], ['u4', 1e300, 0], ['', 1, 1]], 1],
+    [
+      'spent',
+      [
+        ['one', 3, 2],
+        ['two', 'x', 1],
+        ['three', 0.5, 1],
+        [['one'], 1, 1],
+      ],
+      1,
+    ],
+    [
+      'running',
+      [
+        ['u1', [[18_000, 300]]],
+        ['u2', 5],
+        ['u3', [null]],
+        ['u4', [['x', 1]]],
+      ],
+      1,
+    ],
+    ['waiting', [['models', []], [null, []], {}, []], 1],
+  ])('with odd entries among its %s keeps the sound ones', (field, entries, soundCount) => {
+    expect(parse({ [field]: entries })).toMatchObject({ [field]: entries.slice(0, soundCount) });
+  });
+
   it('that is cut is dropped, whether or not it is marked for a relay', () => {
     const cut = Buffer.from(JSON.stringify(DATAGRAM)).subarray(0, -3);
 
