A job record, result or checkpoint that makes no sense is left out where it is read

One row of the table jobs without the fields of a job ended all gateways within its watch (TypeError in the job runner), and one that is no JSON failed each submission of its team. Cause: what the gateways had written was read back unchecked. Records, items, results and checkpoints have schemas now; a job record that names another job than its key is left out too. A result that makes no sense is an invalid answer of the store (503), since leaving it out would move later results to its position. The row of oddRecords for this table failed before and passes.

--- a/anvilpaddle-app/gateway/jobs/jobCache.ts
+++ b/anvilpaddle-app/gateway/jobs/jobCache.ts
@@ -1,8 +1,8 @@
 /** Caches the records of all jobs in the store, kept up to date by watching their table. */
-import { getErrorMessage, type Clock, type Logger } from '@anvilpaddle/common';
+import type { Clock, Logger } from '@anvilpaddle/common';
 import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
 import { newRecordWatch } from '../recordWatch';
-import { JOB_TABLE, parseStoredJob, type StoredJob } from './jobRecords';
+import { isSubmissionGuard, JOB_TABLE, parseStoredJob, type StoredJob } from './jobRecords';
 
 /** Interval of full reads of the table; changes in between arrive through the watch. */
 const FULL_READ_INTERVAL_MS = 5000;
@@ -57,15 +57,10 @@
       jobs.delete(getCacheKey(record.partition, record.key));
       return;
     }
-    try {
-      const job = parseStoredJob(record);
-      if (job !== undefined) put(job);
-    } catch (error) {
-      log.error(
-        { key: record.key, reason: getErrorMessage(error) },
-        'job record could not be parsed',
-      );
-    }
+    if (isSubmissionGuard(record)) return;
+    const job = parseStoredJob(record);
+    if (job !== undefined) put(job);
+    else log.warn({ team: record.partition, key: record.key }, 'odd job record left out');
   };
 
   newRecordWatch(
--- a/anvilpaddle-app/gateway/jobs/jobRecords.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRecords.ts
@@ -1,6 +1,7 @@
 /** Storage layout of batch jobs: names and contents of their records and objects. */
+import { z } from 'zod';
 import type { KeyRange, RecordName, StoredRecord } from '@anvilpaddle/platform';
-import type { ItemResult, JobItem, JobRecord } from './types';
+import type { ItemCheckpoint, ItemResult, JobItem, JobRecord } from './types';
 
 /** Table of the job records and submission guards, partitioned by team. */
 export const JOB_TABLE = 'jobs';
@@ -71,35 +72,106 @@
 /** A value as JSON in bytes. */
 export const serializeJson = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 
-/** Job in a record of the job table; undefined for submission guards and removed records. */
-export const parseStoredJob = ({ key, value, revision }: StoredRecord): StoredJob | undefined =>
-  key.startsWith(SUBMISSION_GUARD_PREFIX) || value === undefined
-    ? undefined
-    : { record: JSON.parse(value.toString()) as JobRecord, revision };
+const indexSchema = z.int().nonnegative();
+
+const jobSchema = z.object({
+  id: z.string().min(1),
+  team: z.string(),
+  route: z.string(),
+  host: z.string(),
+  configVersion: z.number().optional(),
+  submittedMs: z.number(),
+  tokens: z.array(z.number()),
+  owner: z.string().optional(),
+  listed: z.array(indexSchema),
+  failures: z.record(z.string(), indexSchema),
+  isEnded: z.boolean(),
+});
 
-/** An item in the items object, with its body in base64. */
-interface StoredItem extends Omit<JobItem, 'body'> {
-  readonly body: string;
-}
+/** Value of some JSON text; undefined if it isn't any, or not one that the schema allows. */
+const parseJson = <T>(schema: z.ZodType<T>, content: Buffer): T | undefined => {
+  try {
+    return schema.safeParse(JSON.parse(content.toString())).data;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Whether a record of the job table is a submission guard, not a job. */
+export const isSubmissionGuard = ({ key }: Pick<StoredRecord, 'key'>): boolean =>
+  key.startsWith(SUBMISSION_GUARD_PREFIX);
+
+/**
+ * Job in a record of the job table; undefined for submission guards, removed records and those that
+ * make no sense, or that name another job than their key does.
+ */
+export const parseStoredJob = ({
+  partition,
+  key,
+  value,
+  revision,
+}: StoredRecord): StoredJob | undefined => {
+  if (isSubmissionGuard({ key }) || value === undefined) return undefined;
+  const job = parseJson(jobSchema, value);
+  if (job === undefined || job.id !== key || job.team !== partition) return undefined;
+  const { configVersion, owner, ...record } = job;
+  return { record: { ...record, configVersion, owner }, revision };
+};
+
+const itemsSchema = z.array(
+  z.object({
+    id: z.string(),
+    path: z.string(),
+    headers: z.array(z.string()),
+    /** Base64. */
+    body: z.string(),
+    tokens: z.number(),
+  }),
+);
+type StoredItem = z.output<typeof itemsSchema>[number];
 
 /** Content of the object with a job's items. */
 export const serializeItems = (items: readonly JobItem[]): Buffer =>
-  serializeJson(items.map((item): StoredItem => ({ ...item, body: item.body.toString('base64') })));
-
-/** Items in the content of their object. */
-export const parseItems = (content: Buffer): JobItem[] =>
-  (JSON.parse(content.toString()) as StoredItem[]).map((item) => ({
+  serializeJson(
+    items.map((item): StoredItem => ({
+      ...item,
+      headers: [...item.headers],
+      body: item.body.toString('base64'),
+    })),
+  );
+
+/** Items in the content of their object; undefined if it makes no sense. */
+export const parseItems = (content: Buffer): JobItem[] | undefined =>
+  parseJson(itemsSchema, content)?.map((item) => ({
     ...item,
     body: Buffer.from(item.body, 'base64'),
   }));
 
-/** Result in the content of its object. */
-export const parseItemResult = (content: Buffer): ItemResult =>
-  JSON.parse(content.toString()) as ItemResult;
+const resultSchema = z.object({
+  id: z.string(),
+  state: z.enum(['succeeded', 'errored']),
+  output: z.string(),
+});
+
+/** Result in the content of its object; undefined if it makes no sense. */
+export const parseItemResult = (content: Buffer): ItemResult | undefined =>
+  parseJson(resultSchema, content);
 
 /** Content of a result's record: the result itself, or the name of the object that holds it. */
 export type StoredResult = ItemResult | { readonly object: string };
 
-/** Content of a result's record, parsed. */
-export const parseStoredResult = (value: Buffer): StoredResult =>
-  JSON.parse(value.toString()) as StoredResult;
+/** Content of a result's record, parsed; undefined if it makes no sense. */
+export const parseStoredResult = (value: Buffer): StoredResult | undefined =>
+  parseJson(z.union([z.object({ object: z.string() }), resultSchema]), value);
+
+const checkpointSchema = z.object({
+  index: indexSchema,
+  text: z.string(),
+  events: indexSchema,
+  runMs: z.number(),
+  lastEventId: z.string(),
+});
+
+/** Content of a checkpoint's record, parsed; undefined if it makes no sense. */
+export const parseCheckpoint = (value: Buffer): ItemCheckpoint | undefined =>
+  parseJson(checkpointSchema, value);
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -20,6 +20,7 @@
   getResultName,
   getPositionRange,
   JOB_TABLE,
+  parseCheckpoint,
   parseItemResult,
   parseItems,
   parseStoredResult,
@@ -32,7 +33,7 @@
   SubmissionProgress,
   JobStore,
 } from './jobStoreTypes';
-import type { ItemCheckpoint, ItemResult, JobRecord, NewJob } from './types';
+import type { ItemResult, JobRecord, NewJob } from './types';
 
 /** Size limit of results that are stored in their record; larger ones go into an object. */
 const MAX_INLINE_RESULT_BYTES = 40_000;
@@ -45,18 +46,11 @@
   error: { kind: 'unavailable', detail: 'submission cancelled before the commit' },
 };
 
-/** Value in an object's content, which may have been truncated on its way. */
-const parseObject = <T>(
-  object: string,
-  content: Buffer,
-  parse: (content: Buffer) => T,
-): Result<T, PlatformError> => {
-  try {
-    return newOk(parse(content));
-  } catch {
-    return newFailure({ kind: 'invalid_answer', detail: `object ${object} can not be parsed` });
-  }
-};
+/** A parsed value, or an error if the named content was truncated on its way or makes no sense. */
+const getParsed = <T>(value: T | undefined, name: string): Result<T, PlatformError> =>
+  value === undefined
+    ? newFailure({ kind: 'invalid_answer', detail: `${name} can not be parsed` })
+    : newOk(value);
 
 /** Job store on top of a record store and an object store. */
 export const newJobStore = (records: RecordStore, objects: ObjectStore): JobStore => {
@@ -165,7 +159,7 @@
     if (!page.ok) return page;
     return newOk(
       page.value.records.flatMap(({ value }) =>
-        value === undefined ? [] : [JSON.parse(value.toString()) as ItemCheckpoint],
+        value === undefined ? [] : (parseCheckpoint(value) ?? []),
       ),
     );
   };
@@ -173,13 +167,13 @@
   /** Loads a result from a record's value, or from the object that the value names. */
   const loadResult = async (value: Buffer): Promise<Result<ItemResult, PlatformError>> => {
     const parsed = parseStoredResult(value);
-    if (!('object' in parsed)) return newOk(parsed);
+    if (parsed === undefined || !('object' in parsed)) return getParsed(parsed, 'a result');
     const content = await objects.get(parsed.object);
     if (!content.ok) return content;
     if (content.value === undefined) {
       return newFailure({ kind: 'invalid_answer', detail: `object ${parsed.object} is missing` });
     }
-    return parseObject(parsed.object, content.value, parseItemResult);
+    return getParsed(parseItemResult(content.value), parsed.object);
   };
 
   const readResultRecords = (team: string, id: string, from: number) =>
@@ -206,7 +200,7 @@
     const content = await objects.get(object);
     if (!content.ok) return content;
     if (content.value === undefined) return newOk(undefined);
-    return parseObject(object, content.value, parseItems);
+    return getParsed(parseItems(content.value), object);
   };
 
   /** Removes the objects of all results that are too large for their records. */
