--- a/anvilpaddle-app/gateway/admissionCheckpoint.ts
+++ b/anvilpaddle-app/gateway/admissionCheckpoint.ts
@@ -9,15 +9,25 @@
 const TABLE = 'admissions';
 /** Largest number of teams whose admissions one checkpoint holds. */
 const MAX_TEAMS = 300;
+/** Largest number of slots that are read of a window. */
+const MAX_SLOTS = 64;
 const RETRY_DELAY_MS = 150;
 
 const checkpointSchema = z.object({
   /** Time of writing on the store's clock, in milliseconds. */
   atStoreMs: z.number(),
   /** Admissions of all gateways in the limit's window by team, as far as the writer knows them. */
-  spent: z.array(z.tuple([z.string(), z.array(z.number())])),
+  spent: z.array(z.unknown()),
 });
-type Checkpoint = z.output<typeof checkpointSchema>;
+
+/** A team and its admissions in each slot of the window; an odd entry costs that entry alone. */
+const teamSchema = z.tuple([z.string(), z.array(z.int().nonnegative()).max(MAX_SLOTS)]);
+
+/** What one gateway knows of the admissions. */
+interface Checkpoint {
+  readonly atStoreMs: number;
+  readonly spent: readonly (readonly [string, readonly number[]])[];
+}
 
 /** Admitted requests in the rate limits' window, by team. */
 export type AdmissionsByTeam = ReadonlyMap<string, AdmissionSlots>;
@@ -42,10 +52,16 @@
   restore(): Promise<void>;
 }
 
+const parseTeam = (entry: unknown): [string, number[]][] => {
+  const team = teamSchema.safeParse(entry);
+  return team.success ? [team.data] : [];
+};
+
 const parseCheckpoint = (value: Buffer | undefined): Checkpoint | undefined => {
   if (value === undefined) return undefined;
   try {
-    return checkpointSchema.parse(JSON.parse(value.toString()));
+    const { atStoreMs, spent } = checkpointSchema.parse(JSON.parse(value.toString()));
+    return { atStoreMs, spent: spent.flatMap((entry) => parseTeam(entry)) };
   } catch {
     return undefined;
   }
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -17,6 +17,7 @@
   readBody,
   sendJson,
   BYTES_PER_MIB,
+  MS_PER_MINUTE,
   MS_PER_SECOND,
   type Address,
   type Clock,
@@ -61,6 +62,14 @@
 const getText = (value: string | string[] | undefined): string | undefined =>
   Array.isArray(value) ? value[0] : value;
 
+/** Timeout that a peer asks for its call, within reason. */
+const getTimeoutMs = (text: string | undefined): number => {
+  const timeoutMs = Number(text ?? MS_PER_SECOND);
+  return Number.isFinite(timeoutMs)
+    ? Math.min(Math.max(1, timeoutMs), MS_PER_MINUTE)
+    : MS_PER_SECOND;
+};
+
 /** Forwards a peer's call to the store and returns the store's answer. */
 const relayPeerCall = async (
   client: HttpClient,
@@ -79,7 +88,7 @@
     message.method === 'GET' || message.method === 'DELETE' ? undefined : body.value,
     {
       ...(contentType === undefined ? {} : { contentType }),
-      timeoutMs: Number(getText(message.headers[TIMEOUT_HEADER]) ?? MS_PER_SECOND),
+      timeoutMs: getTimeoutMs(getText(message.headers[TIMEOUT_HEADER])),
     },
   );
   if (!result.ok) {
--- a/packages/common/clock.ts
+++ b/packages/common/clock.ts
@@ -20,6 +20,9 @@
   every(intervalMs: number, action: () => void): Timer;
 }
 
+/** Longest delay that a timer of Node.js keeps: it fires at once for a longer one. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** System clock; its timers do not keep the process alive. */
 export class SystemClock implements Clock {
   monotonic(): number {
@@ -31,7 +34,7 @@
   }
 
   after(delayMs: number, action: () => void): Timer {
-    const timer = setTimeout(action, delayMs);
+    const timer = setTimeout(action, Math.min(delayMs, MAX_DELAY_MS));
     timer.unref();
     return { cancel: () => clearTimeout(timer) };
   }
