Late in a planned stop, requests are refused, and those that still run are answered

A request whose body ended arriving after the gateway had begun to close its connections was passed on, and cut without an answer when the process ended, also if it must not run twice. Since all other gateways can serve it, such a request is refused with 503 and comes back at once.

A request that had been passed on in time and still ran at the end of the grace period lost its connection without an answer; it gets a 504 now.

--- a/anvilpaddle-app/gateway/callerConnections.ts
+++ b/anvilpaddle-app/gateway/callerConnections.ts
@@ -3,6 +3,7 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import { breakOffResponse, BYTES_PER_KIB, MS_PER_SECOND, type Clock } from '@anvilpaddle/common';
 import { sleep } from '../process/program';
+import { sendRefusal, STATUS, type Refusal } from './refusal';
 import type { CallerBounds } from './types';
 
 /** Time for the first request of a connection that was accepted just before the close. */
@@ -14,6 +15,9 @@
 /** Bytes of a request line and of separators, which Node counts as headers. */
 const HEADER_OVERHEAD_BYTES = 8 * BYTES_PER_KIB;
 
+/** Answer to a request that still runs when the gateway stops. */
+const STOPPED: Refusal = { status: STATUS.timeout, reason: 'the gateway has stopped' };
+
 /** Connections of the callers' server. */
 export interface CallerConnections {
   /** Sets the limits of the configuration; the size of headers for connections that open later. */
@@ -29,7 +33,12 @@
    * closed.
    */
   close(): Promise<void>;
-  /** Breaks off the responses that have not ended, so that their callers can tell. */
+  /** Whether a request that has arrived can still be served; false once all connections close. */
+  isTakingRequests(): boolean;
+  /**
+   * Ends the responses that have not ended: with an error if they have not started, or by breaking
+   * them off, so that their callers can tell.
+   */
   breakOff(): void;
 }
 
@@ -59,6 +68,7 @@
 export const newCallerConnections = (server: Server, clock: Clock): CallerConnections => {
   const connections = new Map<Socket, Connection>();
   let isClosing = false;
+  let isTakingRequests = true;
 
   const getOpenResponses = (): ServerResponse[] =>
     [...connections.values()].flatMap(({ openResponses }) => [...openResponses]);
@@ -124,9 +134,15 @@
       closeIdle();
       await sleep(clock, FIRST_REQUEST_TIMEOUT_MS);
       await readArrived();
+      isTakingRequests = false;
       closeUnused();
       await closed;
     },
-    breakOff: () => getOpenResponses().forEach((response) => breakOffResponse(response)),
+    isTakingRequests: () => isTakingRequests,
+    breakOff: () =>
+      getOpenResponses().forEach((response) => {
+        if (response.headersSent) breakOffResponse(response);
+        else sendRefusal(response, STOPPED);
+      }),
   };
 };
--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -27,6 +27,8 @@
   readonly limit: SlidingWindowLimiter;
   readonly getVisibility: () => GatewayVisibility;
   readonly onAdmitted: () => void;
+  /** Whether a request that has arrived can still be served; false late in a planned stop. */
+  readonly isTakingRequests: () => boolean;
   /** Whether other gateways can serve requests that this one can't. */
   readonly canOthersServe: () => boolean;
   readonly online: OnlineDependencies;
@@ -138,6 +140,10 @@
       }
       return;
     }
+    if (!dependencies.isTakingRequests()) {
+      refuse(newOutageRefusal('the gateway is stopping', OUTAGE.starting, head));
+      return;
+    }
     const identification = identify(head);
     if (!identification.ok) {
       refuse(identification.error);
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -259,6 +259,7 @@
       return gatewayList.hasBeenRead() ? { ...visibility, oldestUptimeMs: Infinity } : visibility;
     },
     onAdmitted: () => gossip.scheduleSend(),
+    isTakingRequests: () => callerConnections.isTakingRequests(),
     canOthersServe,
     online: {
       protocol,
