--- a/anvilpaddle-app/gateway/jobs/itemExecution.ts
+++ b/anvilpaddle-app/gateway/jobs/itemExecution.ts
@@ -77,8 +77,8 @@
       abort.signal,
       dependencies,
       observer,
-    );
-    runs.remove(run);
+      // A run that throws must not keep the item's place.
+    ).finally(() => runs.remove(run));
     if (abort.signal.reason === SUPERSEDED) return;
     const events = pending.events - before.events;
     const runMs = clock.monotonic() - before.startedMs;
--- /dev/null
+++ b/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
@@ -0,0 +1,103 @@
+import { ManualClock, newFailure, newSilentLogger } from '@anvilpaddle/common';
+import { PART_STATE, type InputAssessment } from '@anvilpaddle/decisions';
+import type { RecordStore } from '@anvilpaddle/platform';
+import { newQuarantineTrials, QUARANTINE_TABLE } from '../quarantineTrials';
+import { COMMIT_FAULT, newMemoryStore } from './kit/memoryStore';
+
+const DIGEST = '~request';
+const LATER_MS = 10 * 60 * 1000;
+
+const assess = (crashes: number, ageMs: number): InputAssessment => ({
+  state: PART_STATE.quarantined,
+  part: DIGEST,
+  crashes,
+  ageMs,
+});
+
+/** A store whose clock runs, with the row of the quarantined request. */
+const newStore = async (row: object = { part: DIGEST }) => {
+  const memory = newMemoryStore();
+  const time = { storeMs: 1000 };
+  const records: RecordStore = {
+    ...memory.records,
+    read: async (...call) => {
+      const page = await memory.records.read(...call);
+      return page.ok ? { ok: true, value: { ...page.value, storeMs: time.storeMs } } : page;
+    },
+  };
+  const name = { table: QUARANTINE_TABLE, partition: '', key: DIGEST };
+  const value = Buffer.from(JSON.stringify(row));
+  await records.commit({ checks: [], writes: [{ ...name, value }] });
+  return { records, time };
+};
+
+const newGateway = (records: RecordStore) => {
+  const clock = new ManualClock();
+  return { clock, trials: newQuarantineTrials(records, clock, newSilentLogger()) };
+};
+
+describe('trials of a quarantined request', () => {
+  it.each([
+    ['right after its last crash', 3, 100, false],
+    ['once crashed upstreams may be back', 3, 3000, true],
+    ['after a trial at which it crashed', 4, 3000, true],
+    ['after two of those', 5, 3000, false],
+  ])('%s: whether one is asked for', async (_, crashes, ageMs, isDue) => {
+    const { trials } = newGateway((await newStore()).records);
+
+    expect(trials.isDue(assess(crashes, ageMs))).toBe(isDue);
+  });
+
+  it('are two for ever, of all gateways and over their restarts', async () => {
+    const { records, time } = await newStore();
+    const taken: boolean[] = [];
+    for (let round = 0; round < 4; round += 1) {
+      // Each is a new process.
+      const gateways = [newGateway(records), newGateway(records), newGateway(records)];
+      const takes = gateways.map(({ trials }) => trials.take(DIGEST));
+      taken.push(...(await Promise.all(takes)));
+      time.storeMs += LATER_MS;
+    }
+
+    expect(taken.filter(Boolean)).toHaveLength(2);
+  });
+
+  it('are not two in a row', async () => {
+    const { records, time } = await newStore();
+    expect(await newGateway(records).trials.take(DIGEST)).toBe(true);
+    time.storeMs += 1000;
+
+    expect(await newGateway(records).trials.take(DIGEST)).toBe(false);
+  });
+
+  it('are asked for once in a while by each gateway', async () => {
+    const { trials, clock } = newGateway((await newStore()).records);
+    await trials.take(DIGEST);
+    expect(trials.isDue(assess(3, 3000))).toBe(false);
+    clock.advance(3000);
+
+    expect(trials.isDue(assess(3, 3000))).toBe(true);
+  });
+
+  it.each([
+    ['has no row of the request', { part: 'another' }, '~unknown'],
+    ['has a row with odd counts', { part: DIGEST, trials: 'none' }, DIGEST],
+    ['has a row with too many', { part: DIGEST, trials: 1e300 }, DIGEST],
+  ])('are not taken if the store %s', async (_, row, digest) => {
+    const { trials } = newGateway((await newStore(row)).records);
+
+    expect(await trials.take(digest)).toBe(false);
+  });
+
+  it('are not taken while the store is away, or does not say that it has counted one', async () => {
+    const { records } = await newStore();
+    const away: RecordStore = {
+      ...records,
+      read: () => Promise.resolve(newFailure({ kind: 'unavailable', detail: 'away' })),
+    };
+    const lossy = newMemoryStore(() => COMMIT_FAULT.answerLost).records;
+
+    expect(await newGateway(away).trials.take(DIGEST)).toBe(false);
+    expect(await newGateway({ ...records, commit: lossy.commit }).trials.take(DIGEST)).toBe(false);
+  });
+});
