--- a/anvilpaddle-app/gateway/quarantineTrials.ts
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -6,6 +6,7 @@
 import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
 import { PART_STATE, QUARANTINE_CRASHES, type InputAssessment } from '@anvilpaddle/decisions';
 import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
+import { parsePartReport } from './partReport';
 
 /** Table of the quarantined parts and requests. */
 export const QUARANTINE_TABLE = 'quarantine';
@@ -62,11 +63,12 @@
 
   const commitTrial = async (row: StoredRecord, storeMs: number): Promise<boolean> => {
     const json = row.value && parseJson(row.value);
-    if (json === undefined) return false;
+    const report = parsePartReport(json);
+    if (json === undefined || report === undefined) return false;
     const count = getTrialCount(json);
     if (!isAllowed(count, storeMs)) return false;
     const name = { table: QUARANTINE_TABLE, partition: '', key: row.key };
-    const value = { ...json, trials: count.trials + 1, lastTrialMs: storeMs };
+    const value = { ...report, trials: count.trials + 1, lastTrialMs: storeMs };
     const commit = await store.commit({
       checks: [{ ...name, revision: row.revision }],
       writes: [{ ...name, value: Buffer.from(JSON.stringify(value)) }],
--- a/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
+++ b/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
@@ -1,10 +1,18 @@
 import { ManualClock, newFailure, newSilentLogger } from '@anvilpaddle/common';
-import { PART_STATE, type InputAssessment } from '@anvilpaddle/decisions';
+import { PART_STATE, type InputAssessment, type PartReport } from '@anvilpaddle/decisions';
 import type { RecordStore } from '@anvilpaddle/platform';
 import { newQuarantineTrials, QUARANTINE_TABLE } from '../quarantineTrials';
 import { COMMIT_FAULT, newMemoryStore } from './kit/memoryStore';
 
 const DIGEST = '~request';
+const REPORT: PartReport = {
+  part: DIGEST,
+  position: 0,
+  isQuarantined: true,
+  survivals: 0,
+  served: { withPart: 0, all: 0 },
+  crashes: [['u1', 5]],
+};
 const LATER_MS = 10 * 60 * 1000;
 
 const assess = (crashes: number, ageMs: number): InputAssessment => ({
@@ -15,7 +23,7 @@
 });
 
 /** A store whose clock runs, with the row of the quarantined request. */
-const newStore = async (row: object = { part: DIGEST }) => {
+const newStore = async (row: object = REPORT) => {
   const memory = newMemoryStore();
   const time = { storeMs: 1000 };
   const records: RecordStore = {
@@ -80,9 +88,10 @@
   });
 
   it.each([
-    ['has no row of the request', { part: 'another' }, '~unknown'],
-    ['has a row with odd counts', { part: DIGEST, trials: 'none' }, DIGEST],
-    ['has a row with too many', { part: DIGEST, trials: 1e300 }, DIGEST],
+    ['has no row of the request', REPORT, '~unknown'],
+    ['has a row with odd counts', { ...REPORT, trials: 'none' }, DIGEST],
+    ['has a row with too many', { ...REPORT, trials: 1e300 }, DIGEST],
+    ['has a row without a report', { part: DIGEST }, DIGEST],
   ])('are not taken if the store %s', async (_, row, digest) => {
     const { trials } = newGateway((await newStore(row)).records);
 
