--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -5,12 +5,10 @@
   getRenewalMs,
   isSuspectItem,
   newMissingModels,
-  JOB_STATE,
   type Config,
 } from '@anvilpaddle/decisions';
 import {
   BYTES_PER_MIB,
-  MS_PER_SECOND,
   newMailbox,
   type Clock,
   type Logger,
@@ -21,10 +19,11 @@
 import { newChunkRun, type ChunkRun, type PositionedItem } from '../batch/chunkRun';
 import { newItemRunner } from '../batch/itemRunner';
 import { newErrorResult, type ItemResult } from '../batch/itemResult';
-import { readJob } from '../batch/jobEnd';
 import { newModelRegistry } from '../batch/modelRegistry';
 import { newItemRate } from '../batch/itemRate';
 import { wait } from '../batch/verifiedCommit';
+import { newChunkSearchPace } from './chunkSearchPace';
+import { newHeldJobs } from './heldJobs';
 import { getItemRules, newSettingsCache } from './jobSettings';
 import type { UpstreamClient } from './upstreamClient';
 import type { UpstreamDispatcher } from './upstreamDispatcher';
@@ -33,16 +32,6 @@
 const MAX_HELD_CHUNKS = 4;
 /** Length of uncommitted results at which no further items start. */
 const MAX_HELD_BYTES = 64 * BYTES_PER_MIB;
-const FIRST_SEARCH_DELAY_MS = 100;
-const MAX_SEARCH_DELAY_MS = 1500;
-/** Minimum number of searches within a lease. */
-const SEARCHES_PER_LEASE = 4;
-/** Searches per second that all sidecars together may make for chunks. */
-const SEARCHES_PER_SECOND = 300;
-/** Minimum interval between two checks whether the jobs of the held chunks are still open. */
-const JOB_CHECK_INTERVAL_MS = 1500;
-/** Checks per second that all sidecars together may make of their jobs. */
-const JOB_CHECKS_PER_SECOND = 500;
 /** Time without a started item after which held chunks are released. */
 const STALL_TIMEOUT_MS = 30_000;
 /** Time limit of each step of a planned stop: running items, then commits and releases. */
@@ -96,9 +85,7 @@
   const lastRenewalMs = new Map<ChunkRun, number>();
   let wake = (): void => undefined;
   let isSearching = false;
-  let searchDelayMs = FIRST_SEARCH_DELAY_MS;
-  let nextSearchMs = 0;
-  let lastJobCheckMs = 0;
+  const searchPace = newChunkSearchPace(clock, random);
   let lastProgressMs = clock.monotonic();
 
   // Half as many items again as slots are in flight, so that a slot that becomes free finds a
@@ -208,17 +195,10 @@
       isHeld: (key) => [...held].some((run) => run.key === key),
     });
     if (claim === undefined) {
-      const spreadMs = (dependencies.getSidecarCount() * MS_PER_SECOND) / SEARCHES_PER_SECOND;
-      nextSearchMs = clock.monotonic() + Math.max(searchDelayMs, spreadMs) * (0.5 + random());
-      // Expiry of a lease is detected over several searches, so they must be closer than the lease.
-      searchDelayMs = Math.min(
-        MAX_SEARCH_DELAY_MS,
-        getCurrentLeaseMs() / SEARCHES_PER_LEASE,
-        searchDelayMs * 2,
-      );
+      searchPace.recordNone(getCurrentLeaseMs(), dependencies.getSidecarCount());
       return;
     }
-    searchDelayMs = FIRST_SEARCH_DELAY_MS;
+    searchPace.recordFound();
     const run = newChunkRun(dependencies, claim, canRun);
     held.add(run);
     loadingRuns.add(run);
@@ -232,7 +212,7 @@
 
   const shouldSearch = (): boolean => {
     if (dependencies.isStopping() || drainController.signal.aborted || isSearching) return false;
-    if (!getSettings()['batch.enabled'] || clock.monotonic() < nextSearchMs) return false;
+    if (!getSettings()['batch.enabled'] || !searchPace.isDue()) return false;
     if (held.size >= MAX_HELD_CHUNKS || loadingRuns.size > 0) return false;
     const isBusy = sum((run) => run.running()) > 0;
     // The next chunk is claimed while the last items run, so that no slot waits for the store.
@@ -262,31 +242,21 @@
     });
   };
 
-  /** Drops the chunks of a job that has ended or was removed. */
-  const checkJob = async (id: string): Promise<void> => {
-    const found = await readJob(tables, id);
-    if (!found.ok || found.value?.job.state === JOB_STATE.inProgress) return;
-    [...held].filter(({ job }) => job.id === id).forEach(drop);
-  };
-
-  const checkJobs = (): void => {
-    const nowMs = clock.monotonic();
-    const spreadMs = (dependencies.getSidecarCount() * MS_PER_SECOND) / JOB_CHECKS_PER_SECOND;
-    if (nowMs - lastJobCheckMs < Math.max(JOB_CHECK_INTERVAL_MS, spreadMs)) return;
-    lastJobCheckMs = nowMs;
-    new Set([...held].map(({ job }) => job.id)).forEach((id) => {
-      checkJob(id).catch((error: unknown) =>
-        log.error({ err: error }, 'job of a held chunk could not be read'),
-      );
-    });
-  };
+  const heldJobs = newHeldJobs({
+    tables,
+    clock,
+    log,
+    getIds: () => [...held].map(({ job }) => job.id),
+    onEnded: (id) => [...held].filter(({ job }) => job.id === id).forEach(drop),
+    getSidecarCount: dependencies.getSidecarCount,
+  });
 
   /** Releases chunks that make no progress behind online work or at an unreachable upstream. */
   const releaseStalled = (): void => {
     const nowMs = clock.monotonic();
     if (nowMs - lastProgressMs < STALL_TIMEOUT_MS || held.size === 0) return;
     lastProgressMs = nowMs;
-    nextSearchMs = nowMs + STALL_TIMEOUT_MS;
+    searchPace.postpone(STALL_TIMEOUT_MS);
     [...held]
       .filter((run) => !endingRuns.has(run) && !loadingRuns.has(run))
       .forEach((run) => {
@@ -300,7 +270,7 @@
       if (message === 'tick') {
         unservedModels.refresh();
         renewLeases();
-        checkJobs();
+        heldJobs.checkIfDue();
         releaseStalled();
       }
       startItems();
@@ -327,12 +297,7 @@
 
   return {
     counts: finder.counts,
-    recheckJob: (id) => {
-      if (![...held].some(({ job }) => job.id === id)) return;
-      checkJob(id).catch((error: unknown) =>
-        log.error({ err: error }, 'job of a held chunk could not be read'),
-      );
-    },
+    recheckJob: heldJobs.recheck,
     close: async () => {
       drainController.abort();
       await waitUntilIdle(STOP_STEP_TIMEOUT_MS);
