The guard against harmful input out of the gateway's construction

gateway.ts connected the quarantine, the crash detector and their log lines by hand; they are one module now, with three hooks. Behaviour is unchanged.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -3,7 +3,6 @@
 import {
   breakOffResponse,
   getErrorMessage,
-  getHash,
   listen,
   loadHashing,
   newId,
@@ -11,11 +10,9 @@
   type Logger,
 } from '@anvilpaddle/common';
 import {
-  DIGEST_MARK,
   newItemTracker,
   newRetryAfterSchedule,
   newSlidingWindowLimiter,
-  type QuarantineChange,
 } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import type { Program } from '../process/program';
@@ -24,18 +21,16 @@
 import { newCallerHandler } from './callerHandler';
 import { newConfigWatch, type ConfigSource } from './configWatch';
 import { newGatewayList, type GatewayList } from './gatewayList';
-import { newGatewayMetrics, serveMetrics } from './gatewayMetrics';
-import { probeConnection } from './connectProbe';
-import { newCrashDetector } from './crashDetector';
+import { newGatewayMetrics, serveMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { stopGateway } from './gatewayStop';
 import { newGossip, type Gossip } from './gossip';
-import { newStoredQuarantine } from './storedQuarantine';
+import { newInputGuard } from './inputGuard';
 import { newJobCache } from './jobs/jobCache';
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
 import { newJobService } from './jobs/jobService';
 import { newJobStore } from './jobs/jobStore';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
-import type { GatewaySettings, Upstream } from './types';
+import type { GatewaySettings } from './types';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamFleet } from './upstreamFleet';
 import type { UpstreamSource } from './upstreamWatch';
@@ -45,8 +40,6 @@
  * time in which a change must be in force, in case a watch passes over one.
  */
 const CONFIG_READ_INTERVAL_MS = 1000;
-/** Short name of an upstream's run, the same at all gateways. */
-const getUpstreamKey = ({ incarnation }: Upstream): string => getHash(incarnation).toString(36);
 
 /** Services and formats of the platform on which a gateway runs. */
 export interface GatewayPlatform {
@@ -80,6 +73,7 @@
   // Set below: callbacks of the store client and the loads use objects that depend on those two.
   const runnerRef: { runner?: JobRunner } = {};
   const peersRef: { list?: GatewayList; gossip?: Gossip } = {};
+  const metricsRef: { metrics?: GatewayMetrics } = {};
   const storeClient = newRelayedClient(
     {
       direct: platform.storeClient,
@@ -143,13 +137,16 @@
     clock,
     log,
   );
-  const onQuarantineChange = ({ report, soundRates }: QuarantineChange): void => {
-    const subject = report.part.startsWith(DIGEST_MARK) ? 'request' : 'part';
-    const change = `${subject} ${report.isQuarantined ? 'quarantined' : 'released'}`;
-    log.warn({ ...report, soundRates }, change);
-    peersRef.gossip?.scheduleSend();
-  };
-  const quarantine = newStoredQuarantine(recordStore, onQuarantineChange, clock, log);
+  const { quarantine, crashDetector } = newInputGuard(
+    recordStore,
+    {
+      isLeaving: ({ id }) => fleetView.getUpstream(id)?.isDraining === true,
+      onCrash: () => metricsRef.metrics?.countUpstreamCrash(),
+      onNews: () => peersRef.gossip?.scheduleSend(),
+    },
+    clock,
+    log,
+  );
   const metrics = newGatewayMetrics({
     getActive: () => callerConnections.getActiveRequests(),
     getJobs: () => runnerRef.runner?.getOwnedJobCount() ?? 0,
@@ -159,6 +156,7 @@
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
   });
+  metricsRef.metrics = metrics;
   const isServing = (): boolean =>
     !isStopping && configWatch.current() !== undefined && configWatch.areKeysFresh();
   const getState = () => ({
@@ -195,21 +193,6 @@
     clock,
     log,
   );
-  const crashDetector = newCrashDetector(
-    {
-      probe: ({ address }) => probeConnection(address, clock),
-      isLeaving: ({ id }) => fleetView.getUpstream(id)?.isDraining === true,
-      onCrash: ({ upstream, lostAttempts }) => {
-        metrics.countUpstreamCrash();
-        lostAttempts.forEach((lost) =>
-          quarantine.recordCrash(getUpstreamKey(upstream), lost, clock.monotonic()),
-        );
-        gossip.scheduleSend();
-      },
-    },
-    clock,
-    log,
-  );
   const jobRunner = newJobRunner({
     metrics,
     self: incarnation,
