Only suspects are reported in turn, and quarantined requests are kept apart

What explains a crash is looked up among the quarantined requests alone, not among all 512 that were aboard once.

--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -24,6 +24,7 @@
   getChancePresence,
   getEvidence,
   RARE_PART_RATES,
+  type CrashTimes,
 } from './crashEvidence';
 import { newSoundLossRate } from './soundLossRate';
 import {
@@ -75,11 +76,11 @@
 
 /**
  * Creates a quarantine without suspects; `onChange` is called when a part enters or leaves it.
- * `isExplained` tells whether something else than a part has caused all crashes of these upstreams.
+ * `isExplained` tells whether something else than a part has caused all of some crashes.
  */
 export const newPromptQuarantine = (
   onChange: (change: QuarantineChange) => void = () => undefined,
-  isExplained: (upstreams: readonly string[]) => boolean = () => false,
+  isExplained: (crashTimes: CrashTimes) => boolean = () => false,
 ): PromptQuarantine => {
   const suspects = new Map<string, Suspect>();
   /** Served requests by part, the parts that were served last at the end. */
@@ -115,7 +116,7 @@
 
   /** Odds that a part is harmful, without the crashes that other parts explain. */
   const getOdds = (suspect: Suspect, explained: ReadonlySet<string>, nowMs: number): number => {
-    const hasOtherCause = isExplained([...suspect.crashTimes.keys()]);
+    const hasOtherCause = isExplained(suspect.crashTimes);
     const crashes = hasOtherCause ? 0 : countSeparateCrashes(suspect.crashTimes, explained);
     return getEvidence(crashes, countSurvivals(suspect), getSoundRates(suspect, nowMs));
   };
--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -11,6 +11,7 @@
   QUARANTINE_CRASHES,
   RECENT_CHANGE_MS,
 } from './constants';
+import type { CrashTimes } from './crashEvidence';
 import { getOutline } from './requestDigest';
 import {
   addCrash,
@@ -38,9 +39,9 @@
   /** Records a request that was lost when its upstream crashed. */
   recordCrash(upstream: string, digest: string, nowMs: number): void;
   assess(digest: string, nowMs: number): InputAssessment;
-  /** Whether one quarantined request was aboard at the crashes of all these upstreams. */
-  explains(upstreams: readonly string[]): boolean;
-  /** Requests to report to the peers: those that changed lately, and the others in turn. */
+  /** Whether one quarantined request was aboard at all of these crashes. */
+  explains(crashTimes: CrashTimes): boolean;
+  /** Requests to report to the peers: those that changed lately, and other suspects in turn. */
   getReports(nowMs: number): PartReport[];
   /** Adds what a peer knows. */
   updatePeer(peer: string, reports: readonly PartReport[], nowMs: number): void;
@@ -62,6 +63,7 @@
   onChange: (change: QuarantineChange) => void = () => undefined,
 ): RequestQuarantine => {
   const suspects = new Map<string, Suspect>();
+  const quarantined = new Set<Suspect>();
   let outlines = new Set<string>();
   let reportOffset = 0;
 
@@ -75,7 +77,10 @@
       [...suspects.values()]
         .sort((a, b) => countOpenCrashes(a) - countOpenCrashes(b) || a.usedMs - b.usedMs)
         .slice(0, suspects.size - MAX_SUSPECTS)
-        .forEach(({ part }) => suspects.delete(part));
+        .forEach((suspect) => {
+          suspects.delete(suspect.part);
+          quarantined.delete(suspect);
+        });
     }
     if (suspects.size < size) outlines = new Set([...suspects.keys()].map(getOutline));
   };
@@ -109,6 +114,8 @@
     const isQuarantined = crashes >= QUARANTINE_CRASHES;
     if (isQuarantined === suspect.isQuarantined) return;
     Object.assign(suspect, { isQuarantined, changedMs: nowMs });
+    if (isQuarantined) quarantined.add(suspect);
+    else quarantined.delete(suspect);
     onChange({ report: getReport(suspect, NOT_COUNTED, nowMs) });
   };
 
@@ -147,11 +154,10 @@
         ageMs: nowMs - Math.max(...crashTimes.values()),
       };
     },
-    explains: (upstreams) =>
-      upstreams.length > 0 &&
-      [...suspects.values()].some(
-        ({ isQuarantined, crashTimes }) =>
-          isQuarantined && upstreams.every((upstream) => crashTimes.has(upstream)),
+    explains: (crashTimes) =>
+      crashTimes.size > 0 &&
+      [...quarantined].some((request) =>
+        [...crashTimes.keys()].every((upstream) => request.crashTimes.has(upstream)),
       ),
     getReports: (nowMs) => {
       const reported = [...suspects.values()].filter(({ crashTimes }) => crashTimes.size > 0);
@@ -159,7 +165,9 @@
         .filter(({ changedMs }) => nowMs - changedMs <= RECENT_CHANGE_MS)
         .sort((a, b) => b.crashTimes.size - a.crashTimes.size || b.changedMs - a.changedMs)
         .slice(0, MAX_REQUESTS_REPORTED);
-      const others = reported.filter((suspect) => !recent.includes(suspect));
+      const others = reported.filter(
+        (suspect) => countOpenCrashes(suspect) >= MIN_SUSPECT_CRASHES && !recent.includes(suspect),
+      );
       const other = others[reportOffset % Math.max(1, others.length)];
       reportOffset += 1;
       return [...recent, ...(other === undefined ? [] : [other])].map((suspect) =>
@@ -179,7 +187,6 @@
       const suspect = suspects.get(report.part);
       if (suspect !== undefined) decide(suspect, nowMs);
     },
-    getQuarantinedCount: () =>
-      [...suspects.values()].filter(({ isQuarantined }) => isQuarantined).length,
+    getQuarantinedCount: () => quarantined.size,
   };
 };
