--- a/anvilpaddle-app/gateway/tests/storeRelay.test.ts
+++ b/anvilpaddle-app/gateway/tests/storeRelay.test.ts
@@ -1,4 +1,5 @@
 import {
+  formatAddress,
   listen,
   ManualClock,
   newFailure,
@@ -96,6 +97,28 @@
     expect(reply).toEqual(newOk({ status: 412, body: Buffer.from([0, 255, 1]) }));
   });
 
+  it.each([
+    ['odd', 1000],
+    ['-5', 1],
+    ['1e300', 60_000],
+    ['', 1],
+  ])('bounds the timeout that a peer asks for: %j', async (header, timeoutMs) => {
+    const address = await getFreeAddress();
+    const timeoutsMs: unknown[] = [];
+    await serve(address, {
+      call: (_, __, ___, options) => {
+        timeoutsMs.push(options?.timeoutMs);
+        return Promise.resolve(ANSWER);
+      },
+      close: () => Promise.resolve(),
+    });
+    const headers = { 'x-store-timeout-ms': header };
+    const response = await fetch(`http://${formatAddress(address)}/rows`, { headers });
+
+    expect(response.status).toBe(200);
+    expect(timeoutsMs).toEqual([timeoutMs]);
+  });
+
   it('returns the failure when there is no peer or the peer fails too', async () => {
     const address = await getFreeAddress();
     await serve(address, newClient(UNAVAILABLE).client);
--- /dev/null
+++ b/packages/common/tests/oddCalls.test.ts
@@ -0,0 +1,60 @@
+import { Agent } from 'node:http';
+import { SystemClock } from '../clock';
+import { parseAddress } from '../http';
+import { callHttp, type HttpCall } from '../httpCall';
+
+const CALL: HttpCall = {
+  agent: new Agent(),
+  address: { host: '127.0.0.1', port: 9 },
+  method: 'POST',
+  path: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+  connectTimeoutMs: 100,
+};
+
+describe('a call with which no request can be made', () => {
+  it.each<Partial<HttpCall>>([
+    { address: { host: '127.0.0.1', port: 99_999 } },
+    { address: { host: '127.0.0.1', port: -1 } },
+    { address: { host: '127.0.0.1', port: 1.5 } },
+    { path: '/a b' },
+    { path: '/\r\nX: 1' },
+    { method: 'NO METHOD' },
+    { headers: ['no name', 'x'] },
+    { headers: ['', 'x'] },
+    { headers: ['X', 'a\nb'] },
+  ])('was not sent: %j', async (odd) => {
+    const result = await callHttp(
+      { ...CALL, ...odd },
+      new AbortController().signal,
+      new SystemClock(),
+    );
+
+    expect(result).toMatchObject({ kind: 'not_sent', isRefused: false });
+  });
+});
+
+describe('a timer', () => {
+  it.each([2 ** 31, 1e300, Infinity])('with a delay of %d ms does not fire at once', async (ms) => {
+    let hasFired = false;
+    const timer = new SystemClock().after(ms, () => {
+      hasFired = true;
+    });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    timer.cancel();
+
+    expect(hasFired).toBe(false);
+  });
+});
+
+describe('an address', () => {
+  it.each(['10.1.0.5:99999', '10.1.0.5:-1', '10.1.0.5:1.5', '10.1.0.5', ':80', ''])(
+    'is not parsed from %j',
+    (text) => {
+      expect(parseAddress(text)).toBeUndefined();
+    },
+  );
+});
