--- a/anvilpaddle-app/gateway/jobs/jobClaimer.ts
+++ b/anvilpaddle-app/gateway/jobs/jobClaimer.ts
@@ -94,9 +94,10 @@
     const jobKey = getJobKey(stored.record);
     if (isStopped || owned.has(jobKey) || loading.has(jobKey)) return;
     loading.add(jobKey);
-    const items = await store.readItems(team, id);
-    const checkpoints = await store.readCheckpoints(team, id);
-    loading.delete(jobKey);
+    const [items, checkpoints] = await Promise.all([
+      store.readItems(team, id),
+      store.readCheckpoints(team, id),
+    ]).finally(() => loading.delete(jobKey));
     if (!items.ok || items.value === undefined || !checkpoints.ok) {
       log.warn({ job: id }, 'job not started: its items could not be read');
       return;
