No trial is asked for a quarantined part of prompts

Read in the diff: a request with a quarantined part passed as due for a trial, was charged to its team's limit and read a row of its own digest from the store before it was refused; each such request asked anew. The refusal was right, its price was not. Trials are for whole requests; the test failed before.

--- a/anvilpaddle-app/gateway/quarantineTrials.ts
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -4,7 +4,12 @@
  * harmful request gets no more of them for ever, whatever restarts or is cut off.
  */
 import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
-import { PART_STATE, QUARANTINE_CRASHES, type InputAssessment } from '@anvilpaddle/decisions';
+import {
+  DIGEST_MARK,
+  PART_STATE,
+  QUARANTINE_CRASHES,
+  type InputAssessment,
+} from '@anvilpaddle/decisions';
 import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
 import { parsePartReport } from './partReport';
 
@@ -21,7 +26,7 @@
 
 /** Trials of requests, for one gateway. */
 export interface QuarantineTrials {
-  /** Whether a trial of a quarantined request may be asked for now. */
+  /** Whether a trial may be asked for now: of a quarantined request, not of a part of prompts. */
   isDue(assessment: InputAssessment): boolean;
   /** Takes a trial of a request; false if it has none, or if the store doesn't say so. */
   take(digest: string): Promise<boolean>;
@@ -91,6 +96,7 @@
   return {
     isDue: (assessment) =>
       assessment.state === PART_STATE.quarantined &&
+      assessment.part.startsWith(DIGEST_MARK) &&
       assessment.crashes < QUARANTINE_CRASHES + MAX_TRIALS &&
       assessment.ageMs >= FIRST_TRIAL_DELAY_MS &&
       !hasAskedLately(assessment.part),
--- a/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
+++ b/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
@@ -56,6 +56,12 @@
     expect(trials.isDue(assess(crashes, ageMs))).toBe(isDue);
   });
 
+  it('are for whole requests, not for parts of prompts', async () => {
+    const { trials } = newGateway((await newStore()).records);
+
+    expect(trials.isDue({ ...assess(4, 3000), part: 'bad0bad0' } as InputAssessment)).toBe(false);
+  });
+
   it('are two for ever, of all gateways and over their restarts', async () => {
     const { records, time } = await newStore();
     const taken: boolean[] = [];
--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -113,7 +113,8 @@
     const crashes = countOpenCrashes(suspect);
     const isQuarantined = crashes >= QUARANTINE_CRASHES;
     if (isQuarantined === suspect.isQuarantined) return;
-    Object.assign(suspect, { isQuarantined, changedMs: nowMs });
+    suspect.isQuarantined = isQuarantined;
+    suspect.changedMs = nowMs;
     if (isQuarantined) quarantined.add(suspect);
     else quarantined.delete(suspect);
     onChange({ report: getReport(suspect, NOT_COUNTED, nowMs) });
@@ -133,7 +134,8 @@
     recordAnswer: (digest, nowMs) => {
       const suspect = suspects.get(digest);
       if (suspect === undefined || countOpenCrashes(suspect) <= 0) return;
-      Object.assign(suspect, { survivals: suspect.survivals + 1, changedMs: nowMs });
+      suspect.survivals += 1;
+      suspect.changedMs = nowMs;
       decide(suspect, nowMs);
     },
     recordCrash: (upstream, digest, nowMs) => {
