--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -109,15 +109,14 @@
     addCrash(suspect, upstream, crash.atMs, crash.nowMs);
   };
 
-  const decide = (suspect: Suspect, nowMs: number): void => {
-    const crashes = countOpenCrashes(suspect);
-    const isQuarantined = crashes >= QUARANTINE_CRASHES;
-    if (isQuarantined === suspect.isQuarantined) return;
-    suspect.isQuarantined = isQuarantined;
-    suspect.changedMs = nowMs;
-    if (isQuarantined) quarantined.add(suspect);
-    else quarantined.delete(suspect);
-    onChange({ report: getReport(suspect, NOT_COUNTED, nowMs) });
+  const decide = (record: Suspect, nowMs: number): void => {
+    const isQuarantined = countOpenCrashes(record) >= QUARANTINE_CRASHES;
+    if (isQuarantined === record.isQuarantined) return;
+    record.isQuarantined = isQuarantined;
+    record.changedMs = nowMs;
+    if (isQuarantined) quarantined.add(record);
+    else quarantined.delete(record);
+    onChange({ report: getReport(record, NOT_COUNTED, nowMs) });
   };
 
   const addReport = (report: PartReport, nowMs: number): void => {
