An answer makes up for all crashes before it, and trials don't depend on their number

An answer now makes up for all crashes before it, and a trial is due whatever the number of crashes: the store's count bounds the harm. A gateway that was denied a trial asks again after minutes, not seconds.

--- a/anvilpaddle-app/gateway/quarantineTrials.ts
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -4,12 +4,7 @@
  * harmful request gets no more of them for ever, whatever restarts or is cut off.
  */
 import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
-import {
-  DIGEST_MARK,
-  PART_STATE,
-  QUARANTINE_CRASHES,
-  type InputAssessment,
-} from '@anvilpaddle/decisions';
+import { DIGEST_MARK, PART_STATE, type InputAssessment } from '@anvilpaddle/decisions';
 import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
 import { parsePartReport } from './partReport';
 
@@ -21,9 +16,18 @@
 const FIRST_TRIAL_DELAY_MS = 3 * MS_PER_SECOND;
 /** Time from the first trial to the second one, which is for a trial that was lost by chance. */
 const SECOND_TRIAL_DELAY_MS = 5 * MS_PER_MINUTE;
-/** Time after which this gateway asks the store again for a trial of the same request. */
+/** Time after which this gateway asks again if the store has not answered, or has no row yet. */
 const ASK_INTERVAL_MS = 3 * MS_PER_SECOND;
 
+/** What the store says to a trial. */
+const REPLY = {
+  granted: 'granted',
+  /** The request has had its trials, or the last one is too recent. */
+  denied: 'denied',
+  unknown: 'unknown',
+} as const;
+type Reply = (typeof REPLY)[keyof typeof REPLY];
+
 /** Trials of requests, for one gateway. */
 export interface QuarantineTrials {
   /** Whether a trial may be asked for now: of a quarantined request, not of a part of prompts. */
@@ -63,15 +67,15 @@
   clock: Clock,
   log: Logger,
 ): QuarantineTrials => {
-  /** Time of the next question to the store, by digest; the earliest are dropped as they pass. */
+  /** Time of the next question to the store, by digest; those that have passed are dropped. */
   const nextAskMs = new Map<string, number>();
 
-  const commitTrial = async (row: StoredRecord, storeMs: number): Promise<boolean> => {
+  const commitTrial = async (row: StoredRecord, storeMs: number): Promise<Reply> => {
     const json = row.value && parseJson(row.value);
     const report = parsePartReport(json);
-    if (json === undefined || report === undefined) return false;
+    if (json === undefined || report === undefined) return REPLY.denied;
     const count = getTrialCount(json);
-    if (!isAllowed(count, storeMs)) return false;
+    if (!isAllowed(count, storeMs)) return REPLY.denied;
     const name = { table: QUARANTINE_TABLE, partition: '', key: row.key };
     const value = { ...report, trials: count.trials + 1, lastTrialMs: storeMs };
     const commit = await store.commit({
@@ -79,15 +83,15 @@
       writes: [{ ...name, value: Buffer.from(JSON.stringify(value)) }],
     });
     // An unknown outcome may have used up the trial.
-    return commit.ok && commit.value.committed;
+    return commit.ok && commit.value.committed ? REPLY.granted : REPLY.unknown;
   };
 
-  const ask = async (digest: string): Promise<boolean> => {
+  const ask = async (digest: string): Promise<Reply> => {
     const range = { from: digest, to: `${digest}\u0001` };
     const page = await store.read(QUARANTINE_TABLE, '', range);
-    if (!page.ok) return false;
+    if (!page.ok) return REPLY.unknown;
     const row = page.value.records.find(({ key }) => key === digest);
-    return row !== undefined && commitTrial(row, page.value.storeMs);
+    return row === undefined ? REPLY.unknown : commitTrial(row, page.value.storeMs);
   };
 
   const hasAskedLately = (digest: string): boolean =>
@@ -97,7 +101,6 @@
     isDue: (assessment) =>
       assessment.state === PART_STATE.quarantined &&
       assessment.part.startsWith(DIGEST_MARK) &&
-      assessment.crashes < QUARANTINE_CRASHES + MAX_TRIALS &&
       assessment.ageMs >= FIRST_TRIAL_DELAY_MS &&
       !hasAskedLately(assessment.part),
     take: async (digest) => {
@@ -107,9 +110,10 @@
         if (askMs <= nowMs) nextAskMs.delete(asked);
       });
       nextAskMs.set(digest, nowMs + ASK_INTERVAL_MS);
-      const isTaken = await ask(digest);
-      log.warn({ part: digest, isTaken }, 'trial of a quarantined request');
-      return isTaken;
+      const reply = await ask(digest);
+      log.warn({ part: digest, reply }, 'trial of a quarantined request');
+      if (reply !== REPLY.unknown) nextAskMs.set(digest, nowMs + SECOND_TRIAL_DELAY_MS);
+      return reply === REPLY.granted;
     },
   };
 };
--- a/anvilpaddle-app/gateway/refusal.ts
+++ b/anvilpaddle-app/gateway/refusal.ts
@@ -1,7 +1,7 @@
 /** Error responses that a gateway sends itself, instead of relaying a response of an upstream. */
 import type { ServerResponse } from 'node:http';
-import { MS_PER_HOUR, MS_PER_SECOND, sendJson } from '@anvilpaddle/common';
-import { DIGEST_MARK, QUARANTINE_CRASHES, type QuarantineAssessment } from '@anvilpaddle/decisions';
+import { MS_PER_HOUR, MS_PER_MINUTE, MS_PER_SECOND, sendJson } from '@anvilpaddle/common';
+import { DIGEST_MARK, type QuarantineAssessment } from '@anvilpaddle/decisions';
 
 /** Status codes of these responses; some also state whether the request may have run. */
 export const STATUS = {
@@ -29,13 +29,15 @@
 
 /** Time after which a request with a quarantined part may come back: it won't be served sooner. */
 const QUARANTINE_RETRY_AFTER_MS = MS_PER_HOUR;
-/** The same while the first trial of a request may still release it. */
+/** The same while a trial may soon release the request. */
 const TRIAL_RETRY_AFTER_MS = 3 * MS_PER_SECOND;
+/** Time from the last crash in which the first trial takes place, if the store answers. */
+const TRIAL_PERIOD_MS = MS_PER_MINUTE;
 
 /** Refusal of a request that has not run, because something in its input crashes upstreams. */
 export const getQuarantineRefusal = (assessment: QuarantineAssessment): Required<Refusal> => {
   const isRequest = assessment.part.startsWith(DIGEST_MARK);
-  const mayBeReleased = isRequest && assessment.crashes <= QUARANTINE_CRASHES;
+  const mayBeReleased = isRequest && assessment.ageMs <= TRIAL_PERIOD_MS;
   return {
     status: STATUS.unavailable,
     reason: `${isRequest ? 'the request' : 'a part of the prompt'} crashes upstreams`,
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -30,7 +30,6 @@
 export * from './placement/retryAfterSchedule';
 export * from './placement/serviceTimes';
 export { DIGEST_MARK, newRequestDigest, type RequestDigest } from './quarantine/requestDigest';
-export { QUARANTINE_CRASHES } from './quarantine/constants';
 export * from './quarantine/inputQuarantine';
 export * from './quarantine/isolation';
 export * from './quarantine/promptQuarantine';
--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -1,7 +1,7 @@
 /**
  * Finds requests that crash the upstreams that run them and come again. A sound request is answered
- * sooner or later, and each answer makes up for one crash at which it was aboard; a request that was
- * aboard at three more crashes than it has got answers is quarantined.
+ * sooner or later, and an answer makes up for all crashes before it at which the request was aboard; at
+ * three crashes without an answer in between, it is quarantined.
  */
 import {
   MAX_REQUESTS_REPORTED,
@@ -132,8 +132,9 @@
     isKnown: (outline) => outlines.has(outline),
     recordAnswer: (digest, nowMs) => {
       const suspect = suspects.get(digest);
-      if (suspect === undefined || countOpenCrashes(suspect) <= 0) return;
-      suspect.survivals += 1;
+      const openCrashes = suspect === undefined ? 0 : countOpenCrashes(suspect);
+      if (suspect === undefined || openCrashes <= 0) return;
+      suspect.survivals += openCrashes;
       suspect.changedMs = nowMs;
       decide(suspect, nowMs);
     },
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -53,7 +53,10 @@
   /** Position of the part in its prompts; a later part is shared by fewer. 0 for a whole request. */
   readonly position: number;
   readonly isQuarantined: boolean;
-  /** Requests with the part that the reporter's upstreams answered, or began to, without crashing. */
+  /**
+   * Requests with the part that the reporter's upstreams began to answer without crashing; of a whole
+   * request, the crashes that its answers make up for.
+   */
   readonly survivals: number;
   /** Requests that the reporter has had served so far: those with the part of prompts, and all. */
   readonly served: ServedCount;
