--- a/anvilpaddle-app/gateway/quarantineTrials.ts
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -1,6 +1,6 @@
 /**
- * Trials of quarantined requests. A sound request may have been aboard at three crashes by chance: one
- * trial is answered, and releases it. The store counts the trials of all gateways together, so that a
+ * Trials of quarantined requests. A sound request may have been aboard at three crashes by chance: its
+ * next attempt is let through as a trial, is answered, and so releases it. The store counts the trials of all gateways together, so that a
  * harmful request gets no more of them for ever, whatever restarts or is cut off.
  */
 import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
@@ -52,9 +52,12 @@
   }
 };
 
-/** Trials so far; a row that makes no sense allows none. */
+const isCount = (value: unknown): value is number =>
+  typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+
+/** Trials so far, none in a new row; a row whose counts make no sense allows no more. */
 const getTrialCount = ({ trials = 0, lastTrialMs = 0 }: Record<string, unknown>): TrialCount =>
-  typeof trials === 'number' && typeof lastTrialMs === 'number'
+  isCount(trials) && isCount(lastTrialMs)
     ? { trials, lastTrialMs }
     : { trials: MAX_TRIALS, lastTrialMs: 0 };
 
@@ -77,7 +80,7 @@
     const count = getTrialCount(json);
     if (!isAllowed(count, storeMs)) return REPLY.denied;
     const name = { table: QUARANTINE_TABLE, partition: '', key: row.key };
-    const value = { ...report, trials: count.trials + 1, lastTrialMs: storeMs };
+    const value = { ...report, trials: count.trials + 1, lastTrialMs: Math.round(storeMs) };
     const commit = await store.commit({
       checks: [{ ...name, revision: row.revision }],
       writes: [{ ...name, value: Buffer.from(JSON.stringify(value)) }],
--- a/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
+++ b/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
@@ -100,6 +100,9 @@
   it.each([
     ['has no row of the request', REPORT, '~unknown'],
     ['has a row with odd counts', { ...REPORT, trials: 'none' }, DIGEST],
+    ['has a row with a negative count', { ...REPORT, trials: -5 }, DIGEST],
+    ['has a row with a fraction', { ...REPORT, trials: 0.5 }, DIGEST],
+    ['has a row with an odd time', { ...REPORT, trials: 1, lastTrialMs: -1e300 }, DIGEST],
     ['has a row with too many', { ...REPORT, trials: 1e300 }, DIGEST],
     ['has a row without a report', { part: DIGEST }, DIGEST],
   ])('are not taken if the store %s', async (_, row, digest) => {
