--- a/review/callers.mjs
+++ b/review/callers.mjs
@@ -25,7 +25,7 @@
     return agents.get(gateway);
   };
 
-  const send = (gateway, headers = {}) => {
+  const send = (gateway, headers = {}, body = BODY) => {
     count += 1;
     const id = `r${process.pid.toString(16)}${count.toString(16).padStart(6, '0')}`;
     const attempt = { id, gateway: gateway.name, sentMs: performance.now(), status: undefined };
@@ -61,12 +61,12 @@
     );
     call.setTimeout(patienceMs, () => call.destroy());
     call.on('error', () => finish('lost'));
-    call.end(BODY);
+    call.end(body);
     return attempt;
   };
 
   return {
-    /** Sends one request with these headers besides the usual ones. */
+    /** Sends one request with these headers besides the usual ones, and this body. */
     send,
     /** Starts to send to a gateway at a rate, in requests per second; the result ends it. */
     start: (gateway, perSecond, getHeaders = () => ({})) => {
