--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,10 +1,10 @@
 /** A part of a prompt crashes each worker that begins to write an answer on it. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { newCallers } from '../kit/callers.mjs';
-import { sleep, startCluster } from '../kit/cluster.mjs';
-import { HOST, newConfig } from '../kit/config.mjs';
-import { newRecord } from '../kit/record.mjs';
+import { newCallers } from '../callers.mjs';
+import { sleep, startCluster } from '../cluster.mjs';
+import { HOST, newConfig } from '../config.mjs';
+import { newRecord } from '../record.mjs';
 
 const KEY = 'key-of-one';
 const HARMFUL_PART = 'bad0bad0';
