--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,11 +1,11 @@
 /** A sound worker falls silent for a second in its answer, and goes on. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { newCallers } from '../kit/callers.mjs';
-import { sleep, startCluster } from '../kit/cluster.mjs';
-import { HOST, newConfig } from '../kit/config.mjs';
-import { startPlainWorker } from '../kit/plainWorker.mjs';
-import { newRecord } from '../kit/record.mjs';
+import { newCallers } from '../callers.mjs';
+import { sleep, startCluster } from '../cluster.mjs';
+import { HOST, newConfig } from '../config.mjs';
+import { startPlainWorker } from '../plainWorker.mjs';
+import { newRecord } from '../record.mjs';
 
 const KEY = 'key-of-one';
 const GATEWAYS = 3;
