--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,8 @@
 /** All gateways are killed at once while a tenant sends many times its usual. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { sleep } from '../kit/cluster.mjs';
-import { playQuotaCase } from '../kit/quotaCase.mjs';
+import { sleep } from '../cluster.mjs';
+import { playQuotaCase } from '../quotaCase.mjs';
 
 /** Time from the end of the processes to their start. */
 const RESTART_DELAY_MS = 500;
@@ -18,5 +18,6 @@
   shares: [1 / 3, 1 / 3, 1 / 3],
   rounds: 4,
   disturbAfterMs: 700,
+  isTrouble: process.env.TROUBLE !== '0',
   disturb: killAll,
 });
