--- a/anvilpaddle-app/gateway/inputGuard.ts
+++ b/anvilpaddle-app/gateway/inputGuard.ts
@@ -45,9 +45,7 @@
 
   const recordCrash = ({ upstream, lostAttempts }: UpstreamCrash): void => {
     onCrash();
-    lostAttempts.forEach((lost) =>
-      quarantine.recordCrash(getUpstreamKey(upstream), lost, clock.monotonic()),
-    );
+    quarantine.recordCrash(getUpstreamKey(upstream), lostAttempts, clock.monotonic());
     onNews();
   };
   const crashDetector = newCrashDetector(
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,6 +1,11 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
 import { ResponseTooLargeError, SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
-import type { Health, InputQuarantine, LoadTracker } from '@anvilpaddle/decisions';
+import {
+  getTotalLoad,
+  type Health,
+  type InputQuarantine,
+  type LoadTracker,
+} from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
 import {
@@ -110,7 +115,6 @@
   const { upstream, host, team } = target;
   const reason = progress.runMs === 0 ? SEND_REASON.item : SEND_REASON.resumption;
   const promptParts = protocol.getItemPromptParts(item);
-  let hasContent = false;
   const silenceTimeout = new AbortController();
   const startTimers = () => [
     clock.after(SILENCE_MS, () => observer.onSilence()),
@@ -126,10 +130,6 @@
 
   /** Adds events to the progress, without those that another run has already received. */
   const addEvents = (events: readonly Buffer[]): void => {
-    if (events.length > 0 && !hasContent) {
-      hasContent = true;
-      quarantine.parts.recordSurvival(promptParts, clock.monotonic());
-    }
     events
       .filter((event) => isEventAfter(event, progress.lastEventId))
       .forEach((event) => {
@@ -206,14 +206,26 @@
 
   const startedMs = clock.monotonic();
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.batch);
+  const company = getTotalLoad(upstreamLoads.getLoad(upstream.id, startedMs));
   try {
     const outcome = await run();
+    const runMs = clock.monotonic() - startedMs;
+    if (outcome.kind === 'done') {
+      quarantine.parts.recordSurvival(promptParts, runMs, clock.monotonic());
+    }
     // A status shows that the upstream responds, and an aborted run says nothing about the upstream.
     const isUpstreamFailure =
       outcome.kind === 'broken' && !signal.aborted && outcome.cause !== BREAK_CAUSE.status;
     if (isUpstreamFailure) {
-      if (outcome.cause !== BREAK_CAUSE.notSent && !hasContent) {
-        crashDetector.reportLost(upstream, { id: item.id, promptParts, digest: undefined });
+      if (outcome.cause !== BREAK_CAUSE.notSent) {
+        crashDetector.reportLost(upstream, {
+          id: item.id,
+          promptParts,
+          digest: undefined,
+          runMs,
+          company,
+          hasOutlivedStart: false,
+        });
       }
       const nowMs = clock.monotonic();
       health.record(upstream.id, 'failed', nowMs - startedMs, nowMs);
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -1,6 +1,11 @@
 /** One attempt to serve an online request on one upstream. */
 import { MS_PER_SECOND, SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
-import { ATTEMPT_RESULT, type AttemptOutcome, type AttemptResult } from '@anvilpaddle/decisions';
+import {
+  ATTEMPT_RESULT,
+  getTotalLoad,
+  type AttemptOutcome,
+  type AttemptResult,
+} from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
 import { isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
@@ -51,7 +56,7 @@
   return isRejected ? ATTEMPT_RESULT.refused : ATTEMPT_RESULT.failed;
 };
 
-/** Time from the first content of a response after which its request did not crash the upstream. */
+/** Time from the first content of a response after which its request has outlived its start. */
 const OUTLIVED_MS = MS_PER_SECOND;
 
 /** Whether the upstream broke the attempt off, before or during its response. */
@@ -75,6 +80,8 @@
     dependencies;
   const { upstreamClient, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
+  upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
+  const company = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
   const abandonment = new AbortController();
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
   let firstByteMs = 0;
@@ -84,7 +91,7 @@
   let listener: AttemptListener | undefined;
 
   const hasContent = (): boolean => contentMs !== undefined;
-  const hasOutlived = (): boolean =>
+  const hasOutlivedStart = (): boolean =>
     contentMs !== undefined && clock.monotonic() - contentMs >= OUTLIVED_MS;
 
   const silenceTimer = newSilenceTimer(clock, (isFirstReport) => {
@@ -110,7 +117,6 @@
     silenceTimer.recordContent();
     if (isSilent) health.recordSilenceEnd(upstream.id, clock.monotonic());
     isSilent = false;
-    if (!hasContent()) quarantine.parts.recordSurvival(head.promptParts, clock.monotonic());
     contentMs ??= clock.monotonic();
     listener?.onContent();
   };
@@ -177,9 +183,25 @@
 
   /** Reports that the upstream broke the attempt off; returns the parts that may be the cause. */
   const reportLost = (): readonly string[] => {
-    const promptParts = hasContent() ? undefined : head.promptParts;
-    crashDetector.reportLost(upstream, { id: head.id, promptParts, digest: digest.get() });
-    return [...(promptParts ?? []), digest.get()];
+    crashDetector.reportLost(upstream, {
+      id: head.id,
+      promptParts: head.promptParts,
+      digest: digest.get(),
+      runMs: clock.monotonic() - sentMs,
+      company,
+      hasOutlivedStart: hasOutlivedStart(),
+    });
+    return [...head.promptParts, digest.get()];
+  };
+
+  /** Records that the upstream has answered as a whole, or that the caller left long after the start. */
+  const recordSurvival = ({ responseEnd }: AttemptReport): void => {
+    const nowMs = clock.monotonic();
+    const isAnswered = responseEnd !== undefined && isResponseComplete(responseEnd);
+    if (isAnswered) quarantine.parts.recordSurvival(head.promptParts, nowMs - sentMs, nowMs);
+    if (isAnswered || (attemptSignal.aborted && hasOutlivedStart())) {
+      quarantine.recordAnswer(digest, nowMs);
+    }
   };
 
   const run = async (): Promise<AttemptReport> => {
@@ -196,17 +218,14 @@
           })
         : getFailedOutcome(callResult);
     if (outcome.responseEnd !== undefined) metrics.countResponseEnd(outcome.responseEnd);
-    const { responseEnd } = outcome;
-    const isAnswered = responseEnd !== undefined && isResponseComplete(responseEnd);
-    if (isAnswered || hasOutlived()) quarantine.recordAnswer(digest, clock.monotonic());
+    recordSurvival(outcome);
     // An end that the gateway or the caller caused says nothing about the upstream's health.
     if (attemptSignal.aborted) return outcome;
     recordAttempt(callResult, outcome);
-    if (!isLost(callResult, outcome) || hasOutlived()) return outcome;
+    if (!isLost(callResult, outcome)) return outcome;
     return { ...outcome, suspectedParts: reportLost() };
   };
 
-  upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
   return {
     upstream,
     ended: run().finally(end),
--- a/anvilpaddle-app/gateway/partReport.ts
+++ b/anvilpaddle-app/gateway/partReport.ts
@@ -19,7 +19,18 @@
   typeof value === 'string' && value.length > 0 && value.length <= maxChars;
 
 const isCrash = (value: unknown): boolean =>
-  Array.isArray(value) && isText(value[0], MAX_UPSTREAM_CHARS) && Number.isFinite(value[1]);
+  Array.isArray(value) &&
+  isText(value[0], MAX_UPSTREAM_CHARS) &&
+  Number.isFinite(value[1]) &&
+  value.slice(2).every(isCount);
+
+/** Whether a value holds counts of losses; a gateway of an earlier version sends none. */
+const isLossCounts = (value: unknown): boolean =>
+  value === undefined ||
+  (isObject(value) &&
+    [value.losses, value.requests, value.runMs].every(
+      (count) => Number.isFinite(count) && Number(count) >= 0,
+    ));
 
 const isPartReport = (value: unknown): value is PartReport =>
   isObject(value) &&
@@ -30,6 +41,7 @@
   isObject(value.served) &&
   isCount(value.served.withPart) &&
   isCount(value.served.all) &&
+  isLossCounts(value.otherLosses) &&
   Array.isArray(value.crashes) &&
   value.crashes.length <= MAX_CRASHES &&
   value.crashes.every(isCrash);
--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -7,6 +7,9 @@
   readonly batch: number;
 }
 
+/** Requests and items together. */
+export const getTotalLoad = ({ online, batch }: UpstreamLoad): number => online + batch;
+
 /** Loads by upstream; idle upstreams may be missing. */
 export type Loads = ReadonlyMap<string, UpstreamLoad>;
 
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -1,6 +1,6 @@
 /** Choice of the upstream for an online request. */
 import type { Random } from '@anvilpaddle/common';
-import type { UpstreamLoad } from './loadTracker';
+import { getTotalLoad, type UpstreamLoad } from './loadTracker';
 
 /** An upstream that may be chosen for an online request. */
 export interface Candidate {
@@ -115,7 +115,7 @@
 
 /** Whether the upstream has a free slot and no limit. */
 const isFree = ({ load, slots, limitWaitMs }: Candidate): boolean =>
-  limitWaitMs === undefined && load.online + load.batch < slots;
+  limitWaitMs === undefined && getTotalLoad(load) < slots;
 
 /**
  * Candidates whose limits allow a request. What a limit allows is kept for times without free slots
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -2,12 +2,16 @@
 export const HARMFUL_LOSS_RATE = 0.5;
 /** Fraction of the crashes that a harmful part causes while it comes. */
 export const HARMFUL_PRESENCE = 0.9;
-/** Rate at which sound requests are taken to be lost with crashes of upstreams at least. */
+/** Probability with which a sound request is taken to be lost with a crash, and a sound part to be aboard, at least. */
 export const MIN_SOUND_LOSS_RATE = 0.03;
-/** Largest such rate that counts: at the rate of a harmful part, crashes would say nothing. */
+/** Largest such probability of a loss that counts: at that of a harmful part, crashes would say nothing. */
 export const MAX_SOUND_LOSS_RATE = 0.9 * HARMFUL_LOSS_RATE;
-/** Requests without content that are present at a crash, as a rule. */
-export const REQUESTS_AT_CRASH = 3;
+/** Requests at an upstream that crashed, if a report does not say how many there were. */
+export const DEFAULT_COMPANY = 3;
+/** Time for which a request ran, in milliseconds, if nothing says how long. */
+export const DEFAULT_RUN_MS = 300;
+/** Probability of a loss from which a crash long after the first content says nothing against a request. */
+export const MAX_TELLING_LOSS_RATE = 0.1;
 /** Odds, as a natural logarithm, at which a part is quarantined: one wrong in 30,000 parts. */
 export const QUARANTINE_EVIDENCE = Math.log(30_000);
 /** Odds below which a part is released again. */
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -1,18 +1,16 @@
 /**
- * Finds the parts of prompts that crash the upstreams that begin to answer them. A crash breaks off
- * all that runs at an upstream, so a part counts as harmful only once it was present, before any
- * content, at more crashes than sound requests are by chance, and when no other part explains them.
+ * Finds the parts of prompts that crash the upstreams that answer them, at whatever point of the answer. A
+ * crash breaks off all that runs at an upstream, so a part counts as harmful only once it was aboard at more
+ * crashes than sound requests of the same length are by chance, and when no other part explains them.
  */
 import {
   EXONERATION_EVIDENCE,
   MAX_EARLIER_SURVIVALS,
   MAX_OTHERS_REPORTED,
   MAX_RECENT_REPORTED,
-  MAX_SOUND_LOSS_RATE,
   MAX_SERVED_PARTS,
   MAX_SUSPECTS,
   MEMORY_MS,
-  MIN_SOUND_LOSS_RATE,
   MIN_SUSPECT_CRASHES,
   QUARANTINE_EVIDENCE,
   RECENT_CHANGE_MS,
@@ -20,21 +18,26 @@
   SUSPECT_EVIDENCE,
 } from './constants';
 import {
-  countSeparateCrashes,
-  getChancePresence,
   getEvidence,
+  getMaxEvidence,
+  getRunTimeShare,
+  getSeparateCrashes,
   RARE_PART_RATES,
-  type CrashTimes,
+  type Crash,
+  type Crashes,
 } from './crashEvidence';
-import { newSoundLossRate } from './soundLossRate';
+import { getLossRate, newSoundLossRate, type LossCounts } from './soundLossRate';
 import {
   addCrash,
   addPeerSurvivals,
   clearSuspect,
+  compareByCrashes,
   countSurvivals,
   getFullEvidence,
+  getLastCrashMs,
   getReport,
-  getServedCount,
+  getReportedCrash,
+  getServedTime,
   newSuspect,
   type Suspect,
 } from './suspect';
@@ -43,21 +46,31 @@
   type InputAssessment,
   type PartReport,
   type QuarantineChange,
-  type ServedCount,
+  type ServedTime,
   type SoundRates,
 } from './types';
 
+/** Prompt that was lost, and the crash from its point of view. */
+export interface LostPrompt {
+  readonly promptParts: readonly string[];
+  readonly crash: Crash;
+}
+
 /** Quarantine of one gateway; all times are monotonic milliseconds. */
 export interface PromptQuarantine {
-  /** Records that an upstream began to answer a request and did not crash. */
-  recordSurvival(promptParts: readonly string[], nowMs: number): void;
-  /** Records a request that was lost without content when its upstream crashed. */
-  recordCrash(upstream: string, promptParts: readonly string[], nowMs: number): void;
-  /** Records an item that was lost so: it confirms a suspicion of its parts, but raises none. */
-  recordLostItem(upstream: string, promptParts: readonly string[], nowMs: number): void;
+  /** Records that an upstream answered a request as a whole, in `runMs`. */
+  recordSurvival(promptParts: readonly string[], runMs: number, nowMs: number): void;
+  /** Records requests that were lost when their upstream crashed. */
+  recordCrash(upstream: string, lost: readonly LostPrompt[]): void;
+  /** Records items that were lost so: they confirm a suspicion of their parts, but raise none. */
+  recordLostItems(upstream: string, lost: readonly LostPrompt[]): void;
   assess(promptParts: readonly string[], nowMs: number): InputAssessment;
   /** Parts to report to the peers: those that changed lately, and the others in turn. */
   getReports(nowMs: number): PartReport[];
+  /** Reports of all suspects, those that were aboard at most crashes first. */
+  getCheckpoint(nowMs: number): PartReport[];
+  /** Whether a part was aboard at crashes of which nothing has cleared it. */
+  isSuspect(part: string): boolean;
   /** Adds what a peer knows. */
   updatePeer(peer: string, reports: readonly PartReport[], nowMs: number): void;
   /** Adds a quarantined part that was stored. */
@@ -66,8 +79,19 @@
 }
 
 const NONE_EXPLAINED: ReadonlySet<string> = new Set();
+/** Served requests with a part, and their run time in milliseconds. */
+interface Served {
+  readonly count: number;
+  readonly runMs: number;
+}
+
+const NOT_SERVED: Served = { count: 0, runMs: 0 };
 const CLEAR: InputAssessment = { state: PART_STATE.clear };
 
+/** Time of the last of some losses. */
+const getLatestMs = (lost: readonly LostPrompt[]): number =>
+  Math.max(...lost.map(({ crash }) => crash.atMs));
+
 /** Removes the keys that were set first until no more than `size` are left. */
 const removeOldest = (map: Map<string, unknown>, size: number): void => {
   const excess = map.size - size;
@@ -80,44 +104,56 @@
  */
 export const newPromptQuarantine = (
   onChange: (change: QuarantineChange) => void = () => undefined,
-  isExplained: (crashTimes: CrashTimes) => boolean = () => false,
+  isExplained: (crashes: Crashes) => boolean = () => false,
+  lossRate = newSoundLossRate(),
 ): PromptQuarantine => {
   const suspects = new Map<string, Suspect>();
-  /** Served requests by part, the parts that were served last at the end. */
-  const servedByPart = new Map<string, number>();
-  const lossRate = newSoundLossRate();
-  let servedCount = 0;
+  /** Served requests and their run time by part, the parts that were served last at the end. */
+  const servedByPart = new Map<string, Served>();
+  let servedMs = 0;
   let reportOffset = 0;
 
+  const getServed = (part: string): Served => servedByPart.get(part) ?? NOT_SERVED;
+
   const getOrAddSuspect = (part: string, position: number, nowMs: number): Suspect => {
     const known = suspects.get(part);
     if (known !== undefined) return known;
-    const earlierSurvivals = Math.min(MAX_EARLIER_SURVIVALS, servedByPart.get(part) ?? 0);
+    const earlierSurvivals = Math.min(MAX_EARLIER_SURVIVALS, getServed(part).count);
     const suspect = newSuspect(part, position, earlierSurvivals, nowMs);
     suspects.set(part, suspect);
     return suspect;
   };
 
-  /** Requests that this gateway has had served. */
-  const getOwnServed = (part: string): ServedCount => ({
-    withPart: servedByPart.get(part) ?? 0,
-    all: servedCount,
+  /** Run time of the requests that this gateway has had served. */
+  const getOwnServed = (part: string): ServedTime => ({
+    withPart: getServed(part).runMs,
+    all: servedMs,
+  });
+
+  /** Losses without those of crashes that the part would explain: they say nothing of sound requests. */
+  const getOwnLosses = ({ crashes }: Suspect, nowMs: number): LossCounts =>
+    lossRate.getCounts(crashes.keys(), nowMs);
+
+  /** Report for peers and the store. */
+  const getOwnReport = (suspect: Suspect, nowMs: number): PartReport => ({
+    ...getReport(suspect, getOwnServed(suspect.part), nowMs),
+    otherLosses: getOwnLosses(suspect, nowMs),
   });
 
   /** Rates by which a part is judged; a part that a gateway has judged harmful counts as rare. */
   const getSoundRates = (suspect: Suspect, nowMs: number): SoundRates => {
     if (suspect.isQuarantined || suspect.isClaimed) return RARE_PART_RATES;
-    const served = getServedCount(suspect, getOwnServed(suspect.part));
+    const served = getServedTime(suspect, getOwnServed(suspect.part));
     return {
-      loss: Math.min(MAX_SOUND_LOSS_RATE, lossRate.getRate(suspect.ownLosses, nowMs)),
-      presence: Math.max(MIN_SOUND_LOSS_RATE, getChancePresence(served)),
+      loss: getLossRate([getOwnLosses(suspect, nowMs), ...suspect.peerLosses.values()]),
+      share: getRunTimeShare(served),
     };
   };
 
   /** Odds that a part is harmful, without the crashes that other parts explain. */
   const getOdds = (suspect: Suspect, explained: ReadonlySet<string>, nowMs: number): number => {
-    const hasOtherCause = isExplained(suspect.crashTimes);
-    const crashes = hasOtherCause ? 0 : countSeparateCrashes(suspect.crashTimes, explained);
+    const hasOtherCause = isExplained(suspect.crashes);
+    const crashes = hasOtherCause ? [] : getSeparateCrashes(suspect.crashes, explained);
     return getEvidence(crashes, countSurvivals(suspect), getSoundRates(suspect, nowMs));
   };
 
@@ -128,7 +164,7 @@
     if (isQuarantined === record.isQuarantined) return;
     record.isQuarantined = isQuarantined;
     record.changedMs = nowMs;
-    onChange({ report: getReport(record, getOwnServed(record.part), nowMs), soundRates });
+    onChange({ report: getOwnReport(record, nowMs), soundRates });
   };
 
   /** Forgets suspects that are long unused, and beyond the largest number the least used ones. */
@@ -144,17 +180,22 @@
       .forEach(({ part }) => suspects.delete(part));
   };
 
+  /** Whether what is known of a part is enough for a quarantine, or may end one. */
+  const canChange = (suspect: Suspect): boolean =>
+    suspect.isQuarantined ||
+    getMaxEvidence(suspect.crashes.size, countSurvivals(suspect)) >= QUARANTINE_EVIDENCE;
+
   /** Decides on all suspects, the strongest first: a crash that it explains speaks against no other. */
   const decideAll = (nowMs: number): void => {
     const explained = new Set<string>();
     [...suspects.values()]
-      .filter(({ crashTimes }) => crashTimes.size >= MIN_SUSPECT_CRASHES)
+      .filter(canChange)
       .map((suspect) => ({ suspect, evidence: getFullEvidence(suspect) }))
       .sort((a, b) => b.evidence - a.evidence || b.suspect.position - a.suspect.position)
       .forEach(({ suspect }) => {
         decide(suspect, explained, nowMs);
         if (!suspect.isQuarantined) return;
-        [...suspect.crashTimes.keys()].forEach((upstream) => explained.add(upstream));
+        [...suspect.crashes.keys()].forEach((upstream) => explained.add(upstream));
       });
     forget(nowMs);
   };
@@ -163,16 +204,16 @@
   const review = (survived: readonly Suspect[], nowMs: number): void => {
     if (survived.some(({ isQuarantined }) => isQuarantined)) decideAll(nowMs);
     survived
-      .filter(({ isQuarantined, crashTimes }) => !isQuarantined && crashTimes.size > 0)
+      .filter(({ isQuarantined, crashes }) => !isQuarantined && crashes.size > 0)
       .filter((suspect) => getOdds(suspect, NONE_EXPLAINED, nowMs) < EXONERATION_EVIDENCE)
       .forEach((suspect) => clearSuspect(suspect, nowMs));
   };
 
   const assessPart = (part: string, nowMs: number): InputAssessment => {
     const record = suspects.get(part);
-    if (record === undefined || record.crashTimes.size === 0) return CLEAR;
-    const crashes = countSeparateCrashes(record.crashTimes);
-    const ageMs = nowMs - Math.max(...record.crashTimes.values());
+    if (record === undefined || record.crashes.size === 0) return CLEAR;
+    const crashes = getSeparateCrashes(record.crashes).length;
+    const ageMs = nowMs - getLastCrashMs(record);
     if (record.isQuarantined) {
       record.usedMs = nowMs;
       return { state: PART_STATE.quarantined, part, crashes, ageMs };
@@ -187,8 +228,8 @@
     const recent = report.crashes.filter(([, ageMs]) => report.isQuarantined || ageMs < MEMORY_MS);
     if (recent.length === 0) return false;
     const record = getOrAddSuspect(report.part, report.position, nowMs);
-    const added = recent.filter(([upstream, ageMs]) =>
-      addCrash(record, upstream, nowMs - Math.max(0, ageMs), nowMs),
+    const added = recent.filter((crash) =>
+      addCrash(record, crash[0], getReportedCrash(crash, nowMs), nowMs),
     );
     const isNewClaim = report.isQuarantined && !record.isClaimed;
     record.isClaimed ||= report.isQuarantined;
@@ -196,18 +237,22 @@
   };
 
   /** The part of a report if the peer has more survivals of it. */
-  const addSurvivalsOfPeer = (peer: string, { part, survivals, served }: PartReport): Suspect[] => {
+  const addSurvivalsOfPeer = (
+    peer: string,
+    { part, survivals, served, otherLosses }: PartReport,
+  ): Suspect[] => {
     const suspect = suspects.get(part);
     suspect?.peerServed.set(peer, served);
+    if (otherLosses !== undefined) suspect?.peerLosses.set(peer, otherLosses);
     const isNew = suspect !== undefined && addPeerSurvivals(suspect, peer, survivals);
     return isNew ? [suspect] : [];
   };
 
   /** Counts a survival of a part; the part if it is a suspect. */
-  const addSurvival = (part: string): Suspect[] => {
-    const survivals = servedByPart.get(part) ?? 0;
+  const addSurvival = (part: string, runMs: number): Suspect[] => {
+    const served = getServed(part);
     servedByPart.delete(part);
-    servedByPart.set(part, survivals + 1);
+    servedByPart.set(part, { count: served.count + 1, runMs: served.runMs + runMs });
     const record = suspects.get(part);
     if (record === undefined) return [];
     record.survivals += 1;
@@ -215,27 +260,31 @@
   };
 
   return {
-    recordSurvival: (promptParts, nowMs) => {
-      lossRate.recordSurvival(nowMs);
-      servedCount += 1;
-      review(promptParts.flatMap(addSurvival), nowMs);
+    recordSurvival: (promptParts, runMs, nowMs) => {
+      lossRate.recordSurvival(runMs, nowMs);
+      servedMs += runMs;
+      const survived = promptParts.flatMap((part) => addSurvival(part, runMs));
+      review(survived, nowMs);
       removeOldest(servedByPart, MAX_SERVED_PARTS);
     },
-    recordCrash: (upstream, promptParts, nowMs) => {
-      lossRate.recordLoss(nowMs);
-      promptParts.forEach((part, position) => {
-        const record = getOrAddSuspect(part, position, nowMs);
-        record.ownLosses += 1;
-        addCrash(record, upstream, nowMs, nowMs);
+    recordCrash: (upstream, lost) => {
+      lost.forEach(({ promptParts, crash }) => {
+        lossRate.recordLoss(upstream, crash.runMs, crash.atMs);
+        promptParts.forEach((part, position) =>
+          addCrash(getOrAddSuspect(part, position, crash.atMs), upstream, crash, crash.atMs),
+        );
       });
-      decideAll(nowMs);
+      if (lost.length > 0) decideAll(getLatestMs(lost));
     },
-    recordLostItem: (upstream, promptParts, nowMs) => {
-      const known = promptParts.flatMap((part) => suspects.get(part) ?? []);
-      known
-        .filter(({ crashTimes }) => crashTimes.size > 0)
-        .forEach((suspect) => addCrash(suspect, upstream, nowMs, nowMs));
-      if (known.length > 0) decideAll(nowMs);
+    recordLostItems: (upstream, lost) => {
+      const isNews = lost.map(({ promptParts, crash }) =>
+        promptParts
+          .flatMap((part) => suspects.get(part) ?? [])
+          .filter(({ crashes }) => crashes.size > 0)
+          .map((suspect) => addCrash(suspect, upstream, crash, crash.atMs))
+          .includes(true),
+      );
+      if (isNews.includes(true)) decideAll(getLatestMs(lost));
     },
     assess: (promptParts, nowMs) => {
       if (suspects.size === 0) return CLEAR;
@@ -248,19 +297,25 @@
     },
     getReports: (nowMs) => {
       if (suspects.size === 0) return [];
-      const byChange = [...suspects.values()]
-        .filter(({ crashTimes }) => crashTimes.size > 0)
-        .sort((a, b) => b.changedMs - a.changedMs);
-      const recent = byChange
+      const reported = [...suspects.values()].filter(({ crashes }) => crashes.size > 0);
+      // Many parts are aboard at a crash; the harmful one is aboard at most of them.
+      const recent = reported
         .filter(({ changedMs }) => nowMs - changedMs <= RECENT_CHANGE_MS)
+        .sort(compareByCrashes)
         .slice(0, MAX_RECENT_REPORTED);
-      const others = byChange.slice(recent.length);
+      const others = reported.filter((suspect) => !recent.includes(suspect));
       const start = others.length === 0 ? 0 : reportOffset % others.length;
       reportOffset = start + MAX_OTHERS_REPORTED;
       return [...recent, ...others.slice(start, start + MAX_OTHERS_REPORTED)].map((suspect) =>
-        getReport(suspect, getOwnServed(suspect.part), nowMs),
+        getOwnReport(suspect, nowMs),
       );
     },
+    getCheckpoint: (nowMs) =>
+      [...suspects.values()]
+        .filter(({ crashes }) => crashes.size > 0)
+        .sort(compareByCrashes)
+        .map((suspect) => getOwnReport(suspect, nowMs)),
+    isSuspect: (part) => (suspects.get(part)?.crashes.size ?? 0) > 0,
     updatePeer: (peer, reports, nowMs) => {
       const isNew = reports.map((report) => addReport(report, nowMs));
       const survived = reports.flatMap((report) => addSurvivalsOfPeer(peer, report));
--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -11,14 +11,17 @@
   QUARANTINE_CRASHES,
   RECENT_CHANGE_MS,
 } from './constants';
-import type { CrashTimes } from './crashEvidence';
+import type { Crash, Crashes } from './crashEvidence';
 import { getOutline } from './requestDigest';
 import {
   addCrash,
   addPeerSurvivals,
   clearSuspect,
+  compareByCrashes,
   countSurvivals,
+  getLastCrashMs,
   getReport,
+  getReportedCrash,
   newSuspect,
   type Suspect,
 } from './suspect';
@@ -27,7 +30,7 @@
   type InputAssessment,
   type PartReport,
   type QuarantineChange,
-  type ServedCount,
+  type ServedTime,
 } from './types';
 
 /** Quarantine of requests at one gateway, by their digests; all times are monotonic milliseconds. */
@@ -37,12 +40,18 @@
   /** Records that an upstream has answered a request. */
   recordAnswer(digest: string, nowMs: number): void;
   /** Records a request that was lost when its upstream crashed. */
-  recordCrash(upstream: string, digest: string, nowMs: number): void;
+  recordCrash(upstream: string, digest: string, crash: Crash): void;
   assess(digest: string, nowMs: number): InputAssessment;
+  /** Upstreams that crashed with the request aboard. */
+  getCrashedUpstreams(digest: string): readonly string[];
   /** Whether one quarantined request was aboard at all of these crashes. */
-  explains(crashTimes: CrashTimes): boolean;
+  explains(crashes: Crashes): boolean;
   /** Requests to report to the peers: those that changed lately, and other suspects in turn. */
   getReports(nowMs: number): PartReport[];
+  /** Reports of all suspects, those that were aboard at most crashes first. */
+  getCheckpoint(nowMs: number): PartReport[];
+  /** Whether a request was aboard at crashes that no answer makes up for. */
+  isSuspect(digest: string): boolean;
   /** Adds what a peer knows. */
   updatePeer(peer: string, reports: readonly PartReport[], nowMs: number): void;
   /** Adds a quarantined request that was stored. */
@@ -52,11 +61,11 @@
 
 const CLEAR: InputAssessment = { state: PART_STATE.clear };
 /** How often requests are served says nothing here. */
-const NOT_COUNTED: ServedCount = { withPart: 0, all: 0 };
+const NOT_COUNTED: ServedTime = { withPart: 0, all: 0 };
 
 /** Crashes that no answer makes up for. */
 const countOpenCrashes = (suspect: Suspect): number =>
-  suspect.crashTimes.size - countSurvivals(suspect);
+  suspect.crashes.size - countSurvivals(suspect);
 
 /** Creates a quarantine without suspects; `onChange` is called when a request enters or leaves it. */
 export const newRequestQuarantine = (
@@ -96,17 +105,13 @@
   };
 
   /** Adds a crash; the first one after answers have made up for all others counts alone. */
-  const addOpenCrash = (
-    suspect: Suspect,
-    upstream: string,
-    crash: { readonly atMs: number; readonly nowMs: number },
-  ): void => {
-    const { crashTimes } = suspect;
-    const isNew = !crashTimes.has(upstream) && crash.atMs >= suspect.sinceMs;
-    if (isNew && crashTimes.size > 0 && countOpenCrashes(suspect) <= 0) {
+  const addOpenCrash = (suspect: Suspect, upstream: string, crash: Crash, nowMs: number): void => {
+    const { crashes } = suspect;
+    const isNew = !crashes.has(upstream) && crash.atMs >= suspect.sinceMs;
+    if (isNew && crashes.size > 0 && countOpenCrashes(suspect) <= 0) {
       clearSuspect(suspect, crash.atMs);
     }
-    addCrash(suspect, upstream, crash.atMs, crash.nowMs);
+    addCrash(suspect, upstream, crash, nowMs);
   };
 
   const decide = (record: Suspect, nowMs: number): void => {
@@ -123,8 +128,8 @@
     const recent = report.crashes.filter(([, ageMs]) => report.isQuarantined || ageMs < MEMORY_MS);
     if (recent.length === 0) return;
     const suspect = getOrAddSuspect(report.part, nowMs);
-    recent.forEach(([upstream, ageMs]) =>
-      addOpenCrash(suspect, upstream, { atMs: nowMs - Math.max(0, ageMs), nowMs }),
+    recent.forEach((crash) =>
+      addOpenCrash(suspect, crash[0], getReportedCrash(crash, nowMs), nowMs),
     );
   };
 
@@ -138,34 +143,35 @@
       suspect.changedMs = nowMs;
       decide(suspect, nowMs);
     },
-    recordCrash: (upstream, digest, nowMs) => {
-      const suspect = getOrAddSuspect(digest, nowMs);
-      addOpenCrash(suspect, upstream, { atMs: nowMs, nowMs });
-      decide(suspect, nowMs);
+    recordCrash: (upstream, digest, crash) => {
+      const suspect = getOrAddSuspect(digest, crash.atMs);
+      addOpenCrash(suspect, upstream, crash, crash.atMs);
+      decide(suspect, crash.atMs);
     },
     assess: (digest, nowMs) => {
       const suspect = suspects.get(digest);
       const crashes = suspect === undefined ? 0 : countOpenCrashes(suspect);
       if (suspect === undefined || crashes < MIN_SUSPECT_CRASHES) return CLEAR;
-      const { isQuarantined, crashTimes } = suspect;
+      const { isQuarantined } = suspect;
       if (isQuarantined) suspect.usedMs = nowMs;
       return {
         state: isQuarantined ? PART_STATE.quarantined : PART_STATE.suspect,
         part: digest,
         crashes,
-        ageMs: nowMs - Math.max(...crashTimes.values()),
+        ageMs: nowMs - getLastCrashMs(suspect),
       };
     },
-    explains: (crashTimes) =>
-      crashTimes.size > 0 &&
+    getCrashedUpstreams: (digest) => [...(suspects.get(digest)?.crashes.keys() ?? [])],
+    explains: (crashes) =>
+      crashes.size > 0 &&
       [...quarantined].some((request) =>
-        [...crashTimes.keys()].every((upstream) => request.crashTimes.has(upstream)),
+        [...crashes.keys()].every((upstream) => request.crashes.has(upstream)),
       ),
     getReports: (nowMs) => {
-      const reported = [...suspects.values()].filter(({ crashTimes }) => crashTimes.size > 0);
+      const reported = [...suspects.values()].filter(({ crashes }) => crashes.size > 0);
       const recent = reported
         .filter(({ changedMs }) => nowMs - changedMs <= RECENT_CHANGE_MS)
-        .sort((a, b) => b.crashTimes.size - a.crashTimes.size || b.changedMs - a.changedMs)
+        .sort(compareByCrashes)
         .slice(0, MAX_REQUESTS_REPORTED);
       const others = reported.filter(
         (suspect) => countOpenCrashes(suspect) >= MIN_SUSPECT_CRASHES && !recent.includes(suspect),
@@ -176,11 +182,20 @@
         getReport(suspect, NOT_COUNTED, nowMs),
       );
     },
+    getCheckpoint: (nowMs) =>
+      [...suspects.values()]
+        .filter((suspect) => countOpenCrashes(suspect) > 0)
+        .sort(compareByCrashes)
+        .map((suspect) => getReport(suspect, NOT_COUNTED, nowMs)),
+    isSuspect: (digest) => {
+      const suspect = suspects.get(digest);
+      return suspect !== undefined && countOpenCrashes(suspect) > 0;
+    },
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach((report) => {
         addReport(report, nowMs);
         const suspect = suspects.get(report.part);
-        if (suspect === undefined || suspect.crashTimes.size === 0) return;
+        if (suspect === undefined || suspect.crashes.size === 0) return;
         addPeerSurvivals(suspect, peer, report.survivals);
         decide(suspect, nowMs);
       }),
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -1,7 +1,8 @@
 /** A part of the input that was present at a crash, with what speaks for and against it. */
-import { MAX_CRASHES_PER_PART } from './constants';
-import { countSeparateCrashes, getEvidence, RARE_PART_RATES } from './crashEvidence';
-import type { PartReport, ServedCount } from './types';
+import { DEFAULT_COMPANY, DEFAULT_RUN_MS, MAX_CRASHES_PER_PART } from './constants';
+import { getEvidence, getSeparateCrashes, RARE_PART_RATES, type Crash } from './crashEvidence';
+import type { LossCounts } from './soundLossRate';
+import type { CrashReport, PartReport, ServedTime } from './types';
 
 /** Survivals that a peer has reported. */
 interface PeerSurvivals {
@@ -15,19 +16,19 @@
   readonly part: string;
   /** Position of the part in its prompts. */
   readonly position: number;
-  /** Times of the crashes by upstream. */
-  readonly crashTimes: Map<string, number>;
+  /** Crashes at which the part was aboard, by upstream. */
+  readonly crashes: Map<string, Crash>;
   /** Survivals from before the first crash that count. */
   readonly earlierSurvivals: number;
-  /** Requests of this gateway with the part that upstreams began to answer without crashing. */
+  /** Requests of this gateway with the part that upstreams answered as a whole. */
   survivals: number;
   readonly peerSurvivals: Map<string, PeerSurvivals>;
-  /** Served requests of the peers. */
-  readonly peerServed: Map<string, ServedCount>;
+  /** Run time of the peers' served requests. */
+  readonly peerServed: Map<string, ServedTime>;
+  /** Losses of the peers that the part would not explain. */
+  readonly peerLosses: Map<string, LossCounts>;
   /** Crashes from before this time no longer count: the part was cleared of them. */
   sinceMs: number;
-  /** Losses of this gateway's own requests, which the part would explain. */
-  ownLosses: number;
   isQuarantined: boolean;
   /** Whether a peer has found the part harmful. */
   isClaimed: boolean;
@@ -46,13 +47,13 @@
 ): Suspect => ({
   part,
   position,
-  crashTimes: new Map(),
+  crashes: new Map(),
   earlierSurvivals,
   survivals: 0,
   peerSurvivals: new Map(),
   peerServed: new Map(),
+  peerLosses: new Map(),
   sinceMs: -Infinity,
-  ownLosses: 0,
   isQuarantined: false,
   isClaimed: false,
   changedMs: nowMs,
@@ -63,13 +64,13 @@
 export const addCrash = (
   record: Suspect,
   upstream: string,
-  atMs: number,
+  crash: Crash,
   nowMs: number,
 ): boolean => {
-  const { crashTimes } = record;
-  if (atMs < record.sinceMs) return false;
-  if (crashTimes.has(upstream) || crashTimes.size >= MAX_CRASHES_PER_PART) return false;
-  crashTimes.set(upstream, atMs);
+  const { crashes } = record;
+  if (crash.atMs < record.sinceMs) return false;
+  if (crashes.has(upstream) || crashes.size >= MAX_CRASHES_PER_PART) return false;
+  crashes.set(upstream, crash);
   record.changedMs = nowMs;
   record.usedMs = nowMs;
   return true;
@@ -87,9 +88,8 @@
 
 /** Clears a part of its crashes; evidence against it starts anew. */
 export const clearSuspect = (record: Suspect, nowMs: number): void => {
-  record.crashTimes.clear();
+  record.crashes.clear();
   record.survivals = 0;
-  record.ownLosses = 0;
   record.isClaimed = false;
   record.sinceMs = nowMs;
   record.peerSurvivals.forEach(({ reported }, peer) =>
@@ -106,21 +106,40 @@
 
 /** Evidence against a part if all its crashes count and nothing else explains them. */
 export const getFullEvidence = (suspect: Suspect): number =>
-  getEvidence(countSeparateCrashes(suspect.crashTimes), countSurvivals(suspect), RARE_PART_RATES);
+  getEvidence(getSeparateCrashes(suspect.crashes), countSurvivals(suspect), RARE_PART_RATES);
 
-/** Served requests of all gateways, from this gateway's own and its peers'. */
-export const getServedCount = ({ peerServed }: Suspect, own: ServedCount): ServedCount =>
+/** Run time of all gateways' served requests, from this gateway's own and its peers'. */
+export const getServedTime = ({ peerServed }: Suspect, own: ServedTime): ServedTime =>
   [...peerServed.values()].reduce(
     (total, { withPart, all }) => ({ withPart: total.withPart + withPart, all: total.all + all }),
     own,
   );
 
+/** Orders suspects by crashes, most first; of equal ones, the one that changed last comes first. */
+export const compareByCrashes = (a: Suspect, b: Suspect): number =>
+  b.crashes.size - a.crashes.size || b.changedMs - a.changedMs;
+
+/** Time of the last crash at which a part was aboard. */
+export const getLastCrashMs = ({ crashes }: Suspect): number =>
+  Math.max(...[...crashes.values()].map(({ atMs }) => atMs));
+
+/** Crash from a report; one of an earlier version has neither run time nor company. */
+export const getReportedCrash = (
+  [, ageMs, runMs = DEFAULT_RUN_MS, company = DEFAULT_COMPANY]: CrashReport,
+  nowMs: number,
+): Crash => ({ atMs: nowMs - Math.max(0, ageMs), runMs, company });
+
 /** Report of a suspect to peers and the store. */
-export const getReport = (suspect: Suspect, served: ServedCount, nowMs: number): PartReport => ({
+export const getReport = (suspect: Suspect, served: ServedTime, nowMs: number): PartReport => ({
   part: suspect.part,
   position: suspect.position,
   isQuarantined: suspect.isQuarantined,
   survivals: suspect.survivals,
-  served,
-  crashes: [...suspect.crashTimes].map(([upstream, atMs]) => [upstream, Math.round(nowMs - atMs)]),
+  served: { withPart: Math.round(served.withPart), all: Math.round(served.all) },
+  crashes: [...suspect.crashes].map(([upstream, { atMs, runMs, company }]) => [
+    upstream,
+    Math.round(nowMs - atMs),
+    Math.round(runMs),
+    company,
+  ]),
 });
--- a/packages/decisions/quarantine/tests/crashSimulation.ts
+++ b/packages/decisions/quarantine/tests/crashSimulation.ts
@@ -4,11 +4,6 @@
 import { PART_STATE } from '../types';
 
 const TICK_MS = 10;
-/** Time from a request to its first content, and to its end. */
-const CONTENT_MS = 60;
-const DURATION_MS = 700;
-/** Time from a harmful request to the crash. */
-const CRASH_DELAY_MS = 150;
 const RESTART_MS = 3200;
 const GOSSIP_MS = 50;
 /** Time before the first harmful request. */
@@ -23,7 +18,12 @@
   readonly durationMs: number;
   readonly soundPerSecond: number;
   readonly subjects: number;
+  /** Time that an answer takes, and that of one in ten. */
+  readonly answerMs: number;
+  readonly longAnswerMs: number;
   readonly harmfulPerSecond: number;
+  /** Time from a harmful request to the crash. */
+  readonly crashDelayMs: number;
   /** Probability that a harmful request crashes its upstream. */
   readonly crashProbability: number;
   /** Crashes of single upstreams for other reasons, per second over all upstreams. */
@@ -45,8 +45,9 @@
   readonly gateway: PromptQuarantine;
   readonly parts: readonly string[];
   readonly startedMs: number;
+  /** End of the answer, if nothing crashes. */
+  readonly endsAtMs: number;
   readonly crashesAtMs: number;
-  hasContent: boolean;
 }
 
 interface SimulatedUpstream {
@@ -75,8 +76,18 @@
 
   const crash = (upstream: SimulatedUpstream, nowMs: number): void => {
     const name = `${upstreams.indexOf(upstream)}/${upstream.incarnation}`;
-    const lost = upstream.runs.filter(({ hasContent }) => !hasContent);
-    lost.forEach(({ gateway, parts }) => gateway.recordCrash(name, parts, nowMs));
+    const company = upstream.runs.length;
+    gateways.forEach((gateway) =>
+      gateway.recordCrash(
+        name,
+        upstream.runs
+          .filter((run) => run.gateway === gateway)
+          .map(({ parts, startedMs }) => ({
+            promptParts: parts,
+            crash: { atMs: nowMs, runMs: nowMs - startedMs, company },
+          })),
+      ),
+    );
     result.crashes += 1;
     if (upstream.runs.some(({ parts }) => parts.includes(HARMFUL_PART))) {
       harmfulCrashesMs.push(nowMs);
@@ -90,7 +101,10 @@
 
   const send = (isHarmful: boolean, nowMs: number): void => {
     const subject = `subject-${Math.floor(random() ** 2 * scenario.subjects)}`;
-    const parts = isHarmful ? ['system', subject, HARMFUL_PART] : ['system', subject];
+    const isLong = random() < 0.1;
+    const endsAtMs = nowMs + (isLong ? scenario.longAnswerMs : scenario.answerMs);
+    const soundParts = ['system', isLong ? `long-${subject}` : subject];
+    const parts = isHarmful ? [...soundParts, HARMFUL_PART] : soundParts;
     const gateway = pick(gateways);
     const upstream = pick(upstreams.filter(({ upAtMs }) => upAtMs <= nowMs));
     if (!isHarmful) result.soundSent += 1;
@@ -100,8 +114,8 @@
       return;
     }
     const willCrash = isHarmful && random() < scenario.crashProbability;
-    const crashesAtMs = willCrash ? nowMs + CRASH_DELAY_MS : Infinity;
-    upstream.runs.push({ gateway, parts, startedMs: nowMs, crashesAtMs, hasContent: false });
+    const crashesAtMs = willCrash ? nowMs + scenario.crashDelayMs : Infinity;
+    upstream.runs.push({ gateway, parts, startedMs: nowMs, endsAtMs, crashesAtMs });
     if (!isHarmful) return;
     result.harmfulArrivals += 1;
     const knownByMs = (harmfulCrashesMs[FREE_CRASHES - 1] ?? Infinity) + CONTACT_MS;
@@ -109,19 +123,17 @@
   };
 
   const advance = (upstream: SimulatedUpstream, nowMs: number): void => {
+    const isEnded = ({ endsAtMs, crashesAtMs }: Run): boolean =>
+      crashesAtMs === Infinity && endsAtMs <= nowMs;
     upstream.runs
-      .filter((run) => !run.hasContent && run.crashesAtMs === Infinity)
-      .filter(({ startedMs }) => nowMs - startedMs >= CONTENT_MS)
-      .forEach((record) => {
-        Object.assign(record, { hasContent: true });
-        record.gateway.recordSurvival(record.parts, nowMs);
-      });
+      .filter(isEnded)
+      .forEach(({ gateway, parts, startedMs }) =>
+        gateway.recordSurvival(parts, nowMs - startedMs, nowMs),
+      );
+    Object.assign(upstream, { runs: upstream.runs.filter((run) => !isEnded(run)) });
     const isCrashing = upstream.runs.some(({ crashesAtMs }) => crashesAtMs <= nowMs);
     const otherRate = (scenario.otherCrashesPerSecond * TICK_MS) / 1000 / scenario.upstreams;
     if (isCrashing || (upstream.upAtMs <= nowMs && random() < otherRate)) crash(upstream, nowMs);
-    Object.assign(upstream, {
-      runs: upstream.runs.filter(({ startedMs }) => nowMs - startedMs < DURATION_MS),
-    });
   };
 
   const gossip = (nowMs: number): void =>
--- a/packages/decisions/quarantine/tests/promptQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/promptQuarantine.test.ts
@@ -1,6 +1,6 @@
 import { newSeededRandom } from '@anvilpaddle/common';
 import { MAX_SUSPECTS } from '../constants';
-import { newPromptQuarantine, type PromptQuarantine } from '../promptQuarantine';
+import { newPromptQuarantine, type LostPrompt, type PromptQuarantine } from '../promptQuarantine';
 import { PART_STATE, type PartReport } from '../types';
 import { simulate, type Scenario } from './crashSimulation';
 
@@ -10,7 +10,10 @@
   durationMs: 30_000,
   soundPerSecond: 40,
   subjects: 300,
+  answerMs: 700,
+  longAnswerMs: 700,
   harmfulPerSecond: 0,
+  crashDelayMs: 150,
   crashProbability: 1,
   otherCrashesPerSecond: 0,
 };
@@ -18,6 +21,12 @@
 const LATE_ARRIVALS = 3;
 /** Time between two crashes, longer than that within which they have a common cause. */
 const GAP_MS = 1000;
+/** Time for which a request runs. */
+const RUN_MS = 300;
+
+const newLost = (promptParts: readonly string[], atMs: number): LostPrompt[] => [
+  { promptParts, crash: { atMs, runMs: RUN_MS, company: 3 } },
+];
 
 const runAll = (scenario: Partial<Scenario>) =>
   SEEDS.map((seed) => simulate({ ...CALM, ...scenario }, newSeededRandom(seed)));
@@ -30,13 +39,15 @@
   fromMs = 0,
 ): void =>
   Array.from({ length: count }, (_, index) => fromMs + index * GAP_MS).forEach((atMs) =>
-    quarantine.recordCrash(`upstream-${atMs}`, parts, atMs),
+    quarantine.recordCrash(`upstream-${atMs}`, newLost(parts, atMs)),
   );
 
 /** Quarantine of a gateway that has served requests with other parts. */
 const newUsedQuarantine = (): PromptQuarantine => {
   const quarantine = newPromptQuarantine();
-  Array.from({ length: 100 }, (_, index) => quarantine.recordSurvival([`served-${index}`], 0));
+  Array.from({ length: 100 }, (_, index) =>
+    quarantine.recordSurvival([`served-${index}`], RUN_MS, 0),
+  );
   return quarantine;
 };
 
@@ -48,7 +59,7 @@
   position: 1,
   isQuarantined,
   survivals: 0,
-  served: { withPart: 0, all: 100 },
+  served: { withPart: 0, all: 100 * RUN_MS },
   crashes: Array.from({ length: crashes }, (_, index) => [`u${index}`, index * GAP_MS] as const),
 });
 
@@ -59,6 +70,29 @@
     ['and crashes four times in five', { harmfulPerSecond: 4, crashProbability: 0.8 }],
     ['beside other crashes', { harmfulPerSecond: 2, otherCrashesPerSecond: 0.5 }],
     ['with little other traffic', { harmfulPerSecond: 2, soundPerSecond: 3 }],
+    ['and crashes just before the end', { harmfulPerSecond: 2, crashDelayMs: 690 }],
+    [
+      'and crashes late in long answers',
+      {
+        harmfulPerSecond: 0.5,
+        crashDelayMs: 4000,
+        answerMs: 4000,
+        longAnswerMs: 4000,
+        soundPerSecond: 20,
+        durationMs: 60_000,
+      },
+    ],
+    [
+      'and crashes midway beside other crashes',
+      {
+        harmfulPerSecond: 1,
+        crashDelayMs: 1500,
+        answerMs: 2000,
+        longAnswerMs: 8000,
+        soundPerSecond: 20,
+        otherCrashesPerSecond: 0.2,
+      },
+    ],
   ])('keeps out a harmful part that comes %s, and no sound request', (_, scenario) => {
     const results = runAll(scenario);
     expect(Math.max(...results.map(({ lateArrivals }) => lateArrivals))).toBeLessThanOrEqual(
@@ -72,6 +106,21 @@
     ['of most upstreams again and again', { otherCrashesPerSecond: 3 }],
     ['with few subjects', { otherCrashesPerSecond: 2, subjects: 5 }],
     ['with little traffic', { otherCrashesPerSecond: 1, soundPerSecond: 4 }],
+    ['under long answers', { otherCrashesPerSecond: 0.8, answerMs: 700, longAnswerMs: 8000 }],
+    [
+      'under long answers of few subjects',
+      {
+        otherCrashesPerSecond: 0.8,
+        subjects: 5,
+        answerMs: 2000,
+        longAnswerMs: 8000,
+        soundPerSecond: 10,
+      },
+    ],
+    [
+      'under nothing but long answers',
+      { otherCrashesPerSecond: 1, answerMs: 6000, longAnswerMs: 12_000, soundPerSecond: 8 },
+    ],
   ])('refuses nothing for crashes %s without a harmful part', (_, scenario) => {
     const results = runAll({ ...scenario, durationMs: 60_000 });
     expect(results.every(({ crashes }) => crashes > 20)).toBe(true);
@@ -99,7 +148,7 @@
   it('counts crashes of many upstreams at one moment once', () => {
     const quarantine = newUsedQuarantine();
     Array.from({ length: 8 }, (_, index) =>
-      quarantine.recordCrash(`upstream-${index}`, ['part'], 100 + index * 5),
+      quarantine.recordCrash(`upstream-${index}`, newLost(['part'], 100 + index * 5)),
     );
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
   });
@@ -107,7 +156,7 @@
   it('takes the part, not another that is present each time but is served elsewhere', () => {
     const quarantine = newUsedQuarantine();
     crash(quarantine, ['neighbour', 'part'], 4);
-    quarantine.recordSurvival(['neighbour'], 10_000);
+    quarantine.recordSurvival(['neighbour'], RUN_MS, 10_000);
     expect(getState(quarantine, ['neighbour'])).not.toBe(PART_STATE.quarantined);
     expect(getState(quarantine, ['neighbour', 'part'])).toBe(PART_STATE.quarantined);
   });
@@ -130,24 +179,24 @@
   it('needs more crashes where sound requests are lost often', () => {
     const quarantine = newUsedQuarantine();
     Array.from({ length: 40 }, (_, index) =>
-      quarantine.recordCrash(`other-${index}`, [`sound-${index}`], index),
+      quarantine.recordCrash(`other-${index}`, newLost([`sound-${index}`], index)),
     );
-    Array.from({ length: 60 }, () => quarantine.recordSurvival([], 50));
+    Array.from({ length: 60 }, () => quarantine.recordSurvival([], RUN_MS, 50));
     crash(quarantine, ['part'], 5);
     expect(getState(quarantine, ['part'])).not.toBe(PART_STATE.quarantined);
   });
 
   it('finds a part of some requests that were served before', () => {
     const quarantine = newUsedQuarantine();
-    Array.from({ length: 10 }, (_, index) => quarantine.recordSurvival(['part'], index));
-    Array.from({ length: 2000 }, (_, index) => quarantine.recordSurvival([], index));
+    Array.from({ length: 10 }, (_, index) => quarantine.recordSurvival(['part'], RUN_MS, index));
+    Array.from({ length: 2000 }, (_, index) => quarantine.recordSurvival([], RUN_MS, index));
     crash(quarantine, ['part'], 5, 3000);
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.quarantined);
   });
 
   it('does not begin for a part that most requests have: it is present at any crash', () => {
     const quarantine = newUsedQuarantine();
-    Array.from({ length: 200 }, (_, index) => quarantine.recordSurvival(['part'], index));
+    Array.from({ length: 200 }, (_, index) => quarantine.recordSurvival(['part'], RUN_MS, index));
     crash(quarantine, ['part'], 12, 1000);
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
   });
@@ -177,7 +226,7 @@
   it('is not renewed by an old report of a part that has been cleared since', () => {
     const quarantine = newUsedQuarantine();
     quarantine.updatePeer('peer', [newReport(3, false)], 10_000);
-    Array.from({ length: 30 }, () => quarantine.recordSurvival(['part'], 20_000));
+    Array.from({ length: 30 }, () => quarantine.recordSurvival(['part'], RUN_MS, 20_000));
     const staleReport = {
       ...newReport(4, false),
       crashes: newReport(4, false).crashes.map(
@@ -192,7 +241,7 @@
     const quarantine = newUsedQuarantine();
     crash(quarantine, ['part'], 4);
     const states = Array.from({ length: 12 }, () => {
-      quarantine.recordSurvival(['part'], 10_000);
+      quarantine.recordSurvival(['part'], RUN_MS, 10_000);
       return getState(quarantine, ['part']);
     });
     expect(states[0]).toBe(PART_STATE.quarantined);
@@ -203,7 +252,7 @@
     const quarantine = newUsedQuarantine();
     crash(quarantine, ['part'], 4);
     const muchLaterMs = 90 * 24 * 60 * 60 * 1000;
-    quarantine.recordSurvival(['other'], muchLaterMs);
+    quarantine.recordSurvival(['other'], RUN_MS, muchLaterMs);
     expect(getState(quarantine, ['part'], muchLaterMs)).toBe(PART_STATE.quarantined);
   });
 
@@ -220,7 +269,7 @@
     const quarantine = newUsedQuarantine();
     crash(quarantine, ['part'], 4);
     Array.from({ length: 2 * MAX_SUSPECTS }, (_, index) =>
-      quarantine.recordCrash(`other-${index}`, [`sound-${index}`], 10_000 + index),
+      quarantine.recordCrash(`other-${index}`, newLost([`sound-${index}`], 10_000 + index)),
     );
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.quarantined);
     const reported = new Set(
--- a/packages/decisions/quarantine/tests/requestQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/requestQuarantine.test.ts
@@ -1,5 +1,5 @@
 import { loadHashing } from '@anvilpaddle/common';
-import { newInputQuarantine, type InputQuarantine } from '../inputQuarantine';
+import { newInputQuarantine, type InputQuarantine, type LostInput } from '../inputQuarantine';
 import { newRequestDigest, type RequestContent, type RequestDigest } from '../requestDigest';
 import { PART_STATE } from '../types';
 
@@ -11,6 +11,15 @@
   body: Buffer.from('question'),
 };
 
+/** Attempt that was lost soon after its start. */
+const LOST: LostInput = {
+  promptParts: [],
+  digest: undefined,
+  runMs: 300,
+  company: 3,
+  hasOutlivedStart: false,
+};
+
 let digest: RequestDigest;
 
 beforeAll(async () => {
@@ -23,11 +32,15 @@
   quarantine: InputQuarantine,
   upstreams: readonly string[],
   lost: RequestDigest = digest,
-  promptParts: readonly string[] | undefined = [],
+  promptParts: readonly string[] = [],
   fromMs = 0,
 ): void =>
   upstreams.forEach((upstream, index) =>
-    quarantine.recordCrash(upstream, { promptParts, digest: lost.get() }, fromMs + index * 1000),
+    quarantine.recordCrash(
+      upstream,
+      [{ ...LOST, promptParts, digest: lost.get() }],
+      fromMs + index * 1000,
+    ),
   );
 
 const getState = (
@@ -153,7 +166,9 @@
   it('clears parts of prompts of the crashes that a request explains, until it doesn’t', () => {
     const quarantine = newInputQuarantine();
     const parts = ['subject'];
-    for (let served = 0; served < 200; served += 1) quarantine.parts.recordSurvival(['other'], 0);
+    for (let served = 0; served < 200; served += 1) {
+      quarantine.parts.recordSurvival(['other'], 300, 0);
+    }
     crash(quarantine, ['u1', 'u2', 'u3', 'u4', 'u5'], digest, parts);
     const other = newRequestDigest({ ...REQUEST, url: '/other' });
     expect(getState(quarantine, other, parts)).toBe(PART_STATE.clear);
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -3,12 +3,14 @@
  * its digest.
  */
 
+import type { LossCounts, LossRate } from './soundLossRate';
+
 /** How often a sound part has what speaks against a part. */
 export interface SoundRates {
-  /** Fraction of sound requests that are lost with crashes of upstreams. */
-  readonly loss: number;
-  /** Probability that a sound part is present at a crash. */
-  readonly presence: number;
+  /** How often sound requests are lost with crashes of upstreams. */
+  readonly loss: LossRate;
+  /** Share of the upstreams' run time that requests with the part take. */
+  readonly share: number;
 }
 
 /** What is known of the most suspicious part of a request's input. */
@@ -41,12 +43,23 @@
   | PartAssessment<typeof PART_STATE.suspect>
   | QuarantineAssessment;
 
-/** Numbers of served requests, by which the share of requests with a part is known. */
-export interface ServedCount {
+/** Run time of served requests in milliseconds, by which the share of a part is known. */
+export interface ServedTime {
   readonly withPart: number;
   readonly all: number;
 }
 
+/**
+ * Upstream, time since its crash, time for which the request had run, both in milliseconds, and the number
+ * of requests and items that the upstream had. A gateway of an earlier version sends the first two.
+ */
+export type CrashReport = readonly [
+  upstream: string,
+  ageMs: number,
+  runMs?: number,
+  company?: number,
+];
+
 /** What one gateway knows of a part, for its peers and the store. */
 export interface PartReport {
   readonly part: string;
@@ -54,14 +67,15 @@
   readonly position: number;
   readonly isQuarantined: boolean;
   /**
-   * Requests with the part that the reporter's upstreams began to answer without crashing; of a whole
-   * request, the crashes that its answers make up for.
+   * Requests with the part that the reporter's upstreams answered as a whole; of a whole request, the
+   * crashes that its answers make up for.
    */
   readonly survivals: number;
-  /** Requests that the reporter has had served so far: those with the part of prompts, and all. */
-  readonly served: ServedCount;
-  /** Upstream and time since its crash in milliseconds. */
-  readonly crashes: readonly (readonly [string, number])[];
+  /** Run time of the requests that the reporter has had served: those with the part, and all. */
+  readonly served: ServedTime;
+  /** Losses of the reporter that the part of prompts would not explain; none from an earlier version. */
+  readonly otherLosses?: LossCounts;
+  readonly crashes: readonly CrashReport[];
 }
 
 /** Change of a part's quarantine. */
