One count of the upstreams that a request may have run on

Callers saw nothing; upstreams ran requests three times that two may run.

Cause: a successor of a silent upstream that was given up when the silence ended was not counted. Each further silence, or a retry after a loss, added an upstream.

Ruled out: ending the silent upstream's answer sooner, since a silence of a second is no fault; no successor before the second silence, since an upstream that is silent for good would hold its caller longer.

Change: attemptBudget counts an upstream from the moment at which the request is sent until it says that it has not run it (Not-Run, 421, no connection), for first attempts, retries, successors and resumed streams alike. One whose attempt was given up although it may be sound may get the request again: it counts already.

--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -14,8 +14,12 @@
 
 /** Upstreams as candidates for placement. */
 export interface FleetView {
-  /** Candidates for an online request, without the excluded upstreams. */
-  getCandidates(service: string, excludedIds: ReadonlySet<string>, urgency: Urgency): Candidate[];
+  /** Candidates for an online request, by their ids those that are allowed. */
+  getCandidates(
+    service: string,
+    isAllowed: (upstream: string) => boolean,
+    urgency: Urgency,
+  ): Candidate[];
   getBatchCandidates(service: string): BatchCandidate[];
   /** The upstream as a candidate for batch items; undefined when it can get no work. */
   getBatchCandidate(id: string): BatchCandidate | undefined;
@@ -59,12 +63,12 @@
     );
 
   return {
-    getCandidates: (service, excludedIds, urgency) => {
+    getCandidates: (service, isAllowed, urgency) => {
       const nowMs = clock.monotonic();
       const serviceMeanMs = serviceTimes.getServiceMeanMs(service);
       return upstreamWatch
         .getUsable(service)
-        .filter(({ id }) => !excludedIds.has(id))
+        .filter(({ id }) => isAllowed(id))
         .map((upstream) => ({
           ...getCommonFields(upstream, nowMs),
           limitWaitMs: limits.getWaitMs(upstream.incarnation, urgency, nowMs),
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -2,6 +2,7 @@
 import { BODY_END } from '@anvilpaddle/common';
 import {
   isRetryable,
+  newAttemptBudget,
   PART_STATE,
   type AttemptOutcome,
   type InputAssessment,
@@ -10,7 +11,7 @@
 import { getQuarantineRefusal, STATUS, type Refusal } from '../refusal';
 import type { ResponseEnd } from '../responseEnd';
 import { pickService } from '../routeTable';
-import { ROUTE_KIND } from '../types';
+import { ROUTE_KIND, type Upstream } from '../types';
 import { SEND_REASON } from '../upstreamClient';
 import { openAttempt, type OnlineAttempt } from './onlineAttempt';
 import { newRequestPlacement, REJECTED, type SendStep } from './requestPlacement';
@@ -48,11 +49,9 @@
   const timeout = new AbortController();
   const timer = clock.after(Math.max(0, getTimeLeftMs()), () => timeout.abort());
   const abortSignal = AbortSignal.any([signal, timeout.signal]);
-  const triedUpstreams = new Set<string>();
-  let runCount = 0;
+  const budget = newAttemptBudget(route.maxAttempts);
+  let attemptCount = 0;
   let rejectionCount = 0;
-  /** Whether an upstream may have run the request that was given up before it answered. */
-  let mayHaveRun = false;
   let firstByteMs: number | undefined;
   let lastChoice: PlacementChoice | undefined;
   let lastResponseEnd: ResponseEnd | undefined;
@@ -60,7 +59,7 @@
   let current: OpenRequest | undefined;
 
   const { getNextStep, getRetryAfterMs } = newRequestPlacement(
-    { route, getElapsedMs, getTimeLeftMs, triedUpstreams },
+    { route, getElapsedMs, getTimeLeftMs, budget },
     dependencies,
   );
   const callerResponse = newCallerResponse(head, route, response, protocol, () => {
@@ -69,12 +68,11 @@
 
   const finish = (result: OnlineOutcome['result'], reason: string): OnlineOutcome => {
     timer.cancel();
-    const attempts = runCount + rejectionCount;
     const durationMs = getElapsedMs();
     return {
       result,
       reason,
-      attempts,
+      attempts: attemptCount,
       firstByteMs,
       durationMs,
       ...lastChoice,
@@ -89,17 +87,19 @@
 
   /** Refuses with a status that means "not run" only if no attempt may have run. */
   const refuse = (reason: string, retryAfterMs: number): OnlineOutcome => {
-    if (runCount > 0 || mayHaveRun) return fail(STATUS.badGateway, reason);
+    if (budget.mayHaveRun()) return fail(STATUS.badGateway, reason);
     const refusal: Refusal = { status: STATUS.unavailable, reason, retryAfterMs };
     callerResponse.refuse(refusal);
     return finish('refused', reason);
   };
 
-  const countAttempt = ({ run }: AttemptOutcome): void => {
-    if (run === 'not_run') rejectionCount += 1;
-    else runCount += 1;
+  const countOutcome = (upstream: Upstream, { run }: AttemptOutcome): void => {
+    if (run === 'not_run') budget.reject(upstream.id);
   };
 
+  /** Whether another upstream may get the request, if it may be repeated. */
+  const hasAttemptLeft = (): boolean => budget.countUsed() < route.maxAttempts;
+
   const shouldRetry = (outcome: AttemptReport, assessment: InputAssessment): boolean =>
     rejectionCount < MAX_REJECTIONS &&
     // The loss of a suspect may be its own doing.
@@ -109,7 +109,7 @@
     ) &&
     isRetryable(outcome, {
       idempotent: callerResponse.canRetry(),
-      attempts: runCount,
+      attempts: budget.countUsed(),
       maxAttempts: route.maxAttempts,
       timeLeftMs: getTimeLeftMs(),
     });
@@ -119,15 +119,16 @@
 
   /** Takes a trial of a quarantined request, if an upstream has a free slot for it. */
   const takeTrial = async (assessment: InputAssessment, { choice }: SendStep): Promise<boolean> =>
-    triedUpstreams.size === 0 &&
+    budget.isUnused() &&
     choice.waitMs === 0 &&
     quarantine.trials.isDue(assessment) &&
     (await quarantine.trials.take(digest.get())) &&
     !abortSignal.aborted;
 
   const open = ({ upstream, choice }: SendStep, assessment: InputAssessment): OpenRequest => {
-    const isFirst = triedUpstreams.size === 0;
-    triedUpstreams.add(upstream.id);
+    const isFirst = budget.isUnused();
+    budget.begin(upstream.id);
+    attemptCount += 1;
     const isClear = assessment.state === PART_STATE.clear;
     const opened: OpenRequest = {
       attempt: openAttempt(
@@ -137,8 +138,7 @@
           reason: isFirst ? SEND_REASON.request : SEND_REASON.retry,
           timeLeftMs: getTimeLeftMs(),
           expectedWaitMs: choice.waitMs,
-          isLast: () =>
-            current === opened && (runCount + 1 >= route.maxAttempts || !callerResponse.canRetry()),
+          isLast: () => current === opened && (!hasAttemptLeft() || !callerResponse.canRetry()),
         },
         callerResponse,
         abortSignal,
@@ -152,11 +152,10 @@
 
   /** Sends the request to another upstream than those that were tried, if one has room. */
   const openSuccessor = (service: string): OpenRequest | undefined => {
-    const hasAttemptLeft = callerResponse.canRetry() && runCount + 1 < route.maxAttempts;
-    if (abortSignal.aborted || !hasAttemptLeft) return undefined;
+    if (abortSignal.aborted || !callerResponse.canRetry() || !hasAttemptLeft()) return undefined;
     const assessment = assess();
     if (assessment.state === PART_STATE.quarantined) return undefined;
-    const step = getNextStep(service, assessment, true);
+    const step = getNextStep(service, assessment);
     return step.kind === 'send' ? open(step, assessment) : undefined;
   };
 
@@ -170,7 +169,7 @@
     const rejectingIds = new Set<string>();
     const source: SuccessorSource = {
       startRound: () => {
-        rejectingIds.forEach((id) => triedUpstreams.delete(id));
+        budget.readmit(rejectingIds);
         rejectingIds.clear();
       },
       open: () => {
@@ -178,16 +177,15 @@
         return opened?.attempt;
       },
       onFailed: ({ upstream }, outcome) => {
+        countOutcome(upstream, outcome);
         if (outcome.run === 'not_run') rejectingIds.add(upstream.id);
-        else countAttempt(outcome);
       },
       canRunTwice: route.kind === ROUTE_KIND.repeatable,
-      onUnused: () => {
-        mayHaveRun = true;
-      },
+      onUnused: ({ upstream }) => budget.giveUp(upstream.id),
     };
     const { report, successor } = await runWithSuccessor(attempt, source, head.id, clock, log);
-    countAttempt(report);
+    countOutcome(attempt.upstream, report);
+    if (report.run === 'not_run') rejectionCount += 1;
     if (successor === undefined) return { report, next: undefined };
     if (!report.answered && !abortSignal.aborted) return { report, next: opened };
     successor.abandon();
@@ -199,7 +197,7 @@
   for (;;) {
     if (current === undefined) {
       const assessment = assess();
-      const step = getNextStep(service, assessment, runCount > 0);
+      const step = getNextStep(service, assessment);
       if (step.kind === 'refuse') {
         const reason = step.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
         return refuse(reason, getRetryAfterMs(service, step));
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -4,6 +4,7 @@
   getPlacement,
   PART_STATE,
   URGENCY,
+  type AttemptBudget,
   type Placement,
   type InputAssessment,
   type RequestTiming,
@@ -31,21 +32,20 @@
   readonly route: Route;
   readonly getElapsedMs: () => number;
   readonly getTimeLeftMs: () => number;
-  /** Upstreams that get no further attempt. */
-  readonly triedUpstreams: ReadonlySet<string>;
+  readonly budget: AttemptBudget;
 }
 
 /** Placement of one request. */
 export interface RequestPlacement {
-  /** Next place for the request; `isUnderWay` tells whether it may have run already. */
-  getNextStep(service: string, assessment: InputAssessment, isUnderWay: boolean): PlacementStep;
+  /** Next place for the request. */
+  getNextStep(service: string, assessment: InputAssessment): PlacementStep;
   /** Time after which a caller that is refused may come back, in milliseconds. */
   getRetryAfterMs(service: string, shortage: Shortage): number;
 }
 
 /** Creates the placement of a request. */
 export const newRequestPlacement = (
-  { route, getElapsedMs, getTimeLeftMs, triedUpstreams }: PlacedRequest,
+  { route, getElapsedMs, getTimeLeftMs, budget }: PlacedRequest,
   { view, upstreamLoads, retrySchedule, getGatewayCount, clock, random }: OnlineDependencies,
 ): RequestPlacement => {
   /** Places the request; a suspect, or a trial, goes to the upstream of its part if that has room. */
@@ -55,7 +55,7 @@
     demand: RequestTiming,
     urgency: Urgency,
   ): Placement => {
-    const candidates = view.getCandidates(service, triedUpstreams, urgency);
+    const candidates = view.getCandidates(service, budget.allows, urgency);
     if (assessment.state !== PART_STATE.clear) {
       const isolated = getIsolatedCandidates(assessment.part, candidates);
       const placement = getPlacement(isolated, demand, random);
@@ -65,7 +65,8 @@
   };
 
   return {
-    getNextStep: (service, assessment, isUnderWay) => {
+    getNextStep: (service, assessment) => {
+      const isUnderWay = budget.mayHaveRun();
       // A request that may have run already is worth finishing even if it is late.
       const objectiveLeftMs = isUnderWay
         ? route.latencyObjectiveMs
--- a/anvilpaddle-app/gateway/online/successorSearch.ts
+++ b/anvilpaddle-app/gateway/online/successorSearch.ts
@@ -22,8 +22,8 @@
   onFailed(successor: OnlineAttempt, outcome: AttemptOutcome): void;
   /** Whether two upstreams may run the request at the same time. */
   readonly canRunTwice: boolean;
-  /** Called for a successor that was given up before its upstream began to answer. */
-  onUnused(): void;
+  /** Called for a successor that was given up before its upstream began to answer; it may have run. */
+  onUnused(successor: OnlineAttempt): void;
 }
 
 /** End of an attempt. */
@@ -61,7 +61,8 @@
   };
 
   const giveUpSuccessor = (reason: string): void => {
-    if (dropSuccessor(reason) !== undefined) source.onUnused();
+    const dropped = dropSuccessor(reason);
+    if (dropped !== undefined) source.onUnused(dropped);
   };
 
   const moveTo = (opened: OnlineAttempt): void => {
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -35,6 +35,7 @@
 export * from './quarantine/promptQuarantine';
 export * from './quarantine/requestQuarantine';
 export * from './quarantine/types';
+export * from './retries/attemptBudget';
 export * from './retries/attemptLedger';
 export * from './retries/retryPolicy';
 export * from './routing/affinityRouter';
