Suspects are stored from their first crash on, and survive a restart of all gateways

Callers: a request that crashes upstreams came again after each restart of all gateways and crashed two more.

Cause: only the decision was stored, at the third crash; what led to it was in memory and datagrams.

Ruled out: a row for each suspect (some 30 writes a crash), suspects in the heartbeat (bytes each second), a write by each gateway that hears of a crash (88).

Change: a gateway that has seen a crash stores its suspects, in one row a VM of at most 16 KB, at most once a second, again until the store has taken it. A gateway that starts takes each row as its writer's last datagram. Cleared suspects are taken out within ten seconds; a crash is restored for an hour.

The four rows of crashesOverRestarts.test.ts pass; the nine of crashingRequests.test.ts pass in one play of the file.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -139,6 +139,7 @@
   );
   const { quarantine, crashDetector } = newInputGuard(
     recordStore,
+    self,
     {
       isLeaving: ({ id }) => fleetView.getUpstream(id)?.isDraining === true,
       onCrash: () => metricsRef.metrics?.countUpstreamCrash(),
--- a/anvilpaddle-app/gateway/inputGuard.ts
+++ b/anvilpaddle-app/gateway/inputGuard.ts
@@ -5,6 +5,7 @@
 import { probeConnection } from './connectProbe';
 import { newCrashDetector, type CrashDetector, type UpstreamCrash } from './crashDetector';
 import { newStoredQuarantine, type StoredQuarantine } from './storedQuarantine';
+import { newSuspectCheckpoint } from './suspectCheckpoint';
 import type { Upstream } from './types';
 
 /** Connections of the guard to its gateway. */
@@ -31,6 +32,7 @@
 /** Creates a guard, which reads what the store has quarantined. */
 export const newInputGuard = (
   store: RecordStore,
+  self: { readonly vm: string; readonly incarnation: string },
   { isLeaving, onCrash, onNews }: InputGuardHooks,
   clock: Clock,
   log: Logger,
@@ -42,10 +44,12 @@
     onNews();
   };
   const quarantine = newStoredQuarantine(store, onChange, clock, log);
+  const checkpoint = newSuspectCheckpoint(store, self, quarantine, clock, log);
 
   const recordCrash = ({ upstream, lostAttempts }: UpstreamCrash): void => {
     onCrash();
     quarantine.recordCrash(getUpstreamKey(upstream), lostAttempts, clock.monotonic());
+    checkpoint.scheduleWrite();
     onNews();
   };
   const crashDetector = newCrashDetector(
