Received bytes take memory by their number, whatever the chunks in which they come

Callers: an upstream that sent its responses in chunks of one byte, or 12 callers that sent bodies so, with a key or without one, ended the gateway, and all requests on it.

Cause: readers kept each chunk as a buffer of its own, some hundred bytes for each byte received; bounds counted bytes.

Ruled out: a bound on the number of chunks (sound streams have many), joins now and then (the cost between two depends on the sender), buffer lists of the registry (each chunk stays a buffer).

Of a body that the head alone refuses 64 KiB are read at most, and the answer closes the connection.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -1,6 +1,12 @@
 /** Handles a caller's request from its head to the end of its response. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { readBody, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  BYTES_PER_MIB,
+  readBody,
+  type BodyError,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
 import {
   getOutageRetryAfterMs,
   newRequestDigest,
@@ -51,6 +57,13 @@
   | { readonly ok: true; readonly value: IdentifiedRequest }
   | { readonly ok: false; readonly error: Refusal };
 
+/** Size of the largest body that is read of a request which its head alone refuses. */
+const MAX_UNIDENTIFIED_BODY_BYTES = BYTES_PER_MIB / 16;
+
+/** Why a body is not read any further. */
+const getBodyReason = ({ kind }: BodyError): string =>
+  kind === 'body_wasteful' ? 'the body comes in too small pieces' : 'the body is too large';
+
 const NO_SUCH_ROUTE: Refusal = { status: STATUS.notFound, reason: 'no such route' };
 
 /** Creates the handler of all callers' requests. */
@@ -132,12 +145,18 @@
       log.info({ request: head.id, status, reason, retryAfterMs, version, ...details }, 'refused');
       sendRefusal(response, refusal);
     };
+    const early = identify(head);
     const maxBytes = configWatch.current()?.bounds.maxBodyBytes ?? Infinity;
-    const body = await readBody(message, maxBytes);
+    const body = await readBody(
+      message,
+      early.ok ? maxBytes : Math.min(maxBytes, MAX_UNIDENTIFIED_BODY_BYTES),
+    );
     if (!body.ok) {
-      if (body.error.kind === 'body_too_large') {
-        refuse({ status: STATUS.payloadTooLarge, reason: 'the body is too large' });
-      }
+      if (body.error.kind === 'body_cut') return;
+      // The rest of the body is not read: its bytes may have no end.
+      response.setHeader('connection', 'close');
+      if (!early.ok) refuse(early.error);
+      else refuse({ status: STATUS.payloadTooLarge, reason: getBodyReason(body.error) });
       return;
     }
     if (!dependencies.isTakingRequests()) {
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -75,7 +75,7 @@
     message.on('data', (chunk: Buffer) => {
       const events = splitter.feed(chunk);
       if (events.length > 0) hooks.onContent();
-      if (splitter.getPendingBytes() > MAX_EVENT_BYTES) {
+      if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
         message.destroy(new ResponseTooLargeError());
       }
       if (relayEvents(message, events)) return;
--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -1,5 +1,5 @@
 /** Splits the bytes of a server-sent event stream into complete events, without changing them. */
-import { newEventTracker } from '@anvilpaddle/common';
+import { newByteCollector, newEventTracker } from '@anvilpaddle/common';
 
 /** Incremental splitter of one stream. */
 export interface EventSplitter {
@@ -7,6 +7,8 @@
   feed(chunk: Buffer): Buffer;
   /** Bytes after the last complete event. */
   rest(): Buffer;
+  /** Whether the chunks so far cost far more than they carry. */
+  isWasteful(): boolean;
   /** Number of these bytes. */
   getPendingBytes(): number;
   /** Number of these bytes if they begin an event; 0 if they are only blank lines and comments. */
@@ -55,42 +57,20 @@
 
 /** Creates a splitter for a new stream. */
 export const newEventSplitter = (): EventSplitter => {
-  /** Chunks after the last complete event; joined only when an event is complete. */
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
-  let tail = EMPTY;
-
-  const getRest = (): Buffer => {
-    if (pending.length > 1) pending = [Buffer.concat(pending)];
-    return pending[0] ?? EMPTY;
-  };
-
-  const setRest = (rest: Buffer): void => {
-    pending = rest.length === 0 ? [] : [rest];
-    pendingBytes = rest.length;
-    tail = rest.subarray(-MAX_LINE_END_BYTES);
-  };
-
-  const addChunk = (chunk: Buffer): void => {
-    pending.push(chunk);
-    pendingBytes += chunk.length;
-    tail = Buffer.concat([tail, chunk.subarray(-MAX_LINE_END_BYTES)]).subarray(-MAX_LINE_END_BYTES);
-  };
+  /** Bytes after the last complete event. */
+  const pending = newByteCollector();
 
   return {
     feed: (chunk) => {
-      const before = pendingBytes - tail.length;
-      const searched = Buffer.concat([tail, chunk]);
-      const length = getCompleteLength(searched);
-      addChunk(chunk);
-      if (length === 0) return EMPTY;
-      const bytes = getRest();
-      setRest(bytes.subarray(before + length));
-      return bytes.subarray(0, before + length);
+      const searchedFrom = Math.max(0, pending.getLength() - MAX_LINE_END_BYTES);
+      pending.append(chunk);
+      const length = getCompleteLength(pending.peek().subarray(searchedFrom));
+      return length === 0 ? EMPTY : pending.take(searchedFrom + length);
     },
-    rest: getRest,
-    getPendingBytes: () => pendingBytes,
-    getUnfinishedBytes: () => (hasField(getRest()) ? pendingBytes : 0),
+    rest: () => pending.peek(),
+    isWasteful: () => pending.isWasteful(),
+    getPendingBytes: () => pending.getLength(),
+    getUnfinishedBytes: () => (hasField(pending.peek()) ? pending.getLength() : 0),
   };
 };
 
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -184,7 +184,8 @@
         // The output goes on with the events of the run that superseded this one.
         if (signal.reason === SUPERSEDED) return;
         runBytes += chunk.length;
-        if (runBytes > MAX_RUN_BYTES || splitter.getPendingBytes() > MAX_EVENT_BYTES) {
+        const isTooLarge = splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful();
+        if (runBytes > MAX_RUN_BYTES || isTooLarge) {
           message.destroy(new ResponseTooLargeError());
           return;
         }
--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -3,6 +3,7 @@
 import {
   BYTES_PER_MIB,
   callHttp,
+  newByteCollector,
   ResponseTooLargeError,
   waitForBodyEnd,
   type BodyEnd,
@@ -45,13 +46,13 @@
 
 /** Reads a response's body to its end, or until it is too large. */
 export const readResponseBody = async (message: IncomingMessage): Promise<ReceivedBody> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collector = newByteCollector();
   message.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > MAX_RESPONSE_BYTES) message.destroy(new ResponseTooLargeError());
-    else chunks.push(chunk);
+    collector.append(chunk);
+    if (collector.getLength() > MAX_RESPONSE_BYTES || collector.isWasteful()) {
+      message.destroy(new ResponseTooLargeError());
+    }
   });
   const end = await waitForBodyEnd(message);
-  return { content: Buffer.concat(chunks), end };
+  return { content: collector.peek(), end };
 };
--- a/anvilpaddle-app/peers/peerServer.ts
+++ b/anvilpaddle-app/peers/peerServer.ts
@@ -56,7 +56,7 @@
 /** Why an HTTP request with all its messages was refused. */
 interface ExchangeRefusal {
   readonly status: number;
-  readonly reason: 'body_too_large' | 'body_cut' | 'malformed' | 'replayed';
+  readonly reason: 'body_too_large' | 'body_wasteful' | 'body_cut' | 'malformed' | 'replayed';
 }
 
 const messageSchema = z.looseObject({
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -1,6 +1,7 @@
 /** Helpers for HTTP servers: addresses, request bodies, JSON responses. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
+import { newByteCollector } from './byteCollector';
 
 /** Host and port as in `127.0.0.1:8080`. */
 export interface Address {
@@ -48,28 +49,34 @@
     server.closeAllConnections();
   });
 
-/** Reads a stream to its end; undefined if it exceeds the limit. Rejects if the stream fails. */
+/**
+ * Reads a stream to its end; undefined if it exceeds the limit, or comes in pieces that cost far more than they
+ * carry. Rejects if the stream fails.
+ */
 export const readStream = async (
   stream: Readable,
   limitBytes = Infinity,
 ): Promise<Buffer | undefined> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collector = newByteCollector();
   for await (const chunk of stream as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limitBytes) return undefined;
-    chunks.push(chunk);
+    collector.append(chunk);
+    if (collector.getLength() > limitBytes || collector.isWasteful()) return undefined;
   }
-  return Buffer.concat(chunks);
+  return collector.peek();
 };
 
-/** Why a body could not be read: it exceeds the limit, or the connection closed before its end. */
+/**
+ * Why a body could not be read: it exceeds the limit, its pieces cost far more than they carry, or the
+ * connection closed before its end.
+ */
 export type BodyError =
-  { readonly kind: 'body_too_large'; readonly limitBytes: number } | { readonly kind: 'body_cut' };
+  | { readonly kind: 'body_too_large'; readonly limitBytes: number }
+  | { readonly kind: 'body_wasteful' }
+  | { readonly kind: 'body_cut' };
 
 /**
- * Reads a whole request body, or fails once it exceeds `limitBytes`. The stream is not destroyed
- * then, so that a response can still be sent.
+ * Reads a whole request body, or fails once it exceeds `limitBytes` or costs far more than it carries. The
+ * stream is not destroyed then, so that a response can still be sent.
  */
 export const readBody = async (
   stream: IncomingMessage,
@@ -77,20 +84,21 @@
 ): Promise<
   { readonly ok: true; readonly value: Buffer } | { readonly ok: false; readonly error: BodyError }
 > => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collector = newByteCollector();
   try {
     for await (const chunk of stream.iterator({
       destroyOnReturn: false,
     }) as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > limitBytes) return { ok: false, error: { kind: 'body_too_large', limitBytes } };
-      chunks.push(chunk);
+      collector.append(chunk);
+      if (collector.getLength() > limitBytes) {
+        return { ok: false, error: { kind: 'body_too_large', limitBytes } };
+      }
+      if (collector.isWasteful()) return { ok: false, error: { kind: 'body_wasteful' } };
     }
   } catch {
     return { ok: false, error: { kind: 'body_cut' } };
   }
-  return { ok: true, value: Buffer.concat(chunks) };
+  return { ok: true, value: collector.peek() };
 };
 
 /** Sends a value as a JSON response. */
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -1,4 +1,5 @@
 /** Helpers without domain logic that all packages use. */
+export * from './byteCollector';
 export * from './clock';
 export * from './connectError';
 export * from './constants';
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -7,6 +7,8 @@
   isConnectError,
   newFailure,
   newOk,
+  readStream,
+  ResponseTooLargeError,
   MS_PER_SECOND,
   type Result,
 } from '@anvilpaddle/common';
@@ -75,7 +77,8 @@
           dispatcher: agent,
           signal: AbortSignal.timeout(options.timeoutMs ?? timeoutMs),
         });
-        const content = Buffer.from(await response.body.arrayBuffer());
+        const content = await readStream(response.body);
+        if (content === undefined) throw new ResponseTooLargeError();
         const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
         if (options.needsDelimiter === true && response.statusCode === 200 && !isDelimited) {
           const detail = `${method} ${path}: the response has neither a length nor chunks`;
