--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -26,7 +26,7 @@
   type Crash,
   type Crashes,
 } from './crashEvidence';
-import { getLossRate, newSoundLossRate, type LossCounts } from './soundLossRate';
+import { getLossRate, getRoundedCounts, newSoundLossRate, type LossCounts } from './soundLossRate';
 import {
   addCrash,
   addPeerSurvivals,
@@ -137,7 +137,7 @@
   /** Report for peers and the store. */
   const getOwnReport = (suspect: Suspect, nowMs: number): PartReport => ({
     ...getReport(suspect, getOwnServed(suspect.part), nowMs),
-    otherLosses: getOwnLosses(suspect, nowMs),
+    otherLosses: getRoundedCounts(getOwnLosses(suspect, nowMs)),
   });
 
   /** Rates by which a part is judged; a part that a gateway has judged harmful counts as rare. */
--- a/packages/decisions/quarantine/soundLossRate.ts
+++ b/packages/decisions/quarantine/soundLossRate.ts
@@ -21,6 +21,15 @@
   readonly meanRunMs: number;
 }
 
+const DECIMALS = 100;
+
+/** Counts as precise as reports need them. */
+export const getRoundedCounts = ({ losses, requests, runMs }: LossCounts): LossCounts => ({
+  losses: Math.round(losses * DECIMALS) / DECIMALS,
+  requests: Math.round(requests),
+  runMs: Math.round(runMs),
+});
+
 /** Rate over several gateways. */
 export const getLossRate = (counts: readonly LossCounts[]): LossRate => {
   const all = [PRIOR, ...counts].reduce((sum, { losses, requests, runMs }) => ({
