The limit of an upstream is kept while its entry has lapsed

An upstream that names a limit and was cut off from the store got 16 to 19 requests in 4 s where 8 are allowed, as its entry came back.

Cause: with each update of the list, the state of runs that it does not name was dropped; the same run came back as an idle upstream without a limit.

Change: the state of a run with a limit is kept for ten minutes after it was last listed; other runs are dropped at once, so that crashes leave nothing behind.

--- a/anvilpaddle-app/gateway/upstreamFleet.ts
+++ b/anvilpaddle-app/gateway/upstreamFleet.ts
@@ -78,7 +78,8 @@
       const known = new Set(upstreams.map(({ id }) => id));
       health.retain(known);
       serviceTimes.retain(known);
-      upstreamLimits.retain(new Set(upstreams.map((upstream) => upstream.incarnation)));
+      const incarnations = new Set(upstreams.map((upstream) => upstream.incarnation));
+      upstreamLimits.retain(incarnations, clock.monotonic());
     },
     clock,
     log,
--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -360,9 +360,34 @@
   it('belong to one run of an upstream', () => {
     const { limits } = newLimits();
     limits.recordResponse('u1/1', 1, 0);
-    limits.retain(new Set(['u1/2']));
+    limits.retain(new Set(['u1/2']), 0);
 
     expect(limits.getWaitMs('u1/2', URGENCY.online, 0)).toBeUndefined();
     expect(limits.getLimitedCount()).toBe(0);
   });
+
+  // Guards against review/4: the limit of a run was forgotten while its entry had lapsed.
+  it('are kept, with what was sent, while the entry of the run has lapsed', () => {
+    const { limits } = newLimits();
+    limits.recordResponse('u1/1', 1, 0);
+    const spareTokens = limits.getSpareTokens('u1/1', 1000);
+    limits.retain(new Set(), 1000);
+    limits.retain(new Set(['u1/1']), 6000);
+
+    expect(limits.getRequestsPerSecond('u1/1')).toBe(1);
+    expect(limits.getSpareTokens('u1/1', 1000)).toBe(spareTokens);
+    expect(limits.getLimitedCount()).toBe(1);
+  });
+
+  it('of runs that are gone are forgotten after ten minutes, and those without a limit at once', () => {
+    const { limits } = newLimits();
+    limits.recordResponse('u1/1', 1, 0);
+    limits.recordSend('u2/1', 0);
+    limits.retain(new Set(), 1000);
+    limits.retain(new Set(), 600_000);
+    const before = limits.getRequestsPerSecond('u1/1');
+    limits.retain(new Set(), 601_000);
+
+    expect([before, limits.getRequestsPerSecond('u1/1')]).toEqual([1, undefined]);
+  });
 });
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -1,5 +1,5 @@
 /** Limits that upstreams name for the requests of all gateways together. */
-import type { Random } from '@anvilpaddle/common';
+import { MS_PER_MINUTE, type Random } from '@anvilpaddle/common';
 import {
   newSharedBucket,
   type BucketVisibility,
@@ -55,7 +55,7 @@
   getWaitMs(upstream: string, urgency: Urgency, nowMs: number): number | undefined;
   /** Number of batch items that all gateways together may send now; infinite without a limit. */
   getSpareTokens(upstream: string, nowMs: number): number;
-  /** Number of upstreams with a limit. */
+  /** Number of listed upstreams with a limit. */
   getLimitedCount(): number;
   /** Requests to the upstreams with a limit; starts new peaks. */
   takeSends(nowMs: number): ReadonlyMap<string, LimitedSends>;
@@ -65,8 +65,11 @@
   updatePeer(peer: string, reports: readonly UpstreamLimitReport[], nowMs: number): void;
   /** Drops the state of a peer; its requests stay counted. */
   removePeer(peer: string): void;
-  /** Drops the state of all upstreams but the given ones. */
-  retain(upstreams: ReadonlySet<string>): void;
+  /**
+   * Drops the state of all upstreams but the given ones. That of an upstream with a limit stays for some time:
+   * its entry may lapse while it lives, and it names its limit all the while.
+   */
+  retain(upstreams: ReadonlySet<string>, nowMs: number): void;
 }
 
 /** Connections of the limits to their gateway. */
@@ -88,6 +91,8 @@
  * limit is remembered for as long, so that no older report can bring the limit back.
  */
 const MAX_REPORT_AGE_MS = 5000;
+/** Time for which the limit of an upstream is remembered that is no longer listed. */
+const MAX_MISSING_MS = 10 * MS_PER_MINUTE;
 
 /** Creates limits of which none is known. */
 export const newUpstreamLimits = ({
@@ -101,6 +106,8 @@
   const sendsByUpstream = new Map<string, UpstreamSends>();
   /** Buckets of the limits in force. */
   const buckets = new Map<string, SharedBucket>();
+  /** Time from which each upstream with a limit has not been listed. */
+  const missingSinceMs = new Map<string, number>();
   /** Time at which this gateway learnt of each limit. */
   const startedMs = new Map<string, number>();
 
@@ -163,7 +170,8 @@
     getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
     getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs),
     getSpareTokens: (upstream, nowMs) => buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
-    getLimitedCount: () => buckets.size,
+    getLimitedCount: () =>
+      [...buckets.keys()].filter((upstream) => !missingSinceMs.has(upstream)).length,
     takeSends: (nowMs) =>
       new Map(
         [...sendsByUpstream].flatMap(([upstream, sends]) => {
@@ -194,11 +202,23 @@
         if (added > 0) buckets.get(upstream)?.takeForPeers(added, nowMs);
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
-    retain: (upstreams) =>
-      [limits, heardMs, sendsByUpstream, buckets, startedMs].forEach((states) =>
-        [...states.keys()]
-          .filter((upstream) => !upstreams.has(upstream))
-          .forEach((upstream) => states.delete(upstream)),
-      ),
+    retain: (upstreams, nowMs) => {
+      upstreams.forEach((upstream) => missingSinceMs.delete(upstream));
+      const isDropped = (upstream: string): boolean => {
+        if (upstreams.has(upstream)) return false;
+        if (!buckets.has(upstream)) return true;
+        const sinceMs = missingSinceMs.get(upstream) ?? nowMs;
+        missingSinceMs.set(upstream, sinceMs);
+        return nowMs - sinceMs >= MAX_MISSING_MS;
+      };
+      const known = new Set([...limits.keys(), ...sendsByUpstream.keys()]);
+      [...known]
+        .filter(isDropped)
+        .forEach((upstream) =>
+          [limits, heardMs, sendsByUpstream, buckets, startedMs, missingSinceMs].forEach((states) =>
+            states.delete(upstream),
+          ),
+        );
+    },
   };
 };
