--- a/anvilpaddle-app/gateway/tests/gatewayList.test.ts
+++ b/anvilpaddle-app/gateway/tests/gatewayList.test.ts
@@ -1,4 +1,4 @@
-import { newSilentLogger, SystemClock } from '@anvilpaddle/common';
+import { loadHashing, newSilentLogger, SystemClock } from '@anvilpaddle/common';
 import { newGatewayList, type GatewayList } from '../gatewayList';
 import { newMemoryStore } from './kit/memoryStore';
 
@@ -29,6 +29,8 @@
     newSilentLogger(),
   );
 
+beforeAll(loadHashing);
+
 describe('the lists of two gateways that start together', () => {
   it('are current only once each has the other gateway', async () => {
     const { records } = newMemoryStore();
