--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -145,17 +145,17 @@
       log.info({ request: head.id, status, reason, retryAfterMs, version, ...details }, 'refused');
       sendRefusal(response, refusal);
     };
-    const early = identify(head);
+    const earlyIdentification = identify(head);
     const maxBytes = configWatch.current()?.bounds.maxBodyBytes ?? Infinity;
     const body = await readBody(
       message,
-      early.ok ? maxBytes : Math.min(maxBytes, MAX_UNIDENTIFIED_BODY_BYTES),
+      earlyIdentification.ok ? maxBytes : Math.min(maxBytes, MAX_UNIDENTIFIED_BODY_BYTES),
     );
     if (!body.ok) {
       if (body.error.kind === 'body_cut') return;
       // The rest of the body is not read: its bytes may have no end.
       response.setHeader('connection', 'close');
-      if (!early.ok) refuse(early.error);
+      if (!earlyIdentification.ok) refuse(earlyIdentification.error);
       else refuse({ status: STATUS.payloadTooLarge, reason: getBodyReason(body.error) });
       return;
     }
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -207,7 +207,7 @@
 
   const startedMs = clock.monotonic();
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.batch);
-  const company = getTotalLoad(upstreamLoads.getLoad(upstream.id, startedMs));
+  const concurrency = getTotalLoad(upstreamLoads.getLoad(upstream.id, startedMs));
   try {
     const outcome = await run();
     const runMs = clock.monotonic() - startedMs;
@@ -224,7 +224,7 @@
           promptParts,
           digest: undefined,
           runMs,
-          company,
+          concurrency,
           hasOutlivedStart: false,
         });
       }
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -81,7 +81,7 @@
   const { upstreamClient, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
-  const company = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
+  const concurrency = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
   const abandonment = new AbortController();
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
   let firstByteMs = 0;
@@ -188,7 +188,7 @@
       promptParts: head.promptParts,
       digest: digest.get(),
       runMs: clock.monotonic() - sentMs,
-      company,
+      concurrency,
       hasOutlivedStart: hasOutlivedStart(),
     });
     return [...head.promptParts, digest.get()];
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -7,7 +7,7 @@
 /** Largest such probability of a loss that counts: at that of a harmful part, crashes would say nothing. */
 export const MAX_SOUND_LOSS_RATE = 0.9 * HARMFUL_LOSS_RATE;
 /** Requests at an upstream that crashed, if a report does not say how many there were. */
-export const DEFAULT_COMPANY = 3;
+export const DEFAULT_CONCURRENCY = 3;
 /** Time for which a request ran, in milliseconds, if nothing says how long. */
 export const DEFAULT_RUN_MS = 300;
 /** Probability of a loss from which a crash long after the first content says nothing against a request. */
--- a/packages/decisions/quarantine/crashEvidence.ts
+++ b/packages/decisions/quarantine/crashEvidence.ts
@@ -20,7 +20,7 @@
   /** Time for which the request with the part had run. */
   readonly runMs: number;
   /** Requests and items that the upstream had, with this one. */
-  readonly company: number;
+  readonly concurrency: number;
 }
 
 /** Crashes at which a part was present, by upstream. */
@@ -56,8 +56,8 @@
 export const RARE_PART_RATES: SoundRates = { loss: PRIOR_LOSS_RATE, share: 0 };
 
 /** Probability that a sound part is aboard at a crash. */
-const getPresence = ({ company }: Crash, { share }: SoundRates): number =>
-  Math.max(MIN_SOUND_LOSS_RATE, 1 - (1 - share) ** company);
+const getPresence = ({ concurrency }: Crash, { share }: SoundRates): number =>
+  Math.max(MIN_SOUND_LOSS_RATE, 1 - (1 - share) ** concurrency);
 
 /** Logarithm of the odds by which one answered request speaks for its parts. */
 const SURVIVAL_EVIDENCE = Math.log((1 - HARMFUL_LOSS_RATE) / (1 - MIN_SOUND_LOSS_RATE));
--- a/packages/decisions/quarantine/inputQuarantine.ts
+++ b/packages/decisions/quarantine/inputQuarantine.ts
@@ -22,7 +22,7 @@
   /** Time from the request's start to its loss, in milliseconds. */
   readonly runMs: number;
   /** Requests and items that the upstream had, with this one. */
-  readonly company: number;
+  readonly concurrency: number;
   /** Whether the first content was long ago: the request itself rarely is the cause. */
   readonly hasOutlivedStart: boolean;
 }
@@ -39,7 +39,11 @@
   recordCrash(upstream: string, lost: readonly LostInput[], nowMs: number): void;
 }
 
-const newCrash = ({ runMs, company }: LostInput, atMs: number): Crash => ({ atMs, runMs, company });
+const newCrash = ({ runMs, concurrency }: LostInput, atMs: number): Crash => ({
+  atMs,
+  runMs,
+  concurrency,
+});
 
 /** Creates a quarantine without suspects; `onChange` is called when anything enters or leaves it. */
 export const newInputQuarantine = (
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -1,5 +1,5 @@
 /** A part of the input that was present at a crash, with what speaks for and against it. */
-import { DEFAULT_COMPANY, DEFAULT_RUN_MS, MAX_CRASHES_PER_PART } from './constants';
+import { DEFAULT_CONCURRENCY, DEFAULT_RUN_MS, MAX_CRASHES_PER_PART } from './constants';
 import { getEvidence, getSeparateCrashes, RARE_PART_RATES, type Crash } from './crashEvidence';
 import type { LossCounts } from './soundLossRate';
 import type { CrashReport, PartReport, ServedTime } from './types';
@@ -123,11 +123,11 @@
 export const getLastCrashMs = ({ crashes }: Suspect): number =>
   Math.max(...[...crashes.values()].map(({ atMs }) => atMs));
 
-/** Crash from a report; one of an earlier version has neither run time nor company. */
+/** Crash from a report; one of an earlier version has neither run time nor concurrency. */
 export const getReportedCrash = (
-  [, ageMs, runMs = DEFAULT_RUN_MS, company = DEFAULT_COMPANY]: CrashReport,
+  [, ageMs, runMs = DEFAULT_RUN_MS, concurrency = DEFAULT_CONCURRENCY]: CrashReport,
   nowMs: number,
-): Crash => ({ atMs: nowMs - Math.max(0, ageMs), runMs, company });
+): Crash => ({ atMs: nowMs - Math.max(0, ageMs), runMs, concurrency });
 
 /** Report of a suspect to peers and the store. */
 export const getReport = (suspect: Suspect, served: ServedTime, nowMs: number): PartReport => ({
@@ -136,10 +136,10 @@
   isQuarantined: suspect.isQuarantined,
   survivals: suspect.survivals,
   served: { withPart: Math.round(served.withPart), all: Math.round(served.all) },
-  crashes: [...suspect.crashes].map(([upstream, { atMs, runMs, company }]) => [
+  crashes: [...suspect.crashes].map(([upstream, { atMs, runMs, concurrency }]) => [
     upstream,
     Math.round(nowMs - atMs),
     Math.round(runMs),
-    company,
+    concurrency,
   ]),
 });
--- a/packages/decisions/quarantine/tests/crashSimulation.ts
+++ b/packages/decisions/quarantine/tests/crashSimulation.ts
@@ -76,7 +76,7 @@
 
   const crash = (upstream: SimulatedUpstream, nowMs: number): void => {
     const name = `${upstreams.indexOf(upstream)}/${upstream.incarnation}`;
-    const company = upstream.runs.length;
+    const concurrency = upstream.runs.length;
     gateways.forEach((gateway) =>
       gateway.recordCrash(
         name,
@@ -84,7 +84,7 @@
           .filter((run) => run.gateway === gateway)
           .map(({ parts, startedMs }) => ({
             promptParts: parts,
-            crash: { atMs: nowMs, runMs: nowMs - startedMs, company },
+            crash: { atMs: nowMs, runMs: nowMs - startedMs, concurrency },
           })),
       ),
     );
--- a/packages/decisions/quarantine/tests/promptQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/promptQuarantine.test.ts
@@ -25,7 +25,7 @@
 const RUN_MS = 300;
 
 const newLost = (promptParts: readonly string[], atMs: number): LostPrompt[] => [
-  { promptParts, crash: { atMs, runMs: RUN_MS, company: 3 } },
+  { promptParts, crash: { atMs, runMs: RUN_MS, concurrency: 3 } },
 ];
 
 const runAll = (scenario: Partial<Scenario>) =>
--- a/packages/decisions/quarantine/tests/requestQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/requestQuarantine.test.ts
@@ -16,7 +16,7 @@
   promptParts: [],
   digest: undefined,
   runMs: 300,
-  company: 3,
+  concurrency: 3,
   hasOutlivedStart: false,
 };
 
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -57,7 +57,7 @@
   upstream: string,
   ageMs: number,
   runMs?: number,
-  company?: number,
+  concurrency?: number,
 ];
 
 /** What one gateway knows of a part, for its peers and the store. */
