One bound for the bytes that a gateway holds, of requests and of responses

Callers of a gateway beside a faulty upstream lost their answers when it ran out of memory.

Change: byteBudget.ts, a dynamic threshold: a message may hold twice what is left free. Bodies are collected in blocks rather than in a growing buffer, whose outgrown copies waited for the next collection. A peer's answer to a relayed store call no longer keeps each chunk, and is bounded as its body is.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   BYTES_PER_MIB,
+  HELD_FOR,
+  MS_PER_SECOND,
   readBody,
   type BodyError,
   type Clock,
@@ -60,9 +62,26 @@
 /** Size of the largest body that is read of a request which its head alone refuses. */
 const MAX_UNIDENTIFIED_BODY_BYTES = BYTES_PER_MIB / 16;
 
-/** Why a body is not read any further. */
-const getBodyReason = ({ kind }: BodyError): string =>
-  kind === 'body_wasteful' ? 'the body comes in too small pieces' : 'the body is too large';
+/** Time after which a caller may come back for whom there was no memory: most requests have ended then. */
+const MEMORY_RETRY_AFTER_MS = MS_PER_SECOND;
+
+const NO_MEMORY: Refusal = {
+  status: STATUS.unavailable,
+  reason: 'the gateway has no memory for the request',
+  retryAfterMs: MEMORY_RETRY_AFTER_MS,
+};
+
+/** Refusal of a request whose body is not read any further. */
+const getBodyRefusal = ({ kind }: BodyError): Refusal => {
+  switch (kind) {
+    case 'no_memory':
+      return NO_MEMORY;
+    case 'body_wasteful':
+      return { status: STATUS.payloadTooLarge, reason: 'the body comes in too small pieces' };
+    default:
+      return { status: STATUS.payloadTooLarge, reason: 'the body is too large' };
+  }
+};
 
 const NO_SUCH_ROUTE: Refusal = { status: STATUS.notFound, reason: 'no such route' };
 
@@ -146,17 +165,26 @@
       sendRefusal(response, refusal);
     };
     const earlyIdentification = identify(head);
+    const { byteBudget } = dependencies.online;
+    if (byteBudget.isUsedUp(HELD_FOR.response)) {
+      response.setHeader('connection', 'close');
+      refuse(NO_MEMORY);
+      return;
+    }
     const maxBytes = configWatch.current()?.bounds.maxBodyBytes ?? Infinity;
+    const holder = byteBudget.newHolder(HELD_FOR.request);
+    response.on('close', holder.release);
     const body = await readBody(
       message,
       earlyIdentification.ok ? maxBytes : Math.min(maxBytes, MAX_UNIDENTIFIED_BODY_BYTES),
+      holder,
     );
     if (!body.ok) {
       if (body.error.kind === 'body_cut') return;
       // The rest of the body is not read: its bytes may have no end.
       response.setHeader('connection', 'close');
       if (!earlyIdentification.ok) refuse(earlyIdentification.error);
-      else refuse({ status: STATUS.payloadTooLarge, reason: getBodyReason(body.error) });
+      else refuse(getBodyRefusal(body.error));
       return;
     }
     if (!dependencies.isTakingRequests()) {
--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -1,6 +1,6 @@
 /** Response to one caller, relayed from one or more upstreams. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { isEventStreamType } from '@anvilpaddle/common';
+import { HELD_FOR, isEventStreamType, type ByteBudget } from '@anvilpaddle/common';
 import type { AttemptOutcome } from '@anvilpaddle/decisions';
 import type { CallerProtocol, RequestHead } from './callerProtocol';
 import { newCallerStream, type StreamHooks } from './callerStream';
@@ -61,12 +61,16 @@
 const hasContentLength = (headers: readonly string[]): boolean =>
   headers.some((text, index) => index % 2 === 0 && isContentLength(text));
 
+const getTotalLength = (blocks: readonly Buffer[]): number =>
+  blocks.reduce((total, { length }) => total + length, 0);
+
 /** Creates the response to a request; `onFirstByte` is called when its head is sent. */
 export const newCallerResponse = (
   head: RequestHead,
   route: Route,
   response: ServerResponse,
   protocol: CallerProtocol,
+  byteBudget: ByteBudget,
   onFirstByte: () => void,
 ): CallerResponse => {
   const getCallerHeaders = (message: IncomingMessage): string[] =>
@@ -75,24 +79,42 @@
     removeContentLength(getCallerHeaders(message));
   const stream =
     route.kind === ROUTE_KIND.stream
-      ? newCallerStream(response, head.resumesAfterId !== undefined, getStreamHeaders, onFirstByte)
+      ? newCallerStream(
+          response,
+          head.resumesAfterId !== undefined,
+          getStreamHeaders,
+          byteBudget,
+          onFirstByte,
+        )
       : undefined;
 
   const relayBuffered = async (
     message: IncomingMessage,
     { isLast, onContent }: RelayHooks,
   ): Promise<AttemptReport> => {
-    const { content, end: bodyEnd } = await readResponseBody(message);
+    const holder = byteBudget.newHolder(HELD_FOR.response);
+    const { blocks, end: bodyEnd } = await readResponseBody(message, holder);
     const responseEnd = getResponseEnd(message, bodyEnd);
-    if (!isResponseComplete(responseEnd)) return { ...UNKNOWN, responseEnd };
+    if (!isResponseComplete(responseEnd)) {
+      holder.release();
+      return { ...UNKNOWN, responseEnd };
+    }
     onContent();
     const status = message.statusCode ?? STATUS.badGateway;
-    if (status >= FIRST_SERVER_ERROR_STATUS && !isLast()) return { ...RAN, responseEnd };
+    if (status >= FIRST_SERVER_ERROR_STATUS && !isLast()) {
+      holder.release();
+      return { ...RAN, responseEnd };
+    }
     onFirstByte();
+    if (response.closed) holder.release();
+    else response.once('close', holder.release);
     const headers = getCallerHeaders(message);
-    const length = hasContentLength(headers) ? [] : ['Content-Length', String(content.length)];
+    const length = hasContentLength(headers)
+      ? []
+      : ['Content-Length', String(getTotalLength(blocks))];
     response.writeHead(status, [...headers, ...length]);
-    response.end(content);
+    blocks.slice(0, -1).forEach((block) => response.write(block));
+    response.end(blocks.at(-1));
     return { ...ANSWERED, responseEnd };
   };
 
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -1,7 +1,14 @@
 /** Event stream to one caller, relayed from one upstream or from several in turn. */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { breakOffResponse, ResponseTooLargeError, waitForBodyEnd } from '@anvilpaddle/common';
+import {
+  breakOffResponse,
+  HELD_FOR,
+  NoMemoryForResponseError,
+  ResponseTooLargeError,
+  waitForBodyEnd,
+  type ByteBudget,
+} from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 import { MAX_EVENT_BYTES } from './upstreamCall';
@@ -33,6 +40,7 @@
   response: ServerResponse,
   isResumption: boolean,
   getHeaders: (message: IncomingMessage) => string[],
+  byteBudget: ByteBudget,
   onFirstEvent: () => void,
 ): CallerStream => {
   let isStarted = false;
@@ -72,13 +80,18 @@
     hooks: StreamHooks,
   ): Promise<ResponseEnd> => {
     const splitter = newEventSplitter();
+    const holder = byteBudget.newHolder(HELD_FOR.response);
     message.on('data', (chunk: Buffer) => {
       const events = splitter.feed(chunk);
       if (events.length > 0) hooks.onContent();
       if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
         message.destroy(new ResponseTooLargeError());
+      } else if (!holder.hold(splitter.getCapacity())) {
+        message.destroy(new NoMemoryForResponseError());
       }
       if (relayEvents(message, events)) return;
+      // What waits for a slow caller is no fault of the upstream, and ends with its connection.
+      holder.force(splitter.getCapacity() + response.writableLength);
       message.pause();
       hooks.onBlocked();
       once(response, 'drain', { signal }).then(
@@ -96,6 +109,7 @@
       write(message, splitter.rest());
       response.end();
     }
+    holder.release();
     return end;
   };
 
--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -9,6 +9,8 @@
   rest(): Buffer;
   /** Whether the chunks so far cost far more than they carry. */
   isWasteful(): boolean;
+  /** Number of bytes that are allocated for them. */
+  getCapacity(): number;
   /** Number of these bytes. */
   getPendingBytes(): number;
   /** Number of these bytes if they begin an event; 0 if they are only blank lines and comments. */
@@ -69,6 +71,7 @@
     },
     rest: () => pending.peek(),
     isWasteful: () => pending.isWasteful(),
+    getCapacity: () => pending.getCapacity(),
     getPendingBytes: () => pending.getLength(),
     getUnfinishedBytes: () => (hasField(pending.peek()) ? pending.getLength() : 0),
   };
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -6,6 +6,7 @@
   getRendezvousOwner,
   listen,
   loadHashing,
+  newByteBudget,
   newId,
   type Clock,
   type Logger,
@@ -108,6 +109,7 @@
     log,
   );
   const { upstreamLoads, upstreamLimits, upstreamWatch, health, serviceTimes, fleetView } = fleet;
+  const byteBudget = newByteBudget(settings.maxHeldBytes);
   const itemTracker = newItemTracker();
   const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
   const callerServer: Server = createServer({ requestTimeout: 0 });
@@ -168,6 +170,7 @@
     getQuarantinedRequests: () => quarantine.requests.getQuarantinedCount(),
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
+    getHeldBytes: byteBudget.getHeldBytes,
   });
   metricsRef.metrics = metrics;
   const isServing = (): boolean =>
@@ -223,6 +226,7 @@
     health,
     crashDetector,
     quarantine,
+    byteBudget,
     getEligibleOwners: () => [
       incarnation,
       ...gatewayList
@@ -274,6 +278,7 @@
       health,
       crashDetector,
       quarantine,
+      byteBudget,
       serviceTimes,
       clock,
       random,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -1,7 +1,14 @@
 /** Counters and latency histograms of a gateway as text, with a bounded number of label values. */
 import { createServer } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import { getErrorMessage, listen, type Address, type Logger } from '@anvilpaddle/common';
+import {
+  getErrorMessage,
+  HELD_FOR,
+  listen,
+  type Address,
+  type HeldFor,
+  type Logger,
+} from '@anvilpaddle/common';
 import type { GossipMetrics } from './gossipSocket';
 import type { AttemptMetrics, OnlineOutcome } from './online/types';
 import type { Route } from './types';
@@ -32,6 +39,7 @@
   readonly getQuarantinedRequests: () => number;
   readonly getLimitedUpstreams: () => number;
   readonly getViewAgeMs: () => number;
+  readonly getHeldBytes: (heldFor: HeldFor) => number;
 }
 
 /** Creates the metrics in a registry of their own. */
@@ -110,6 +118,13 @@
         this.set(getValue());
       },
     });
+  Object.values(HELD_FOR).forEach((heldFor) =>
+    addGauge(
+      `anvilpaddle_held_${heldFor}_bytes`,
+      `Received bytes of ${heldFor}s that are held`,
+      () => gauges.getHeldBytes(heldFor),
+    ),
+  );
   addGauge('anvilpaddle_active_requests', 'Requests being served', gauges.getActive);
   addGauge('anvilpaddle_owned_jobs', 'Open jobs that this gateway runs', gauges.getJobs);
   addGauge('anvilpaddle_peers', 'Other gateways that may be at work', gauges.getPeers);
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,5 +1,13 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
-import { ResponseTooLargeError, SERVICE_CLASS, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  HELD_FOR,
+  NoMemoryForResponseError,
+  ResponseTooLargeError,
+  SERVICE_CLASS,
+  type ByteBudget,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
 import {
   getTotalLoad,
   type Health,
@@ -96,6 +104,7 @@
   readonly health: Health;
   readonly crashDetector: CrashDetector;
   readonly quarantine: InputQuarantine;
+  readonly byteBudget: ByteBudget;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
@@ -111,7 +120,7 @@
   observer = NO_OBSERVER,
 ): Promise<RunOutcome> => {
   const { protocol, view, upstreamLoads, health, crashDetector, quarantine } = dependencies;
-  const { upstreamClient, clock, metrics } = dependencies;
+  const { upstreamClient, byteBudget, clock, metrics } = dependencies;
   const { upstream, host, team } = target;
   const reason = progress.runMs === 0 ? SEND_REASON.item : SEND_REASON.resumption;
   const promptParts = protocol.getItemPromptParts(item);
@@ -177,6 +186,7 @@
         : { kind: 'broken', detail, cause: BREAK_CAUSE.status };
     }
     const splitter = newEventSplitter();
+    const holder = byteBudget.newHolder(HELD_FOR.response);
     let runBytes = 0;
     const bodyEnd = await readInBulk(
       message,
@@ -189,6 +199,10 @@
           message.destroy(new ResponseTooLargeError());
           return;
         }
+        if (!holder.hold(runBytes + splitter.getCapacity())) {
+          message.destroy(new NoMemoryForResponseError());
+          return;
+        }
         const events = splitEvents(splitter.feed(chunk)).filter(hasEventData);
         if (events.length > 0) restartTimers();
         observer.onData(events.length > 0);
@@ -197,6 +211,7 @@
       abortSignal,
       clock,
     );
+    holder.release();
     const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
     if (!isResponseComplete(responseEnd)) {
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -26,8 +26,16 @@
 const NO_SERVICE_RETRY_MS = 1000;
 
 /** Why there is no whole response, for the caller and the log. */
-const getLossReason = ({ responseEnd }: AttemptReport): string =>
-  responseEnd?.bodyEnd === BODY_END.tooLarge ? 'the answer was too large' : 'the answer was lost';
+const getLossReason = ({ responseEnd }: AttemptReport): string => {
+  switch (responseEnd?.bodyEnd) {
+    case BODY_END.tooLarge:
+      return 'the answer was too large';
+    case BODY_END.noMemory:
+      return 'the gateway has no memory for the answer';
+    default:
+      return 'the answer was lost';
+  }
+};
 
 /** Attempt under way, with the knowledge on which its upstream was chosen. */
 interface OpenRequest {
@@ -42,7 +50,7 @@
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
   const { head, digest, route, response, startedMs, signal } = request;
-  const { protocol, quarantine, clock, random, log } = dependencies;
+  const { protocol, quarantine, byteBudget, clock, random, log } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
   const getTimeLeftMs = (): number => timeoutMs - getElapsedMs();
@@ -62,7 +70,7 @@
     { route, getElapsedMs, getTimeLeftMs, budget },
     dependencies,
   );
-  const callerResponse = newCallerResponse(head, route, response, protocol, () => {
+  const callerResponse = newCallerResponse(head, route, response, protocol, byteBudget, () => {
     firstByteMs = getElapsedMs();
   });
 
--- a/anvilpaddle-app/gateway/online/types.ts
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -1,6 +1,6 @@
 /** Types of online requests, their attempts and their outcomes. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, Logger, Random } from '@anvilpaddle/common';
+import type { ByteBudget, Clock, Logger, Random } from '@anvilpaddle/common';
 import type {
   Health,
   InputAssessment,
@@ -35,6 +35,7 @@
   readonly serviceTimes: ServiceTimes;
   readonly crashDetector: CrashDetector;
   readonly quarantine: StoredQuarantine;
+  readonly byteBudget: ByteBudget;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -15,6 +15,7 @@
   newFailure,
   newOk,
   readBody,
+  readStream,
   sendJson,
   BYTES_PER_MIB,
   MS_PER_MINUTE,
@@ -149,7 +150,8 @@
       },
       signal: AbortSignal.timeout(timeoutMs + RELAY_OVERHEAD_MS),
     });
-    const content = Buffer.from(await response.body.arrayBuffer());
+    const content = await readStream(response.body, MAX_BODY_BYTES);
+    if (content === undefined) return newFailure(INVALID_RELAY_RESPONSE);
     const status = getText(response.headers[STATUS_HEADER]);
     // A peer always sends a length: without one, the end of the content does not show.
     const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
--- a/anvilpaddle-app/gateway/tests/callerStreamAbort.test.ts
+++ b/anvilpaddle-app/gateway/tests/callerStreamAbort.test.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from 'node:events';
 import { createServer, type ServerResponse } from 'node:http';
 import { connect } from 'node:net';
-import { closeServer, listen, SystemClock } from '@anvilpaddle/common';
+import { closeServer, listen, newByteBudget, SystemClock } from '@anvilpaddle/common';
 import { newCallerStream } from '../callerStream';
 import { isResponseComplete } from '../responseEnd';
 import { callUpstream } from '../upstreamCall';
@@ -40,6 +40,7 @@
     response as unknown as ServerResponse,
     false,
     () => [],
+    newByteBudget(Infinity),
     () => undefined,
   );
   setTimeout(() => controller.abort(), 200);
@@ -92,6 +93,7 @@
       response,
       false,
       () => ['Content-Type', 'text/event-stream'],
+      newByteBudget(Infinity),
       () => undefined,
     );
     const serve = async (): Promise<void> => {
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -1,4 +1,4 @@
-import { newSilentLogger, SystemClock } from '@anvilpaddle/common';
+import { newByteBudget, newSilentLogger, SystemClock } from '@anvilpaddle/common';
 import {
   newHealth,
   newItemTracker,
@@ -90,6 +90,7 @@
     health: newHealth(),
     crashDetector: { reportLost: () => undefined, reportRefused: () => undefined },
     quarantine: newInputQuarantine(),
+    byteBudget: newByteBudget(Infinity),
     metrics: { countResponseEnd: () => undefined },
     getEligibleOwners: () => [SELF],
     isAlive: () => true,
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -130,5 +130,7 @@
   /** Address at which the metrics are served as text; they are not served when undefined. */
   readonly metrics: Address | undefined;
   readonly storeUrl: string;
+  /** Bytes of requests and responses that the process holds at a moment, at most. */
+  readonly maxHeldBytes: number;
   readonly bounds: GatewayBounds;
 }
--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -3,10 +3,13 @@
 import {
   BYTES_PER_MIB,
   callHttp,
-  newByteCollector,
+  getAnnouncedBytes,
+  newBodyCollector,
+  NoMemoryForResponseError,
   ResponseTooLargeError,
   waitForBodyEnd,
   type BodyEnd,
+  type ByteHolder,
   type Clock,
   type HttpCall,
   type HttpCallResult,
@@ -40,19 +43,39 @@
 
 /** Body of a response as far as it arrived. */
 export interface ReceivedBody {
-  readonly content: Buffer;
+  /** The bytes in order. */
+  readonly blocks: readonly Buffer[];
   readonly end: BodyEnd;
 }
 
-/** Reads a response's body to its end, or until it is too large. */
-export const readResponseBody = async (message: IncomingMessage): Promise<ReceivedBody> => {
-  const collector = newByteCollector();
+/** Why a body of this size is not read, or not any further. */
+const getBreakOffError = (
+  bytes: number,
+  allocatedBytes: number,
+  holder: ByteHolder,
+): Error | undefined => {
+  if (bytes > MAX_RESPONSE_BYTES) return new ResponseTooLargeError();
+  return holder.canHold(allocatedBytes) ? undefined : new NoMemoryForResponseError();
+};
+
+/** Reads a response's body to its end, or until it is too large or passes the share of its holder. */
+export const readResponseBody = async (
+  message: IncomingMessage,
+  holder: ByteHolder,
+): Promise<ReceivedBody> => {
+  const collector = newBodyCollector();
+  const announcedBytes = getAnnouncedBytes(message);
+  const earlyError = getBreakOffError(announcedBytes, announcedBytes, holder);
+  if (earlyError !== undefined) message.destroy(earlyError);
   message.on('data', (chunk: Buffer) => {
     collector.append(chunk);
-    if (collector.getLength() > MAX_RESPONSE_BYTES || collector.isWasteful()) {
-      message.destroy(new ResponseTooLargeError());
-    }
+    const capacity = collector.getCapacity();
+    const error = collector.isWasteful()
+      ? new ResponseTooLargeError()
+      : getBreakOffError(collector.getLength(), capacity, holder);
+    if (error === undefined) holder.hold(capacity);
+    else message.destroy(error);
   });
   const end = await waitForBodyEnd(message);
-  return { content: collector.peek(), end };
+  return { blocks: collector.getBlocks(), end };
 };
--- a/anvilpaddle-app/peers/peerServer.ts
+++ b/anvilpaddle-app/peers/peerServer.ts
@@ -15,6 +15,7 @@
   readBody,
   sendJson,
   type Address,
+  type BodyError,
   type Logger,
   type Result,
 } from '@anvilpaddle/common';
@@ -56,7 +57,7 @@
 /** Why an HTTP request with all its messages was refused. */
 interface ExchangeRefusal {
   readonly status: number;
-  readonly reason: 'body_too_large' | 'body_wasteful' | 'body_cut' | 'malformed' | 'replayed';
+  readonly reason: BodyError['kind'] | 'malformed' | 'replayed';
 }
 
 const messageSchema = z.looseObject({
--- /dev/null
+++ b/packages/common/byteBudget.ts
@@ -0,0 +1,87 @@
+/**
+ * Bounds the received bytes that a process holds at a moment. A message may hold a multiple of what is left
+ * free, so that the bound is never reached: the more is held, the smaller is the share of each message, and
+ * large ones yield before small ones (a dynamic threshold, as switches use it for shared buffers).
+ */
+
+/** Bytes that a message may hold for each byte that is left free. */
+const SHARE_OF_FREE_BYTES = 2;
+/** Bytes that a message may hold in any case; the number of connections bounds their sum. */
+const MIN_SHARE_BYTES = 8192;
+
+/** What received bytes are held for. */
+export const HELD_FOR = {
+  /** Bodies of requests until the requests end. */
+  request: 'request',
+  /** Responses until they are sent on, and what of them waits for callers that read slowly. */
+  response: 'response',
+} as const;
+/** One of these. */
+export type HeldFor = (typeof HELD_FOR)[keyof typeof HELD_FOR];
+
+/** Bytes of one message. */
+export interface ByteHolder {
+  /** Sets how many bytes are held, if they are within the share; returns whether they are. */
+  hold(bytes: number): boolean;
+  /** Whether that many bytes would be within the share. */
+  canHold(bytes: number): boolean;
+  /** Sets how many bytes are held although they are not within the share. */
+  force(bytes: number): void;
+  /** Holds no bytes any more. */
+  release(): void;
+}
+
+/** Bytes of all messages of a process. */
+export interface ByteBudget {
+  newHolder(heldFor: HeldFor): ByteHolder;
+  /** Whether no bytes are left free; new messages should yield then. */
+  isUsedUp(heldFor: HeldFor): boolean;
+  getHeldBytes(heldFor: HeldFor): number;
+}
+
+/** Holder for bytes that are bounded in another way. */
+export const UNBOUNDED_HOLDER: ByteHolder = {
+  hold: () => true,
+  canHold: () => true,
+  force: () => undefined,
+  release: () => undefined,
+};
+
+/** Creates a budget; requests and responses have a half each, so that neither can displace the other. */
+export const newByteBudget = (maxBytes: number): ByteBudget => {
+  const held: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
+  const maxBytesEach = maxBytes / Object.keys(held).length;
+
+  const newHolder = (heldFor: HeldFor): ByteHolder => {
+    let own = 0;
+    let isReleased = false;
+    const canHold = (bytes: number): boolean => {
+      const freeBytes = maxBytesEach - (held[heldFor] - own) - bytes;
+      return bytes <= Math.max(own, MIN_SHARE_BYTES, SHARE_OF_FREE_BYTES * freeBytes);
+    };
+    const force = (bytes: number): void => {
+      if (isReleased) return;
+      held[heldFor] += bytes - own;
+      own = bytes;
+    };
+    return {
+      canHold,
+      force,
+      hold: (bytes) => {
+        const isWithinShare = canHold(bytes);
+        if (isWithinShare) force(bytes);
+        return isWithinShare;
+      },
+      release: () => {
+        force(0);
+        isReleased = true;
+      },
+    };
+  };
+
+  return {
+    newHolder,
+    isUsedUp: (heldFor) => held[heldFor] >= maxBytesEach,
+    getHeldBytes: (heldFor) => held[heldFor],
+  };
+};
--- a/packages/common/byteCollector.ts
+++ b/packages/common/byteCollector.ts
@@ -1,12 +1,9 @@
 /**
- * Collects received bytes at a cost that follows from their number, whatever the chunks in which they come: a
- * chunk that is kept as a buffer of its own costs some hundred bytes, even if it carries one.
+ * Collects received bytes that are looked at while they come, in one growing buffer: a chunk that is kept as a
+ * buffer of its own costs some hundred bytes, even if it carries one.
  */
+import { newChunkMeter } from './chunkMeter';
 
-/** Chunks after which their mean size must show that they carry something. */
-const MIN_JUDGED_CHUNKS = 8192;
-/** Least mean size of the chunks of a body, in bytes; a chunk costs as much as some hundred bytes. */
-const MIN_MEAN_CHUNK_BYTES = 8;
 /** Chunks of this size are kept as they are if nothing is pending; copying them would cost more. */
 const MIN_KEPT_CHUNK_BYTES = 1024;
 const MIN_CAPACITY_BYTES = 512;
@@ -18,6 +15,8 @@
   append(chunk: Buffer): void;
   /** Number of bytes. */
   getLength(): number;
+  /** Number of bytes that are allocated for them. */
+  getCapacity(): number;
   /** The bytes, which stay; valid until the next call of `append`. */
   peek(): Buffer;
   /** Removes the first bytes and returns them. */
@@ -28,12 +27,11 @@
 
 /** Creates a collector without bytes. */
 export const newByteCollector = (): ByteCollector => {
+  const meter = newChunkMeter();
   let content = EMPTY;
   let length = 0;
   /** Whether `content` was allocated here, so that more can be written into it. */
   let isOwned = false;
-  let chunkCount = 0;
-  let byteCount = 0;
 
   /** Makes room, so that the content is copied a few times at most, however many chunks come. */
   const grow = (neededBytes: number): void => {
@@ -46,8 +44,7 @@
 
   return {
     append: (chunk) => {
-      chunkCount += 1;
-      byteCount += chunk.length;
+      meter.add(chunk);
       if (length === 0 && chunk.length >= MIN_KEPT_CHUNK_BYTES) {
         content = chunk;
         isOwned = false;
@@ -59,6 +56,7 @@
       length += chunk.length;
     },
     getLength: () => length,
+    getCapacity: () => content.length,
     peek: () => content.subarray(0, length),
     take: (taken) => {
       const bytes = content.subarray(0, taken);
@@ -68,7 +66,6 @@
       isOwned = false;
       return bytes;
     },
-    isWasteful: () =>
-      chunkCount > MIN_JUDGED_CHUNKS && byteCount < chunkCount * MIN_MEAN_CHUNK_BYTES,
+    isWasteful: meter.isWasteful,
   };
 };
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -1,7 +1,8 @@
 /** Helpers for HTTP servers: addresses, request bodies, JSON responses. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import { newByteCollector } from './byteCollector';
+import { joinBlocks, newBodyCollector } from './bodyCollector';
+import { UNBOUNDED_HOLDER } from './byteBudget';
 
 /** Host and port as in `127.0.0.1:8080`. */
 export interface Address {
@@ -57,34 +58,45 @@
   stream: Readable,
   limitBytes = Infinity,
 ): Promise<Buffer | undefined> => {
-  const collector = newByteCollector();
+  const collector = newBodyCollector();
   for await (const chunk of stream as AsyncIterable<Buffer>) {
     collector.append(chunk);
     if (collector.getLength() > limitBytes || collector.isWasteful()) return undefined;
   }
-  return collector.peek();
+  return joinBlocks(collector.getBlocks());
 };
 
 /**
- * Why a body could not be read: it exceeds the limit, its pieces cost far more than they carry, or the
- * connection closed before its end.
+ * Why a body could not be read: it exceeds the limit, its pieces cost far more than they carry, the process holds
+ * too many bytes already, or the connection closed before its end.
  */
 export type BodyError =
   | { readonly kind: 'body_too_large'; readonly limitBytes: number }
   | { readonly kind: 'body_wasteful' }
+  | { readonly kind: 'no_memory' }
   | { readonly kind: 'body_cut' };
 
+/** Number of body bytes that the head of a message announces; 0 if it does not. */
+export const getAnnouncedBytes = ({ headers }: IncomingMessage): number =>
+  Number(headers['content-length'] ?? 0);
+
 /**
- * Reads a whole request body, or fails once it exceeds `limitBytes` or costs far more than it carries. The
- * stream is not destroyed then, so that a response can still be sent.
+ * Reads a whole request body, or fails once it exceeds `limitBytes`, costs far more than it carries or passes
+ * the share of its holder, which holds it from then on. The stream is not destroyed then, so that a response
+ * can still be sent.
  */
 export const readBody = async (
   stream: IncomingMessage,
   limitBytes: number,
+  holder = UNBOUNDED_HOLDER,
 ): Promise<
   { readonly ok: true; readonly value: Buffer } | { readonly ok: false; readonly error: BodyError }
 > => {
-  const collector = newByteCollector();
+  const announcedBytes = getAnnouncedBytes(stream);
+  if (announcedBytes <= limitBytes && !holder.canHold(announcedBytes)) {
+    return { ok: false, error: { kind: 'no_memory' } };
+  }
+  const collector = newBodyCollector();
   try {
     for await (const chunk of stream.iterator({
       destroyOnReturn: false,
@@ -94,11 +106,12 @@
         return { ok: false, error: { kind: 'body_too_large', limitBytes } };
       }
       if (collector.isWasteful()) return { ok: false, error: { kind: 'body_wasteful' } };
+      if (!holder.hold(collector.getCapacity())) return { ok: false, error: { kind: 'no_memory' } };
     }
   } catch {
     return { ok: false, error: { kind: 'body_cut' } };
   }
-  return { ok: true, value: collector.peek() };
+  return { ok: true, value: joinBlocks(collector.getBlocks()) };
 };
 
 /** Sends a value as a JSON response. */
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -1,4 +1,6 @@
 /** Helpers without domain logic that all packages use. */
+export * from './bodyCollector';
+export * from './byteBudget';
 export * from './byteCollector';
 export * from './clock';
 export * from './connectError';
@@ -13,6 +15,7 @@
 export * from './mailbox';
 export * from './manualClock';
 export * from './metrics';
+export * from './noMemoryForResponseError';
 export * from './random';
 export * from './responseEnd';
 export * from './responseTooLargeError';
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -1,5 +1,6 @@
 /** How HTTP/1.1 responses mark the end of their bodies, and how a body that was read ended. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { NoMemoryForResponseError } from './noMemoryForResponseError';
 import { ResponseTooLargeError } from './responseTooLargeError';
 
 /** What marks the end of a response's body. */
@@ -24,6 +25,8 @@
   reset: 'reset',
   /** The reader stopped: more arrived than a response may have. */
   tooLarge: 'tooLarge',
+  /** The reader stopped: the process held too many bytes already. */
+  noMemory: 'noMemory',
 } as const;
 export type BodyEnd = (typeof BODY_END)[keyof typeof BODY_END];
 
@@ -50,6 +53,7 @@
 
 const getBodyEndAtError = (error: NodeJS.ErrnoException | null): BodyEnd => {
   if (error instanceof ResponseTooLargeError) return BODY_END.tooLarge;
+  if (error instanceof NoMemoryForResponseError) return BODY_END.noMemory;
   return error !== null && isReset(error) ? BODY_END.reset : BODY_END.closed;
 };
 
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici';
 import {
   BODY_DELIMITER,
+  BYTES_PER_MIB,
   getBodyDelimiter,
   getErrorMessage,
   isConnectError,
@@ -46,6 +47,9 @@
   close(): Promise<void>;
 }
 
+/** Size of the largest response: an object or a page of rows. */
+const MAX_RESPONSE_BYTES = 64 * BYTES_PER_MIB;
+
 /**
  * Creates a client of the service at a base URL. A call that ends without a response in time fails
  * as `unknown`, unless no connection was established.
@@ -77,7 +81,7 @@
           dispatcher: agent,
           signal: AbortSignal.timeout(options.timeoutMs ?? timeoutMs),
         });
-        const content = await readStream(response.body);
+        const content = await readStream(response.body, MAX_RESPONSE_BYTES);
         if (content === undefined) throw new ResponseTooLargeError();
         const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
         if (options.needsDelimiter === true && response.statusCode === 200 && !isDelimited) {
