Split the chunks that a batch worker holds from the worker

Ruled out: a state field in ChunkRun, which is also used where nothing is held.

Behaviour is unchanged.

--- a/anvilpaddle-app/sidecar/batchWorker.ts
+++ b/anvilpaddle-app/sidecar/batchWorker.ts
@@ -1,12 +1,6 @@
 /** Claims chunks of batch jobs and runs their items in spare slots of the upstream. */
 import { setMaxListeners } from 'node:events';
-import {
-  getLeaseMs,
-  getRenewalMs,
-  isSuspectItem,
-  newMissingModels,
-  type Config,
-} from '@anvilpaddle/decisions';
+import { getLeaseMs, isSuspectItem, newMissingModels, type Config } from '@anvilpaddle/decisions';
 import {
   BYTES_PER_MIB,
   newMailbox,
@@ -23,6 +17,7 @@
 import { newItemRate } from '../batch/itemRate';
 import { wait } from '../batch/verifiedCommit';
 import { newChunkSearchPace } from './chunkSearchPace';
+import { newHeldChunks } from './heldChunks';
 import { newHeldJobs } from './heldJobs';
 import { getItemRules, newSettingsCache } from './jobSettings';
 import type { UpstreamClient } from './upstreamClient';
@@ -80,10 +75,15 @@
   const itemRate = newItemRate(clock);
   const drainController = new AbortController();
   setMaxListeners(0, drainController.signal);
-  const held = new Set<ChunkRun>();
-  const endPromises = new Set<Promise<void>>();
-  const lastRenewalMs = new Map<ChunkRun, number>();
   let wake = (): void => undefined;
+  const held = newHeldChunks(
+    ({ job }) => {
+      finder.refresh(job.id);
+      wake();
+    },
+    clock,
+    log,
+  );
   let isSearching = false;
   const searchPace = newChunkSearchPace(clock, random);
   let lastProgressMs = clock.monotonic();
@@ -95,8 +95,6 @@
   const getSettings = newSettingsCache(dependencies.getConfig);
   const getCurrentLeaseMs = (): number =>
     getLeaseMs(getSettings()['batch.lease'], dependencies.getSidecarCount());
-  const sum = (count: (run: ChunkRun) => number): number =>
-    [...held].reduce((total, run) => total + count(run), 0);
   const isServed = (model: string): boolean => dependencies.getModels().includes(model);
   const unservedModels = newMissingModels((model) => isServed(model) || registry.isServed(model));
   /** Whether no upstream has served the model for the time `batch.model_wait`. */
@@ -105,24 +103,6 @@
   // An item of an unserved model can run here as well: it ends with an error.
   const canRun = (model: string): boolean => isServed(model) || isUnserved(model);
 
-  const drop = (run: ChunkRun): void => {
-    held.delete(run);
-    lastRenewalMs.delete(run);
-    run.abandon();
-  };
-
-  const endRun = (run: ChunkRun, action: () => Promise<unknown>): void => {
-    const done = action()
-      .catch((error: unknown) => log.error({ err: error }, 'commit or release of a chunk failed'))
-      .then(() => {
-        drop(run);
-        finder.refresh(run.job.id);
-        endPromises.delete(done);
-        wake();
-      });
-    endPromises.add(done);
-  };
-
   const runItem = async (run: ChunkRun, { item, position }: PositionedItem): Promise<void> => {
     if (item.model !== undefined && isUnserved(item.model)) {
       const message = `no upstream serves model ${item.model}`;
@@ -160,9 +140,9 @@
   };
 
   const startItems = (): void => {
-    let freeItems = maxInFlight - sum((run) => run.running());
-    for (const run of held) {
-      while (freeItems > 0 && sum((each) => each.heldBytes()) < MAX_HELD_BYTES) {
+    let freeItems = maxInFlight - held.sum((run) => run.running());
+    for (const run of held.getAll()) {
+      while (freeItems > 0 && held.sum((each) => each.heldBytes()) < MAX_HELD_BYTES) {
         const positioned = run.next();
         if (positioned === undefined) break;
         freeItems -= 1;
@@ -171,17 +151,6 @@
     }
   };
 
-  const loadingRuns = new Set<ChunkRun>();
-  const endingRuns = new Set<ChunkRun>();
-  const finishRuns = (): void => {
-    [...held]
-      .filter((run) => run.isFinished() && !loadingRuns.has(run) && !endingRuns.has(run))
-      .forEach((run) => {
-        endingRuns.add(run);
-        endRun(run, () => run.finish().finally(() => endingRuns.delete(run)));
-      });
-  };
-
   const claimChunk = async (): Promise<void> => {
     const claim = await finder.find({
       owner: dependencies.owner,
@@ -192,7 +161,7 @@
       itemsPerSecond: itemRate.getPerSecond() * dependencies.getSidecarCount(),
       getWeight: dependencies.getWeight,
       canRun: (models) => models.length === 0 || models.some(canRun),
-      isHeld: (key) => [...held].some((run) => run.key === key),
+      isHeld: (key) => held.getAll().some((run) => run.key === key),
     });
     if (claim === undefined) {
       searchPace.recordNone(getCurrentLeaseMs(), dependencies.getSidecarCount());
@@ -200,23 +169,20 @@
     }
     searchPace.recordFound();
     const run = newChunkRun(dependencies, claim, canRun);
-    held.add(run);
-    loadingRuns.add(run);
-    lastRenewalMs.set(run, clock.monotonic());
-    if (sum((each) => each.running()) === 0) lastProgressMs = clock.monotonic();
-    void run.load(getItemRules(dependencies.getConfig(), claim.job)).then(() => {
-      loadingRuns.delete(run);
-      wake();
-    });
+    if (held.sum((each) => each.running()) === 0) lastProgressMs = clock.monotonic();
+    const rules = getItemRules(dependencies.getConfig(), claim.job);
+    void held.load(run, run.load(rules)).then(() => wake());
   };
 
   const shouldSearch = (): boolean => {
     if (dependencies.isStopping() || drainController.signal.aborted || isSearching) return false;
     if (!getSettings()['batch.enabled'] || !searchPace.isDue()) return false;
-    if (held.size >= MAX_HELD_CHUNKS || loadingRuns.size > 0) return false;
-    const isBusy = sum((run) => run.running()) > 0;
+    if (held.getAll().length >= MAX_HELD_CHUNKS || held.isLoading()) return false;
+    const isBusy = held.sum((run) => run.running()) > 0;
     // The next chunk is claimed while the last items run, so that no slot waits for the store.
-    return sum((run) => run.pending()) < maxInFlight && (isBusy || dispatcher.spareSlots() > 0);
+    return (
+      held.sum((run) => run.pending()) < maxInFlight && (isBusy || dispatcher.spareSlots() > 0)
+    );
   };
 
   const startSearch = (): void => {
@@ -230,51 +196,34 @@
       });
   };
 
-  const renewLeases = (): void => {
-    const nowMs = clock.monotonic();
-    held.forEach((run) => {
-      const leaseMs = getCurrentLeaseMs();
-      if (nowMs - (lastRenewalMs.get(run) ?? 0) < getRenewalMs(leaseMs)) return;
-      lastRenewalMs.set(run, nowMs);
-      void run.rowWriter.renew(leaseMs).then((outcome) => {
-        if (outcome === 'lost') drop(run);
-      });
-    });
-  };
-
   const heldJobs = newHeldJobs({
     tables,
     clock,
     log,
-    getIds: () => [...held].map(({ job }) => job.id),
-    onEnded: (id) => [...held].filter(({ job }) => job.id === id).forEach(drop),
+    getIds: () => held.getAll().map(({ job }) => job.id),
+    onEnded: held.dropJob,
     getSidecarCount: dependencies.getSidecarCount,
   });
 
   /** Releases chunks that make no progress behind online work or at an unreachable upstream. */
   const releaseStalled = (): void => {
     const nowMs = clock.monotonic();
-    if (nowMs - lastProgressMs < STALL_TIMEOUT_MS || held.size === 0) return;
+    if (nowMs - lastProgressMs < STALL_TIMEOUT_MS || held.getAll().length === 0) return;
     lastProgressMs = nowMs;
     searchPace.postpone(STALL_TIMEOUT_MS);
-    [...held]
-      .filter((run) => !endingRuns.has(run) && !loadingRuns.has(run))
-      .forEach((run) => {
-        endingRuns.add(run);
-        endRun(run, () => run.release().finally(() => endingRuns.delete(run)));
-      });
+    held.releaseLoaded();
   };
 
   const mailbox = newMailbox<'pump' | 'tick'>(
     (message) => {
       if (message === 'tick') {
         unservedModels.refresh();
-        renewLeases();
+        held.renewLeases(getCurrentLeaseMs());
         heldJobs.checkIfDue();
         releaseStalled();
       }
       startItems();
-      finishRuns();
+      held.finishRuns();
       startSearch();
     },
     (error) => log.error({ err: error }, 'batch worker failed'),
@@ -286,15 +235,10 @@
 
   const waitUntilIdle = async (timeoutMs: number): Promise<void> => {
     const endMs = clock.monotonic() + timeoutMs;
-    const isBusy = (): boolean => sum((run) => run.running()) + loadingRuns.size > 0;
+    const isBusy = (): boolean => held.isLoading() || held.sum((run) => run.running()) > 0;
     while (isBusy() && clock.monotonic() < endMs) await wait(clock, TICK_INTERVAL_MS);
   };
 
-  const releaseAll = async (): Promise<void> => {
-    const unfinished = [...held].filter((run) => !endingRuns.has(run));
-    await Promise.all(unfinished.map((run) => (run.isFinished() ? run.finish() : run.release())));
-  };
-
   return {
     counts: finder.counts,
     recheckJob: heldJobs.recheck,
@@ -302,11 +246,8 @@
       drainController.abort();
       await waitUntilIdle(STOP_STEP_TIMEOUT_MS);
       timer.cancel();
-      await Promise.race([
-        Promise.all([releaseAll(), ...endPromises]),
-        wait(clock, STOP_STEP_TIMEOUT_MS),
-      ]);
-      held.forEach(drop);
+      await Promise.race([held.endAll(), wait(clock, STOP_STEP_TIMEOUT_MS)]);
+      held.dropAll();
       await registry.close();
       await mailbox.close();
     },
