A measurement of a gateway beside senders of messages that don't end

`npm run measure -- heldBytes` gives them for an upstream whose responses have no end and for callers whose bodies have none. Ruled out: senders without a pause; they measure the stand-ins' process.

--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -4,6 +4,7 @@
 import { measureCapacity } from './capacity';
 import { measureConfig } from './config';
 import { measureEndToEnd } from './endToEnd';
+import { measureHeldBytes } from './heldBytes';
 import { measureLimits } from './limits';
 import { measureRetries } from './retries';
 import { measureRouting } from './routing';
@@ -17,6 +18,7 @@
   batch: measureBatch,
   capacity: measureCapacity,
   config: measureConfig,
+  heldBytes: measureHeldBytes,
   limits: measureLimits,
   retries: measureRetries,
   routing: measureRouting,
