A response that the gateway has no memory for is not held against its upstream

Such a response counted as lost: its upstream lost health, its request became a suspect of a crash, and a repeatable one read the same bytes again from another upstream. Cause: the new end was treated as any incomplete response.

Ruled out: a later retry by the gateway; the caller's own, at any gateway, finds more room. Change: no retry, no health record, no report of a loss, for requests and for items of jobs.

--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -27,7 +27,7 @@
 import type { CrashDetector } from '../crashDetector';
 import type { FleetView } from '../fleetView';
 import type { GatewayMetrics } from '../gatewayMetrics';
-import { getStreamEnd, isResponseComplete, type ResponseEnd } from '../responseEnd';
+import { getStreamEnd, isOutOfMemory, isResponseComplete, type ResponseEnd } from '../responseEnd';
 import type { Upstream } from '../types';
 import { MAX_EVENT_BYTES, MAX_RUN_BYTES } from '../upstreamCall';
 import { SEND_REASON, type UpstreamClient } from '../upstreamClient';
@@ -65,6 +65,8 @@
   status: 'status',
   /** The stream ended before its last event. */
   cut: 'cut',
+  /** The gateway broke the stream off, for want of memory. */
+  noMemory: 'noMemory',
 } as const;
 /** One of the causes. */
 export type BreakCause = (typeof BREAK_CAUSE)[keyof typeof BREAK_CAUSE];
@@ -215,7 +217,8 @@
     const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
     if (!isResponseComplete(responseEnd)) {
-      return { kind: 'broken', detail: 'the stream was cut', cause: BREAK_CAUSE.cut, responseEnd };
+      const cause = isOutOfMemory(responseEnd) ? BREAK_CAUSE.noMemory : BREAK_CAUSE.cut;
+      return { kind: 'broken', detail: 'the stream was cut', cause, responseEnd };
     }
     return { kind: 'done' };
   };
@@ -229,9 +232,12 @@
     if (outcome.kind === 'done') {
       quarantine.parts.recordSurvival(promptParts, runMs, clock.monotonic());
     }
-    // A status shows that the upstream responds, and an aborted run says nothing about the upstream.
+    // A status shows that the upstream responds; an end by this gateway says nothing about the upstream.
     const isUpstreamFailure =
-      outcome.kind === 'broken' && !signal.aborted && outcome.cause !== BREAK_CAUSE.status;
+      outcome.kind === 'broken' &&
+      !signal.aborted &&
+      outcome.cause !== BREAK_CAUSE.status &&
+      outcome.cause !== BREAK_CAUSE.noMemory;
     if (isUpstreamFailure) {
       if (outcome.cause !== BREAK_CAUSE.notSent) {
         crashDetector.reportLost(upstream, {
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -7,7 +7,7 @@
   type AttemptResult,
 } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
-import { isResponseComplete } from '../responseEnd';
+import { isOutOfMemory, isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
 import type { Upstream } from '../types';
 import type { SendReason } from '../upstreamClient';
@@ -62,7 +62,8 @@
 /** Whether the upstream broke the attempt off, before or during its response. */
 const isLost = (callResult: HttpCallResult, { responseEnd }: AttemptReport): boolean => {
   if (callResult.kind !== 'answered') return callResult.kind === 'lost';
-  return responseEnd !== undefined && !isResponseComplete(responseEnd);
+  if (responseEnd === undefined || isOutOfMemory(responseEnd)) return false;
+  return !isResponseComplete(responseEnd);
 };
 
 const getDetail = (callResult: HttpCallResult): string =>
@@ -158,7 +159,9 @@
     const result = getHealthResult(callResult, outcome);
     // With a silence, the time would measure that rather than the upstream.
     const usualFirstByteMs = hasBeenSilent ? undefined : firstByteMs;
-    health.record(upstream.id, result, usualFirstByteMs, clock.monotonic());
+    if (!isOutOfMemory(outcome.responseEnd)) {
+      health.record(upstream.id, result, usualFirstByteMs, clock.monotonic());
+    }
     if (result === ATTEMPT_RESULT.ok) {
       // With a wait or a silence, the time would measure that rather than the upstream.
       if (expectedWaitMs === 0 && !hasBeenSilent) {
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -9,7 +9,7 @@
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
 import { getQuarantineRefusal, STATUS, type Refusal } from '../refusal';
-import type { ResponseEnd } from '../responseEnd';
+import { isOutOfMemory, type ResponseEnd } from '../responseEnd';
 import { pickService } from '../routeTable';
 import { ROUTE_KIND, type Upstream } from '../types';
 import { SEND_REASON } from '../upstreamClient';
@@ -110,6 +110,8 @@
 
   const shouldRetry = (outcome: AttemptReport, assessment: InputAssessment): boolean =>
     rejectionCount < MAX_REJECTIONS &&
+    // Another upstream's response would need as much memory.
+    !isOutOfMemory(outcome.responseEnd) &&
     // The loss of a suspect may be its own doing.
     !(
       assessment.state !== PART_STATE.clear &&
--- a/anvilpaddle-app/gateway/responseEnd.ts
+++ b/anvilpaddle-app/gateway/responseEnd.ts
@@ -21,6 +21,10 @@
 export const isResponseComplete = ({ bodyEnd, unfinishedBytes }: ResponseEnd): boolean =>
   bodyEnd === BODY_END.complete && unfinishedBytes === 0;
 
+/** Whether this gateway broke the response off for want of memory, which says nothing of its upstream. */
+export const isOutOfMemory = (end: ResponseEnd | undefined): boolean =>
+  end?.bodyEnd === BODY_END.noMemory;
+
 /** End of a response that is not a stream. */
 export const getResponseEnd = ({ headers }: IncomingMessage, bodyEnd: BodyEnd): ResponseEnd => ({
   delimiter: getBodyDelimiter(headers),
