Split the teams' admissions from the gateway's start

Behaviour is unchanged.

Measured: gatewayProcess and the rows of quotaOverRestarts whose names say "gateway" or "below its limit" pass.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -10,19 +10,14 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import {
-  newItemTracker,
-  newRetryAfterSchedule,
-  newSlidingWindowLimiter,
-} from '@anvilpaddle/decisions';
+import { newItemTracker, newRetryAfterSchedule } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import type { Program } from '../process/program';
-import { newAdmissionWriter } from './admissionWriter';
 import { newCallerConnections } from './callerConnections';
 import type { CallerProtocol } from './callerProtocol';
 import { newCallerHandler } from './callerHandler';
 import { newConfigWatch, type ConfigSource } from './configWatch';
-import { newGatewayList, type GatewayList } from './gatewayList';
+import type { GatewayList } from './gatewayList';
 import { newGatewayMetrics, serveMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { stopGateway } from './gatewayStop';
 import { newGossip, type Gossip } from './gossip';
@@ -33,6 +28,7 @@
 import { newJobStore } from './jobs/jobStore';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
 import type { GatewaySettings } from './types';
+import { newTeamAdmissions } from './teamAdmissions';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamFleet } from './upstreamFleet';
 import type { UpstreamSource } from './upstreamWatch';
@@ -111,7 +107,6 @@
   const { upstreamLoads, upstreamLimits, upstreamWatch, health, serviceTimes, fleetView } = fleet;
   const byteBudget = newByteBudget(settings.maxHeldBytes);
   const itemTracker = newItemTracker();
-  const limiter = newSlidingWindowLimiter(bounds.limitWindowMs, bounds.limitTolerance);
   const callerServer: Server = createServer({ requestTimeout: 0 });
   const callerConnections = newCallerConnections(callerServer, clock);
   const configWatch = newConfigWatch(
@@ -129,29 +124,11 @@
     address: settings.peers,
     failureDomain: settings.failureDomain,
   };
-  const getSeen = (): string[] => [
-    incarnation,
-    ...(peersRef.list?.getOthers() ?? [])
-      .map((other) => other.incarnation)
-      .filter((other) => peersRef.gossip?.isRecentlySeen(other) === true),
-  ];
-  const admissionWriter = newAdmissionWriter(
-    incarnation,
-    getSeen,
-    () => limiter.getUnstoredTeams(clock.monotonic()),
-    clock,
-  );
-  const gatewayList = newGatewayList(
+  const { limiter, gatewayList, getVisibility } = newTeamAdmissions(
     recordStore,
     self,
-    {
-      getAdmissions: () => limiter.getAdmissions(clock.monotonic()),
-      getMark: limiter.getMark,
-      onStored: limiter.setStored,
-      hasUnstored: admissionWriter.isDue,
-      windowMs: bounds.limitWindowMs,
-      onRestored: (admissions, ageMs) => limiter.restore(admissions, ageMs, clock.monotonic()),
-    },
+    bounds,
+    () => peersRef.gossip,
     clock,
     log,
   );
@@ -260,14 +237,7 @@
     protocol,
     configWatch,
     limit: limiter,
-    getVisibility: () => {
-      const visibility = gossip.getVisibility();
-      // After the first read of the list, requests admitted before this process started are known.
-      if (!gatewayList.hasBeenRead()) return visibility;
-      const hasWitness = visibility.oldestUptimeMs >= bounds.limitWindowMs;
-      const restarts = hasWitness ? 0 : gatewayList.countRestarts();
-      return { ...visibility, oldestUptimeMs: Infinity, restarts };
-    },
+    getVisibility: () => getVisibility(gossip),
     onAdmitted: () => {
       gossip.scheduleSend();
       gatewayList.onAdmissions();
