The entry bounds the bytes that it holds, as the gateway does

Cause: as in the gateway, each body was bounded and the sum was not.

Ruled out: the sidecar in the same change; its refusals have a protocol of their own.

--- a/anvilpaddle-app/entry/entry.ts
+++ b/anvilpaddle-app/entry/entry.ts
@@ -3,7 +3,9 @@
 import { AffinityRouter, getEffectiveSettings, type Router } from '@anvilpaddle/decisions';
 import {
   breakOffResponse,
+  getDefaultHeldBytes,
   listen,
+  newByteBudget,
   newId,
   newMetrics,
   type Address,
@@ -63,6 +65,7 @@
     url: new URL(request.url ?? '/', 'http://entry'),
     startedMs,
     signal: abort.signal,
+    byteBudget: dependencies.byteBudget,
     config,
     outcome: { upstream: undefined, attempts: 0, run: 'not_run', firstTokenMs: undefined },
     deadlineMs: startedMs + settings['request.timeout'],
@@ -144,6 +147,7 @@
     },
     router: factories.newRouter(clock),
     metrics,
+    byteBudget: newByteBudget(getDefaultHeldBytes()),
     clock,
     log,
     getStopStage: () => stage,
--- a/anvilpaddle-app/entry/types.ts
+++ b/anvilpaddle-app/entry/types.ts
@@ -1,6 +1,6 @@
 /** Types of the entry process's filters and actions. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, Logger, Metrics, Result } from '@anvilpaddle/common';
+import type { ByteBudget, Clock, Logger, Metrics, Result } from '@anvilpaddle/common';
 import type {
   Config,
   EffectiveSettings,
@@ -41,6 +41,7 @@
   readonly notifyJobEnded: (job: Job) => void;
   readonly router: Router;
   readonly metrics: Metrics;
+  readonly byteBudget: ByteBudget;
   readonly clock: Clock;
   readonly log: Logger;
   readonly getStopStage: () => StopStage;
@@ -64,6 +65,8 @@
   readonly startedMs: number;
   /** Aborted when the caller's connection closes. */
   readonly signal: AbortSignal;
+  /** Bytes of all requests and responses of the process. */
+  readonly byteBudget: ByteBudget;
   readonly config: Config;
   readonly outcome: RequestOutcome;
   /** Monotonic milliseconds by which the response must be complete. */
--- a/anvilpaddle-app/entry/upstreamResponse.ts
+++ b/anvilpaddle-app/entry/upstreamResponse.ts
@@ -1,8 +1,10 @@
 /** Reading of upstreams' responses and sending them to the caller. */
 import {
+  HELD_FOR,
   HISTOGRAM,
   newFailure,
   newOk,
+  NoMemoryForResponseError,
   readStream,
   SERVICE_CLASS,
   type Result,
@@ -110,11 +112,16 @@
   exchange: Exchange,
   response: UpstreamResponse,
 ): Promise<Result<CompleteResponse, ApiError>> => {
+  const holder = exchange.byteBudget.newHolder(HELD_FOR.response);
+  exchange.response.on('close', holder.release);
   let body: Buffer | undefined;
   try {
-    body = await readStream(response.body, exchange.settings['request.max_answer']);
-  } catch {
-    return newBadResponse("the upstream's answer was cut", 'unknown');
+    body = await readStream(response.body, exchange.settings['request.max_answer'], holder);
+  } catch (error) {
+    holder.release();
+    return error instanceof NoMemoryForResponseError
+      ? newBadResponse('the entry has no memory for the answer', 'unknown')
+      : newBadResponse("the upstream's answer was cut", 'unknown');
   }
   if (body === undefined) return newBadResponse("the upstream's answer is too large", 'unknown');
   const complete = { response, body };
--- a/anvilpaddle-app/tests/kit/attemptHarness.ts
+++ b/anvilpaddle-app/tests/kit/attemptHarness.ts
@@ -10,6 +10,7 @@
 import {
   formatAddress,
   listen,
+  newByteBudget,
   newId,
   newMetrics,
   newSilentLogger,
@@ -177,6 +178,8 @@
   readonly getSettings?: (path: string) => LevelSettings;
   /** Faults of a request's attempts, by its path. */
   readonly getNetworkFaults?: (path: string) => NetworkFaults;
+  /** Bytes of requests and responses that the entry holds at a moment, at most; no bound by default. */
+  readonly maxHeldBytes?: number;
   readonly random: Random;
 }
 
@@ -252,6 +255,7 @@
     newForwardFilter(services),
   ];
 
+  const byteBudget = newByteBudget(options.maxHeldBytes ?? Infinity);
   const server = createServer((request, response) => {
     const abort = new AbortController();
     response.on('close', () => abort.abort());
@@ -264,6 +268,7 @@
       url,
       startedMs: clock.monotonic(),
       signal: abort.signal,
+      byteBudget,
       outcome: { upstream: undefined, attempts: 0, run: 'not_run', firstTokenMs: undefined },
       settings: getEffectiveSettings(levels, {}),
       route: {
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -4,11 +4,23 @@
  * large ones yield before small ones (a dynamic threshold, as switches use it for shared buffers).
  */
 
+import { getHeapStatistics } from 'node:v8';
+import { BYTES_PER_MIB } from './constants';
+
 /** Bytes that a message may hold for each byte that is left free. */
 const SHARE_OF_FREE_BYTES = 2;
 /** Bytes that a message may hold in any case; the number of connections bounds their sum. */
 const MIN_SHARE_BYTES = 8192;
 
+/** Least budget, with which the largest response fits twice. */
+export const MIN_HELD_BYTES = 16 * BYTES_PER_MIB;
+/** Fraction of the heap's limit that received bytes may have in addition to the heap. */
+const FRACTION_OF_HEAP = 1 / 6;
+
+/** Budget that follows from the heap's limit, which `--max-old-space-size` sets. */
+export const getDefaultHeldBytes = (): number =>
+  Math.max(MIN_HELD_BYTES, Math.floor(getHeapStatistics().heap_size_limit * FRACTION_OF_HEAP));
+
 /** What received bytes are held for. */
 export const HELD_FOR = {
   /** Bodies of requests until the requests end. */
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -3,6 +3,7 @@
 import type { Readable } from 'node:stream';
 import { joinBlocks, newBodyCollector } from './bodyCollector';
 import { UNBOUNDED_HOLDER } from './byteBudget';
+import { NoMemoryForResponseError } from './noMemoryForResponseError';
 
 /** Host and port as in `127.0.0.1:8080`. */
 export interface Address {
@@ -52,16 +53,18 @@
 
 /**
  * Reads a stream to its end; undefined if it exceeds the limit, or comes in pieces that cost far more than they
- * carry. Rejects if the stream fails.
+ * carry. Rejects if the stream fails or passes the share of its holder.
  */
 export const readStream = async (
   stream: Readable,
   limitBytes = Infinity,
+  holder = UNBOUNDED_HOLDER,
 ): Promise<Buffer | undefined> => {
   const collector = newBodyCollector();
   for await (const chunk of stream as AsyncIterable<Buffer>) {
     collector.append(chunk);
     if (collector.getLength() > limitBytes || collector.isWasteful()) return undefined;
+    if (!holder.hold(collector.getCapacity())) throw new NoMemoryForResponseError();
   }
   return joinBlocks(collector.getBlocks());
 };
