A response that announces a length without a body is not broken off

The early check of broke off responses to HEAD requests whose announced length passes the bound. Found by reading; no caller has met it. Change: the announced length is checked with the first bytes of a body.

--- a/anvilpaddle-app/gateway/upstreamCall.ts
+++ b/anvilpaddle-app/gateway/upstreamCall.ts
@@ -64,9 +64,12 @@
   holder: ByteHolder,
 ): Promise<ReceivedBody> => {
   const collector = newBodyCollector();
-  const announcedBytes = getAnnouncedBytes(message);
-  const earlyError = getBreakOffError(announcedBytes, announcedBytes, holder);
-  if (earlyError !== undefined) message.destroy(earlyError);
+  // A length without a body is no promise: the response to a HEAD request has one.
+  message.once('data', () => {
+    const announcedBytes = getAnnouncedBytes(message);
+    const error = getBreakOffError(announcedBytes, announcedBytes, holder);
+    if (error !== undefined) message.destroy(error);
+  });
   message.on('data', (chunk: Buffer) => {
     collector.append(chunk);
     const capacity = collector.getCapacity();
--- a/packages/common/http.ts
+++ b/packages/common/http.ts
@@ -80,8 +80,10 @@
   | { readonly kind: 'body_cut' };
 
 /** Number of body bytes that the head of a message announces; 0 if it does not. */
-export const getAnnouncedBytes = ({ headers }: IncomingMessage): number =>
-  Number(headers['content-length'] ?? 0);
+export const getAnnouncedBytes = ({ headers }: IncomingMessage): number => {
+  const bytes = Number(headers['content-length'] ?? 0);
+  return Number.isFinite(bytes) ? bytes : 0;
+};
 
 /**
  * Reads a whole request body, or fails once it exceeds `limitBytes`, costs far more than it carries or passes
