--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -3,6 +3,7 @@
  * crash breaks off all that runs at an upstream, so a part counts as harmful only once it was aboard at more
  * crashes than sound requests of the same length are by chance, and when no other part explains them.
  */
+import { MS_PER_MINUTE } from '@anvilpaddle/common';
 import {
   EXONERATION_EVIDENCE,
   MAX_EARLIER_SURVIVALS,
@@ -39,6 +40,8 @@
   getReportedCrash,
   getServedTime,
   newSuspect,
+  setPeerLosses,
+  setPeerServed,
   type Suspect,
 } from './suspect';
 import {
@@ -79,6 +82,10 @@
 }
 
 const NONE_EXPLAINED: ReadonlySet<string> = new Set();
+/** Crashes without which no part is quarantined, whatever else is known. */
+const MIN_QUARANTINE_CRASHES = Math.ceil(QUARANTINE_EVIDENCE / getMaxEvidence(1, 0));
+/** Interval at which suspects that are long unused are forgotten. */
+const FORGET_INTERVAL_MS = MS_PER_MINUTE;
 /** Served requests with a part, and their run time in milliseconds. */
 interface Served {
   readonly count: number;
@@ -108,10 +115,13 @@
   lossRate = newSoundLossRate(),
 ): PromptQuarantine => {
   const suspects = new Map<string, Suspect>();
+  /** Suspects that may be quarantined, or are: of hundreds, only these need a decision at each crash. */
+  const candidates = new Set<Suspect>();
   /** Served requests and their run time by part, the parts that were served last at the end. */
   const servedByPart = new Map<string, Served>();
   let servedMs = 0;
   let reportOffset = 0;
+  let nextForgetMs = -Infinity;
 
   const getServed = (part: string): Served => servedByPart.get(part) ?? NOT_SERVED;
 
@@ -145,7 +155,7 @@
     if (suspect.isQuarantined || suspect.isClaimed) return RARE_PART_RATES;
     const served = getServedTime(suspect, getOwnServed(suspect.part));
     return {
-      loss: getLossRate([getOwnLosses(suspect, nowMs), ...suspect.peerLosses.values()]),
+      loss: getLossRate([getOwnLosses(suspect, nowMs), suspect.peerLossTotal]),
       share: getRunTimeShare(served),
     };
   };
@@ -167,11 +177,17 @@
     onChange({ report: getOwnReport(record, nowMs), soundRates });
   };
 
-  /** Forgets suspects that are long unused, and beyond the largest number the least used ones. */
-  const forget = (nowMs: number): void => {
+  const forgetUnused = (nowMs: number): void => {
+    if (nowMs < nextForgetMs) return;
+    nextForgetMs = nowMs + FORGET_INTERVAL_MS;
     suspects.forEach(({ isQuarantined, usedMs }, part) => {
       if (!isQuarantined && nowMs - usedMs > MEMORY_MS) suspects.delete(part);
     });
+  };
+
+  /** Forgets suspects that are long unused, and beyond the largest number the least used ones. */
+  const forget = (nowMs: number): void => {
+    forgetUnused(nowMs);
     const excess = suspects.size - MAX_SUSPECTS;
     if (excess <= 0) return;
     [...suspects.values()]
@@ -185,10 +201,24 @@
     suspect.isQuarantined ||
     getMaxEvidence(suspect.crashes.size, countSurvivals(suspect)) >= QUARANTINE_EVIDENCE;
 
+  /** Adds a crash to a suspect; returns false if it was known or does not count. */
+  const addCrashTo = (suspect: Suspect, upstream: string, crash: Crash, nowMs: number): boolean => {
+    if (!addCrash(suspect, upstream, crash, nowMs)) return false;
+    if (suspect.crashes.size >= MIN_QUARANTINE_CRASHES) candidates.add(suspect);
+    return true;
+  };
+
+  const removeFormerCandidates = (): void =>
+    candidates.forEach((suspect) => {
+      const isCandidate = suspect.isQuarantined || suspect.crashes.size >= MIN_QUARANTINE_CRASHES;
+      if (!isCandidate || suspects.get(suspect.part) !== suspect) candidates.delete(suspect);
+    });
+
   /** Decides on all suspects, the strongest first: a crash that it explains speaks against no other. */
   const decideAll = (nowMs: number): void => {
     const explained = new Set<string>();
-    [...suspects.values()]
+    removeFormerCandidates();
+    [...candidates]
       .filter(canChange)
       .map((suspect) => ({ suspect, evidence: getFullEvidence(suspect) }))
       .sort((a, b) => b.evidence - a.evidence || b.suspect.position - a.suspect.position)
@@ -229,7 +259,7 @@
     if (recent.length === 0) return false;
     const record = getOrAddSuspect(report.part, report.position, nowMs);
     const added = recent.filter((crash) =>
-      addCrash(record, crash[0], getReportedCrash(crash, nowMs), nowMs),
+      addCrashTo(record, crash[0], getReportedCrash(crash, nowMs), nowMs),
     );
     const isNewClaim = report.isQuarantined && !record.isClaimed;
     record.isClaimed ||= report.isQuarantined;
@@ -242,10 +272,10 @@
     { part, survivals, served, otherLosses }: PartReport,
   ): Suspect[] => {
     const suspect = suspects.get(part);
-    suspect?.peerServed.set(peer, served);
-    if (otherLosses !== undefined) suspect?.peerLosses.set(peer, otherLosses);
-    const isNew = suspect !== undefined && addPeerSurvivals(suspect, peer, survivals);
-    return isNew ? [suspect] : [];
+    if (suspect === undefined) return [];
+    setPeerServed(suspect, peer, served);
+    if (otherLosses !== undefined) setPeerLosses(suspect, peer, otherLosses);
+    return addPeerSurvivals(suspect, peer, survivals) ? [suspect] : [];
   };
 
   /** Counts a survival of a part; the part if it is a suspect. */
@@ -271,7 +301,7 @@
       lost.forEach(({ promptParts, crash }) => {
         lossRate.recordLoss(upstream, crash.runMs, crash.atMs);
         promptParts.forEach((part, position) =>
-          addCrash(getOrAddSuspect(part, position, crash.atMs), upstream, crash, crash.atMs),
+          addCrashTo(getOrAddSuspect(part, position, crash.atMs), upstream, crash, crash.atMs),
         );
       });
       if (lost.length > 0) decideAll(getLatestMs(lost));
@@ -281,7 +311,7 @@
         promptParts
           .flatMap((part) => suspects.get(part) ?? [])
           .filter(({ crashes }) => crashes.size > 0)
-          .map((suspect) => addCrash(suspect, upstream, crash, crash.atMs))
+          .map((suspect) => addCrashTo(suspect, upstream, crash, crash.atMs))
           .includes(true),
       );
       if (isNews.includes(true)) decideAll(getLatestMs(lost));
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -23,10 +23,14 @@
   /** Requests of this gateway with the part that upstreams answered as a whole. */
   survivals: number;
   readonly peerSurvivals: Map<string, PeerSurvivals>;
-  /** Run time of the peers' served requests. */
+  /** Survivals of all peers that count. */
+  peerSurvivalTotal: number;
+  /** Run time of the peers' served requests, and its sum. */
   readonly peerServed: Map<string, ServedTime>;
-  /** Losses of the peers that the part would not explain. */
+  peerServedTotal: ServedTime;
+  /** Losses of the peers that the part would not explain, and their sum. */
   readonly peerLosses: Map<string, LossCounts>;
+  peerLossTotal: LossCounts;
   /** Crashes from before this time no longer count: the part was cleared of them. */
   sinceMs: number;
   isQuarantined: boolean;
@@ -38,6 +42,9 @@
   usedMs: number;
 }
 
+const NOT_SERVED: ServedTime = { withPart: 0, all: 0 };
+const NO_LOSSES: LossCounts = { losses: 0, requests: 0, runMs: 0 };
+
 /** Creates a suspect without crashes. */
 export const newSuspect = (
   part: string,
@@ -51,8 +58,11 @@
   earlierSurvivals,
   survivals: 0,
   peerSurvivals: new Map(),
+  peerSurvivalTotal: 0,
   peerServed: new Map(),
+  peerServedTotal: NOT_SERVED,
   peerLosses: new Map(),
+  peerLossTotal: NO_LOSSES,
   sinceMs: -Infinity,
   isQuarantined: false,
   isClaimed: false,
@@ -81,11 +91,35 @@
   const { reported, cleared } = record.peerSurvivals.get(peer) ?? { reported: 0, cleared: 0 };
   if (survivals === reported) return false;
   // A lower count is a new one, after the peer has cleared the part or restarted.
-  const isNewCount = survivals < reported;
-  record.peerSurvivals.set(peer, { reported: survivals, cleared: isNewCount ? 0 : cleared });
+  const nextCleared = survivals < reported ? 0 : cleared;
+  record.peerSurvivals.set(peer, { reported: survivals, cleared: nextCleared });
+  record.peerSurvivalTotal += survivals - nextCleared - (reported - cleared);
   return true;
 };
 
+/** Sets the run time of a peer's served requests. */
+export const setPeerServed = (record: Suspect, peer: string, served: ServedTime): void => {
+  const { peerServedTotal: total } = record;
+  const previous = record.peerServed.get(peer) ?? NOT_SERVED;
+  record.peerServed.set(peer, served);
+  record.peerServedTotal = {
+    withPart: total.withPart + served.withPart - previous.withPart,
+    all: total.all + served.all - previous.all,
+  };
+};
+
+/** Sets the losses of a peer that the part would not explain. */
+export const setPeerLosses = (record: Suspect, peer: string, counts: LossCounts): void => {
+  const { peerLossTotal: total } = record;
+  const previous = record.peerLosses.get(peer) ?? NO_LOSSES;
+  record.peerLosses.set(peer, counts);
+  record.peerLossTotal = {
+    losses: total.losses + counts.losses - previous.losses,
+    requests: total.requests + counts.requests - previous.requests,
+    runMs: total.runMs + counts.runMs - previous.runMs,
+  };
+};
+
 /** Clears a part of its crashes; evidence against it starts anew. */
 export const clearSuspect = (record: Suspect, nowMs: number): void => {
   record.crashes.clear();
@@ -95,25 +129,25 @@
   record.peerSurvivals.forEach(({ reported }, peer) =>
     record.peerSurvivals.set(peer, { reported, cleared: reported }),
   );
+  record.peerSurvivalTotal = 0;
 };
 
 /** Survivals at all gateways. */
-export const countSurvivals = ({ earlierSurvivals, survivals, peerSurvivals }: Suspect): number =>
-  [...peerSurvivals.values()].reduce(
-    (total, { reported, cleared }) => total + reported - cleared,
-    earlierSurvivals + survivals,
-  );
+export const countSurvivals = ({
+  earlierSurvivals,
+  survivals,
+  peerSurvivalTotal,
+}: Suspect): number => earlierSurvivals + survivals + peerSurvivalTotal;
 
 /** Evidence against a part if all its crashes count and nothing else explains them. */
 export const getFullEvidence = (suspect: Suspect): number =>
   getEvidence(getSeparateCrashes(suspect.crashes), countSurvivals(suspect), RARE_PART_RATES);
 
 /** Run time of all gateways' served requests, from this gateway's own and its peers'. */
-export const getServedTime = ({ peerServed }: Suspect, own: ServedTime): ServedTime =>
-  [...peerServed.values()].reduce(
-    (total, { withPart, all }) => ({ withPart: total.withPart + withPart, all: total.all + all }),
-    own,
-  );
+export const getServedTime = ({ peerServedTotal }: Suspect, own: ServedTime): ServedTime => ({
+  withPart: peerServedTotal.withPart + own.withPart,
+  all: peerServedTotal.all + own.all,
+});
 
 /** Orders suspects by crashes, most first; of equal ones, the one that changed last comes first. */
 export const compareByCrashes = (a: Suspect, b: Suspect): number =>
