--- a/anvilpaddle-app/tests/entryMemory.test.ts
+++ b/anvilpaddle-app/tests/entryMemory.test.ts
@@ -11,7 +11,7 @@
 
 const MODEL = 'small-chat';
 const MAX_HELD_BYTES = 4 * BYTES_PER_MIB;
-const CALLERS = 12;
+const CALLERS = 16;
 
 let engine: EngineStandIn;
 let sidecar: TestSidecar;
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -12,10 +12,10 @@
 /** Bytes that a message may hold in any case; the number of connections bounds their sum. */
 const MIN_SHARE_BYTES = 8192;
 
-/** Least budget, with which the largest response fits twice. */
+/** Least budget, with which the largest response fits. */
 export const MIN_HELD_BYTES = 16 * BYTES_PER_MIB;
 /** Fraction of the heap's limit that received bytes may have in addition to the heap. */
-const FRACTION_OF_HEAP = 1 / 6;
+const FRACTION_OF_HEAP = 1 / 7;
 
 /** Budget that follows from the heap's limit, which `--max-old-space-size` sets. */
 export const getDefaultHeldBytes = (): number =>
@@ -31,6 +31,15 @@
 /** One of these. */
 export type HeldFor = (typeof HELD_FOR)[keyof typeof HELD_FOR];
 
+/**
+ * Fraction of the budget of each, so that neither can displace the other. Of responses that are broken off, about
+ * as much again waits for the garbage collection.
+ */
+const BUDGET_FRACTIONS: Readonly<Record<HeldFor, number>> = {
+  [HELD_FOR.request]: 0.6,
+  [HELD_FOR.response]: 0.4,
+};
+
 /** Bytes of one message. */
 export interface ByteHolder {
   /** Sets how many bytes are held, if they are within the share; returns whether they are. */
@@ -59,16 +68,16 @@
   release: () => undefined,
 };
 
-/** Creates a budget; requests and responses have a half each, so that neither can displace the other. */
+/** Creates a budget for requests and responses together. */
 export const newByteBudget = (maxBytes: number): ByteBudget => {
   const held: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
-  const maxBytesEach = maxBytes / Object.keys(held).length;
+  const getMaxBytes = (heldFor: HeldFor): number => maxBytes * BUDGET_FRACTIONS[heldFor];
 
   const newHolder = (heldFor: HeldFor): ByteHolder => {
     let own = 0;
     let isReleased = false;
     const canHold = (bytes: number): boolean => {
-      const freeBytes = maxBytesEach - (held[heldFor] - own) - bytes;
+      const freeBytes = getMaxBytes(heldFor) - (held[heldFor] - own) - bytes;
       return bytes <= Math.max(own, MIN_SHARE_BYTES, SHARE_OF_FREE_BYTES * freeBytes);
     };
     const force = (bytes: number): void => {
@@ -93,7 +102,7 @@
 
   return {
     newHolder,
-    isUsedUp: (heldFor) => held[heldFor] >= maxBytesEach,
+    isUsedUp: (heldFor) => held[heldFor] >= getMaxBytes(heldFor),
     getHeldBytes: (heldFor) => held[heldFor],
   };
 };
