Read as a newcomer: candidates are decided on, and reasons without figures

Change: decideOnCandidates, the comments, nothing in behaviour.

Measured: types and lint pass; byteBudget, admissionWriter and gossip pass (21 tests).

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -166,6 +166,7 @@
     };
     const earlyIdentification = identify(head);
     const { byteBudget } = dependencies.online;
+    // A request that is accepted now would have no room for its response.
     if (byteBudget.isUsedUp(HELD_FOR.response)) {
       response.setHeader('connection', 'close');
       refuse(NO_MEMORY);
--- a/anvilpaddle-app/gateway/tests/admissionWriter.test.ts
+++ b/anvilpaddle-app/gateway/tests/admissionWriter.test.ts
@@ -51,7 +51,7 @@
     expect(isDueWithin(isFirstWriter ? second : first, clock, TAKEOVER_MS)).toBe(true);
   });
 
-  // Guards against a cost that 6303825 brought: at each datagram and admission, a hash for each gateway and team.
+  // Guards against a hash for each gateway and team at each datagram and each admission.
   it('looks for itself seldom, however often it is asked', () => {
     const clock = new ManualClock();
     let lookups = 0;
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -3,7 +3,6 @@
  * free, so that the bound is never reached: the more is held, the smaller is the share of each message, and
  * large ones yield before small ones (a dynamic threshold, as switches use it for shared buffers).
  */
-
 import { getHeapStatistics } from 'node:v8';
 import { BYTES_PER_MIB } from './constants';
 
@@ -32,8 +31,8 @@
 export type HeldFor = (typeof HELD_FOR)[keyof typeof HELD_FOR];
 
 /**
- * Fraction of the budget of each, so that neither can displace the other. Of responses that are broken off, about
- * as much again waits for the garbage collection.
+ * Fraction of the budget of each, so that neither can displace the other. Responses get less: what was received
+ * of one that is broken off stays in memory until the garbage collection.
  */
 const BUDGET_FRACTIONS: Readonly<Record<HeldFor, number>> = {
   [HELD_FOR.request]: 0.6,
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -86,6 +86,7 @@
 const MIN_QUARANTINE_CRASHES = Math.ceil(QUARANTINE_EVIDENCE / getMaxEvidence(1, 0));
 /** Interval at which suspects that are long unused are forgotten. */
 const FORGET_INTERVAL_MS = MS_PER_MINUTE;
+
 /** Served requests with a part, and their run time in milliseconds. */
 interface Served {
   readonly count: number;
@@ -208,14 +209,15 @@
     return true;
   };
 
+  /** Removes candidates that were cleared or forgotten. */
   const removeFormerCandidates = (): void =>
     candidates.forEach((suspect) => {
       const isCandidate = suspect.isQuarantined || suspect.crashes.size >= MIN_QUARANTINE_CRASHES;
       if (!isCandidate || suspects.get(suspect.part) !== suspect) candidates.delete(suspect);
     });
 
-  /** Decides on all suspects, the strongest first: a crash that it explains speaks against no other. */
-  const decideAll = (nowMs: number): void => {
+  /** Decides on the candidates, the strongest first: a crash that it explains speaks against no other. */
+  const decideOnCandidates = (nowMs: number): void => {
     const explained = new Set<string>();
     removeFormerCandidates();
     [...candidates]
@@ -232,7 +234,7 @@
 
   /** Reviews parts with more survivals, which speak for these parts alone. */
   const review = (survived: readonly Suspect[], nowMs: number): void => {
-    if (survived.some(({ isQuarantined }) => isQuarantined)) decideAll(nowMs);
+    if (survived.some(({ isQuarantined }) => isQuarantined)) decideOnCandidates(nowMs);
     survived
       .filter(({ isQuarantined, crashes }) => !isQuarantined && crashes.size > 0)
       .filter((suspect) => getOdds(suspect, NONE_EXPLAINED, nowMs) < EXONERATION_EVIDENCE)
@@ -304,7 +306,7 @@
           addCrashTo(getOrAddSuspect(part, position, crash.atMs), upstream, crash, crash.atMs),
         );
       });
-      if (lost.length > 0) decideAll(getLatestMs(lost));
+      if (lost.length > 0) decideOnCandidates(getLatestMs(lost));
     },
     recordLostItems: (upstream, lost) => {
       const isNews = lost.map(({ promptParts, crash }) =>
@@ -314,7 +316,7 @@
           .map((suspect) => addCrashTo(suspect, upstream, crash, crash.atMs))
           .includes(true),
       );
-      if (isNews.includes(true)) decideAll(getLatestMs(lost));
+      if (isNews.includes(true)) decideOnCandidates(getLatestMs(lost));
     },
     assess: (promptParts, nowMs) => {
       if (suspects.size === 0) return CLEAR;
@@ -350,10 +352,10 @@
       const isNew = reports.map((report) => addReport(report, nowMs));
       const survived = reports.flatMap((report) => addSurvivalsOfPeer(peer, report));
       review(survived, nowMs);
-      if (isNew.includes(true)) decideAll(nowMs);
+      if (isNew.includes(true)) decideOnCandidates(nowMs);
     },
     restore: (report, nowMs) => {
-      if (addReport({ ...report, isQuarantined: true }, nowMs)) decideAll(nowMs);
+      if (addReport({ ...report, isQuarantined: true }, nowMs)) decideOnCandidates(nowMs);
     },
     getQuarantinedCount: () =>
       [...suspects.values()].filter(({ isQuarantined }) => isQuarantined).length,
