Evacuation of a failure domain, as the operators request it

Gateways didn't read the rows evacuate/NAME of table op.

Change: evacuations.ts keeps the evacuated domains from the same watch and reads as the configuration; upstreamWatch offers none of their upstreams, so that no attempt, retry, successor, item or resumption goes there. Items there yield at the next tick. A quarantined request is placed again after its trial was taken at the store, as its upstream may have been evacuated meanwhile.

The whole suite was not run.

--- a/anvilpaddle-app/gateway/configWatch.ts
+++ b/anvilpaddle-app/gateway/configWatch.ts
@@ -2,7 +2,7 @@
 import { getErrorMessage, type Clock, type Logger } from '@anvilpaddle/common';
 import { newFreshness, type Freshness } from '@anvilpaddle/decisions';
 import type { RecordStore } from '@anvilpaddle/platform';
-import { newRecordWatch } from './recordWatch';
+import { newRecordWatch, type FailedCall, type RecordUpdate } from './recordWatch';
 import type { GatewayConfig, GatewayBounds, Team } from './types';
 
 /**
@@ -25,6 +25,16 @@
   parse(value: Buffer): GatewayConfig;
 }
 
+/** Called for what the watch of the configuration's table learns. */
+export interface ConfigWatchHooks {
+  /** Called for each new version. */
+  onChange(config: GatewayConfig): void;
+  /** Called for each update of the table, before the configuration in it is in force. */
+  onUpdate(update: RecordUpdate): void;
+  /** Called for each call that has failed. */
+  onFailure(call: FailedCall): void;
+}
+
 /** Configuration in force, with the teams by API key. */
 export interface ConfigWatch {
   current(): GatewayConfig | undefined;
@@ -34,13 +44,13 @@
   stop(): void;
 }
 
-/** Starts to follow the configuration; `onChange` is called for each new version. */
+/** Starts to follow the configuration. */
 export const newConfigWatch = (
   store: RecordStore,
   source: ConfigSource,
   bounds: GatewayBounds,
   readIntervalMs: number,
-  onChange: (config: GatewayConfig) => void,
+  { onChange, onUpdate, onFailure }: ConfigWatchHooks,
   clock: Clock,
   log: Logger,
 ): ConfigWatch => {
@@ -67,8 +77,11 @@
       readIntervalMs,
       isWatched: true,
       watchTimeoutMs: WATCH_TIMEOUT_MS,
+      onFailure,
     },
-    ({ records, requestedMs }) => {
+    (update) => {
+      const { records, requestedMs } = update;
+      onUpdate(update);
       freshness.confirm(requestedMs, clock.wall() - (clock.monotonic() - requestedMs));
       const record = records.find(({ key }) => key === source.key);
       if (record?.value === undefined || record.revision <= revision) return;
--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -9,9 +9,20 @@
   UpstreamLimits,
   Urgency,
 } from '@anvilpaddle/decisions';
+import type { Evacuations } from './evacuations';
 import type { Upstream } from './types';
 import type { UpstreamWatch } from './upstreamWatch';
 
+/** Why no upstream of a service may get requests, whatever room they have. */
+export const CLOSURE = {
+  /** All of them are in evacuated failure domains. */
+  evacuated: 'evacuated',
+  /** It is not known at the moment which failure domains are evacuated. */
+  unknown: 'unknown',
+} as const;
+/** One of the reasons in `CLOSURE`. */
+export type Closure = (typeof CLOSURE)[keyof typeof CLOSURE];
+
 /** Upstreams as candidates for placement. */
 export interface FleetView {
   /** Candidates for an online request, by their ids those that are allowed. */
@@ -24,6 +35,10 @@
   /** The upstream as a candidate for batch items; undefined when it can get no work. */
   getBatchCandidate(id: string): BatchCandidate | undefined;
   getUpstream(id: string): Upstream | undefined;
+  /** Whether the operators have requested that nothing more be sent to the upstream's failure domain. */
+  isEvacuated(upstream: Upstream): boolean;
+  /** Why no upstream of a service may get requests; undefined if one may, or for want of room alone. */
+  getClosure(service: string): Closure | undefined;
   /** Reports that another process answered at an upstream's address. */
   reportReplaced(upstream: Upstream): void;
   /**
@@ -40,6 +55,7 @@
   health: Health,
   serviceTimes: ServiceTimes,
   limits: Pick<UpstreamLimits, 'getRequestsPerSecond' | 'getWaitMs' | 'getSpareTokens'>,
+  evacuations: Pick<Evacuations, 'isEvacuated' | 'isCurrent' | 'getCount'>,
   failureDomain: string,
   clock: Clock,
 ): FleetView => {
@@ -88,6 +104,16 @@
         : undefined;
     },
     getUpstream: (id) => upstreamWatch.get(id),
+    isEvacuated: (upstream) => evacuations.isEvacuated(upstream.failureDomain),
+    getClosure: (service) => {
+      if (!evacuations.isCurrent()) return CLOSURE.unknown;
+      if (evacuations.getCount() === 0) return undefined;
+      const listed = upstreamWatch.getAll().filter((upstream) => upstream.service === service);
+      const areAllEvacuated = listed.every((upstream) =>
+        evacuations.isEvacuated(upstream.failureDomain),
+      );
+      return listed.length > 0 && areAllEvacuated ? CLOSURE.evacuated : undefined;
+    },
     reportReplaced: (upstream) => upstreamWatch.reportReplaced(upstream),
     getAdmissionIntervalMs: (service, fraction) => {
       const serviceMeanMs = serviceTimes.getServiceMeanMs(service);
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import type { CallerProtocol } from './callerProtocol';
 import { newCallerHandler } from './callerHandler';
 import { newConfigWatch, type ConfigSource } from './configWatch';
+import { newEvacuations, type EvacuationKey } from './evacuations';
 import type { GatewayList } from './gatewayList';
 import { newGatewayMetrics, serveMetrics, type GatewayMetrics } from './gatewayMetrics';
 import { stopGateway } from './gatewayStop';
@@ -51,6 +52,8 @@
   newObjectStore(client: HttpClient): ObjectStore;
   readonly protocol: CallerProtocol;
   readonly configSource: ConfigSource;
+  /** Reads a key of the configuration's table, which also holds the requests for evacuations. */
+  parseEvacuationKey(key: string): EvacuationKey;
   readonly upstreamSource: UpstreamSource;
 }
 
@@ -89,9 +92,10 @@
   const recordStore = platform.newRecordStore(storeClient);
   const objectStore = platform.newObjectStore(storeClient);
 
+  const evacuations = newEvacuations(platform.parseEvacuationKey, bounds.evacuationMs, clock, log);
   const fleet = newUpstreamFleet(
     recordStore,
-    { source: platform.upstreamSource, failureDomain: settings.failureDomain },
+    { source: platform.upstreamSource, failureDomain: settings.failureDomain, evacuations },
     {
       onLoadChange: () => {
         peersRef.gossip?.scheduleSend();
@@ -114,7 +118,11 @@
     platform.configSource,
     bounds,
     CONFIG_READ_INTERVAL_MS,
-    (next) => callerConnections.applyBounds(next.bounds),
+    {
+      onChange: (next) => callerConnections.applyBounds(next.bounds),
+      onUpdate: (update) => evacuations.applyUpdate(update),
+      onFailure: (call) => evacuations.applyFailure(call),
+    },
     clock,
     log,
   );
@@ -151,6 +159,7 @@
     getQuarantinedRequests: () => quarantine.requests.getQuarantinedCount(),
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
+    getEvacuatedFailureDomains: () => evacuations.getCount(),
     getHeldBytes: byteBudget.getHeldBytes,
   });
   metricsRef.metrics = metrics;
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -38,6 +38,7 @@
   readonly getQuarantinedParts: () => number;
   readonly getQuarantinedRequests: () => number;
   readonly getLimitedUpstreams: () => number;
+  readonly getEvacuatedFailureDomains: () => number;
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
 }
@@ -143,6 +144,11 @@
     'Upstreams that name a limit for the requests of all gateways',
     gauges.getLimitedUpstreams,
   );
+  addGauge(
+    'anvilpaddle_evacuated_failure_domains',
+    'Failure domains whose upstreams the operators want to get nothing more',
+    gauges.getEvacuatedFailureDomains,
+  );
   addGauge(
     'anvilpaddle_view_age_ms',
     'Mean time since the last datagrams of the gateways that were seen recently',
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -126,6 +126,18 @@
     });
   };
 
+  /** Aborts the runs in evacuated failure domains; their items go on elsewhere after their last events. */
+  const yieldEvacuatedRuns = (): void =>
+    runs
+      .getAll()
+      .filter(({ upstream, abort }) => !abort.signal.aborted && view.isEvacuated(upstream))
+      .forEach(({ job, pending, upstream, abort }) => {
+        const { id, failureDomain } = upstream;
+        const details = { upstream: id, events: pending.events, evacuated: failureDomain };
+        log.info({ job: job.id, item: pending.item.id, ...details }, 'item yields');
+        abort.abort();
+      });
+
   /** Starts the most urgent items of a service, as far as the other gateways' items allow. */
   const startItems = (service: string, own: readonly ReadyItem[]): void => {
     const nowMs = clock.monotonic();
@@ -192,6 +204,7 @@
   const tick = (): void => {
     preemptForOnlineRequests(getRunningItems());
     abortRunsAtRemovedUpstreams();
+    yieldEvacuatedRuns();
     const ready = groupBy(getReadyItems(), ({ service }) => service);
     ready.forEach((own, service) => startItems(service, own));
     reportItems(getRunningItems(), ready);
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -6,8 +6,10 @@
   PART_STATE,
   type AttemptOutcome,
   type InputAssessment,
+  type Shortage,
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
+import { CLOSURE, type Closure } from '../fleetView';
 import { getQuarantineRefusal, STATUS, type Refusal } from '../refusal';
 import { isOutOfMemory, type ResponseEnd } from '../responseEnd';
 import { pickService } from '../routeTable';
@@ -25,6 +27,14 @@
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
 
+/** Refusals of requests to a service whose upstreams may get none, whatever room they have. */
+const CLOSURE_REFUSALS: Readonly<Record<Closure, Required<Omit<Refusal, 'status'>>>> = {
+  // When the evacuation ends is unknown; callers don't heed a longer time.
+  [CLOSURE.evacuated]: { reason: 'the upstreams are evacuated', retryAfterMs: 1500 },
+  // The next read of the store tells.
+  [CLOSURE.unknown]: { reason: 'the evacuations are not known yet', retryAfterMs: 300 },
+};
+
 /** Why there is no whole response, for the caller and the log. */
 const getLossReason = ({ responseEnd }: AttemptReport): string => {
   switch (responseEnd?.bodyEnd) {
@@ -50,7 +60,7 @@
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
   const { head, digest, route, response, startedMs, signal } = request;
-  const { protocol, quarantine, byteBudget, clock, random, log } = dependencies;
+  const { protocol, view, quarantine, byteBudget, clock, random, log } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
   const getTimeLeftMs = (): number => timeoutMs - getElapsedMs();
@@ -127,6 +137,16 @@
   const assess = (): InputAssessment =>
     quarantine.assess({ promptParts: head.promptParts, digest }, clock.monotonic());
 
+  const refuseFor = (service: string, shortage: Shortage): OnlineOutcome => {
+    const closure = view.getClosure(service);
+    if (closure !== undefined) {
+      const { reason, retryAfterMs } = CLOSURE_REFUSALS[closure];
+      return refuse(reason, retryAfterMs);
+    }
+    const reason = shortage.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
+    return refuse(reason, getRetryAfterMs(service, shortage));
+  };
+
   /** Takes a trial of a quarantined request, if an upstream has a free slot for it. */
   const takeTrial = async (assessment: InputAssessment, { choice }: SendStep): Promise<boolean> =>
     budget.isUnused() &&
@@ -207,14 +227,16 @@
   for (;;) {
     if (current === undefined) {
       const assessment = assess();
-      const step = getNextStep(service, assessment);
-      if (step.kind === 'refuse') {
-        const reason = step.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
-        return refuse(reason, getRetryAfterMs(service, step));
-      }
-      if (assessment.state === PART_STATE.quarantined && !(await takeTrial(assessment, step))) {
-        const { reason, retryAfterMs } = getQuarantineRefusal(assessment);
-        return refuse(reason, retryAfterMs);
+      let step = getNextStep(service, assessment);
+      if (step.kind === 'refuse') return refuseFor(service, step);
+      if (assessment.state === PART_STATE.quarantined) {
+        if (!(await takeTrial(assessment, step))) {
+          const { reason, retryAfterMs } = getQuarantineRefusal(assessment);
+          return refuse(reason, retryAfterMs);
+        }
+        // The trial was taken at the store, and the upstreams may have changed meanwhile.
+        step = getNextStep(service, assessment);
+        if (step.kind === 'refuse') return refuseFor(service, step);
       }
       current = open(step, assessment);
     }
--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -30,6 +30,16 @@
   readonly isWatched: boolean;
   /** Time after which a watch without a change is answered, in milliseconds; a second by default. */
   readonly watchTimeoutMs?: number;
+  /** Called for each read or watch that has failed. */
+  readonly onFailure?: (call: FailedCall) => void;
+}
+
+/** A read or watch that has failed. */
+export interface FailedCall {
+  /** Monotonic time at which the request to the store was sent. */
+  readonly requestedMs: number;
+  /** Wall time at which the request to the store was sent. */
+  readonly requestedWallMs: number;
 }
 
 /** Records that the store returned to one read or watch. */
@@ -137,8 +147,10 @@
   /** Reads the whole table; false when that failed. */
   const refreshSnapshot = async (): Promise<boolean> => {
     const requestedMs = clock.monotonic();
+    const requestedWallMs = clock.wall();
     const page = await readSnapshot();
     if (!page.ok) {
+      options.onFailure?.({ requestedMs, requestedWallMs });
       reportUnreachable(page.error);
       return false;
     }
@@ -156,6 +168,7 @@
   const watchUntil = async (deadlineMs: number): Promise<boolean> => {
     while (!isStopped && clock.monotonic() < deadlineMs) {
       const requestedMs = clock.monotonic();
+      const requestedWallMs = clock.wall();
       const timeoutMs = Math.max(
         1,
         Math.min(
@@ -165,6 +178,7 @@
       );
       const page = await store.watch(options.table, settledRevision, timeoutMs);
       if (!page.ok) {
+        options.onFailure?.({ requestedMs, requestedWallMs });
         reportFailedWatch(page.error);
         return false;
       }
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -52,6 +52,8 @@
   getBatchCandidates: () => [],
   getBatchCandidate: () => undefined,
   getUpstream: () => undefined,
+  isEvacuated: () => false,
+  getClosure: () => undefined,
   reportReplaced: () => undefined,
   getAdmissionIntervalMs: () => 1,
 };
--- a/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
+++ b/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
@@ -43,7 +43,7 @@
   }
 };
 
-const startWatch = (pages: Page[]) => {
+const startWatch = (pages: Page[], isClosed: (failureDomain: string) => boolean = () => false) => {
   const clock = new ManualClock();
   const state = { reads: 0 };
   const onRead = (): void => {
@@ -52,6 +52,7 @@
   const watch = newUpstreamWatch(
     newStore(pages, onRead),
     { table: 't', parse: parseUpstream },
+    isClosed,
     () => undefined,
     clock,
     newSilentLogger(),
@@ -97,6 +98,19 @@
     expect(getIds()).toEqual(['a']);
   });
 
+  it('offers no upstream of a closed failure domain', async () => {
+    let closed = 'other';
+    const { clock, watch, getIds } = startWatch([newPage(1, ['a'])], (name) => name === closed);
+    await advance(clock, 100);
+    const before = { ids: getIds(), areUsable: watch.getAll().map(watch.isUsable) };
+    closed = ROW.zone;
+    const after = { ids: getIds(), areUsable: watch.getAll().map(watch.isUsable) };
+    watch.stop();
+
+    expect(before).toEqual({ ids: ['a'], areUsable: [true] });
+    expect(after).toEqual({ ids: [], areUsable: [false] });
+  });
+
   it('excludes an upstream for a while after another process answered at its address', async () => {
     const { clock, watch, getIds } = startWatch([newPage(1, ['a', 'b'])]);
     await advance(clock, 100);
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -113,6 +113,11 @@
   readonly limitWindowMs: number;
   /** How far the admissions in one window may exceed a team's limit. */
   readonly limitTolerance: LimitTolerance;
+  /**
+   * Time from a request to evacuate a failure domain after which nothing may be sent there; undefined if
+   * the platform names none.
+   */
+  readonly evacuationMs: number | undefined;
   /** Time for which a job's results stay readable after its submission. */
   readonly jobRetentionMs: number;
 }
--- a/anvilpaddle-app/gateway/upstreamFleet.ts
+++ b/anvilpaddle-app/gateway/upstreamFleet.ts
@@ -12,6 +12,7 @@
   type UpstreamLimits,
 } from '@anvilpaddle/decisions';
 import type { RecordStore } from '@anvilpaddle/platform';
+import type { Evacuations } from './evacuations';
 import { newFleetView, type FleetView } from './fleetView';
 import { newKeptVisibility } from './keptVisibility';
 import { logLimitChange, startLimitLog } from './limitLog';
@@ -27,6 +28,7 @@
 export interface UpstreamFleetSettings {
   readonly source: UpstreamSource;
   readonly failureDomain: string;
+  readonly evacuations: Evacuations;
 }
 
 /** Connections of the fleet to its gateway. */
@@ -52,7 +54,7 @@
 /** Starts to follow the upstreams. */
 export const newUpstreamFleet = (
   store: RecordStore,
-  { source, failureDomain }: UpstreamFleetSettings,
+  { source, failureDomain, evacuations }: UpstreamFleetSettings,
   { onLoadChange, onLimitChange, getVisibility }: UpstreamFleetHooks,
   clock: Clock,
   random: Random,
@@ -73,6 +75,7 @@
   const upstreamWatch = newUpstreamWatch(
     store,
     source,
+    (name) => evacuations.isEvacuated(name) || !evacuations.isCurrent(),
     () => {
       const upstreams = upstreamWatch.getAll();
       const known = new Set(upstreams.map(({ id }) => id));
@@ -90,6 +93,7 @@
     health,
     serviceTimes,
     upstreamLimits,
+    evacuations,
     failureDomain,
     clock,
   );
--- a/anvilpaddle-app/gateway/upstreamWatch.ts
+++ b/anvilpaddle-app/gateway/upstreamWatch.ts
@@ -47,10 +47,14 @@
   return upstream.isDraining ? 'leaving' : 'usable';
 };
 
-/** Starts to follow the list; `onChange` is called after each update from the store. */
+/**
+ * Starts to follow the list; `onChange` is called after each update from the store. The upstreams of a
+ * failure domain that `isClosed` get no work.
+ */
 export const newUpstreamWatch = (
   store: RecordStore,
   source: UpstreamSource,
+  isClosed: (failureDomain: string) => boolean,
   onChange: () => void,
   clock: Clock,
   log: Logger,
@@ -142,12 +146,15 @@
 
   return {
     getUsable: (service) => {
-      const usable = byService.get(service) ?? [];
+      const usable = (byService.get(service) ?? []).filter(
+        ({ failureDomain }) => !isClosed(failureDomain),
+      );
       return excludedUntilMs.size === 0 && leavingMs.size === 0
         ? usable
         : usable.filter((item) => !isExcluded(item));
     },
-    isUsable: (upstream) => !upstream.isDraining && !isExcluded(upstream),
+    isUsable: (upstream) =>
+      !upstream.isDraining && !isExcluded(upstream) && !isClosed(upstream.failureDomain),
     get: (id) => upstreams.get(id),
     reportReplaced: ({ id, service, incarnation }) => {
       const nowMs = clock.monotonic();
