Hedge slow requests that may be repeated, within a share that operators set

Cause: a few responses of sound upstreams take several times as long as the others, and the caller waits for them although a second upstream is free.

The first of the two that answers has the request; the other is closed. A response is passed on only if no other attempt has answered in the same turn.

--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -32,6 +32,8 @@
 export interface RelayHooks extends StreamHooks {
   /** Whether no other upstream may be tried after this one. */
   readonly isLast: () => boolean;
+  /** Called when the response begins to go to the caller: no other attempt may answer any more. */
+  readonly onAnswer: () => void;
 }
 
 /** Response to one caller. */
@@ -90,12 +92,14 @@
 
   const relayBuffered = async (
     message: IncomingMessage,
-    { isLast, onContent }: RelayHooks,
+    signal: AbortSignal,
+    { isLast, onContent, onAnswer }: RelayHooks,
   ): Promise<AttemptReport> => {
     const holder = byteBudget.newHolder(HELD_FOR.response);
     const { blocks, end: bodyEnd } = await readResponseBody(message, holder);
     const responseEnd = getResponseEnd(message, bodyEnd);
-    if (!isResponseComplete(responseEnd)) {
+    // Another attempt of the request may have answered in the same turn of the event loop.
+    if (!isResponseComplete(responseEnd) || signal.aborted) {
       holder.release();
       return { ...UNKNOWN, responseEnd };
     }
@@ -105,6 +109,7 @@
       holder.release();
       return { ...RAN, responseEnd };
     }
+    onAnswer();
     onFirstByte();
     if (response.closed) holder.release();
     else response.once('close', holder.release);
@@ -144,8 +149,16 @@
         message.destroy();
         return mismatch;
       }
-      if (stream === undefined || !isRelayedAsStream(message)) return relayBuffered(message, hooks);
-      const responseEnd = await stream.relay(message, signal, hooks);
+      if (stream === undefined || !isRelayedAsStream(message)) {
+        return relayBuffered(message, signal, hooks);
+      }
+      const responseEnd = await stream.relay(message, signal, {
+        ...hooks,
+        onContent: () => {
+          hooks.onAnswer();
+          hooks.onContent();
+        },
+      });
       return { ...(isResponseComplete(responseEnd) ? ANSWERED : RAN), responseEnd };
     },
     lastEventId: () => stream?.lastEventId(),
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -10,7 +10,7 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import { newItemTracker, newRetryAfterSchedule } from '@anvilpaddle/decisions';
+import { newHedging, newItemTracker, newRetryAfterSchedule } from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import type { Program } from '../process/program';
 import { newCallerConnections } from './callerConnections';
@@ -254,6 +254,7 @@
       quarantine,
       byteBudget,
       serviceTimes,
+      hedging: newHedging(settings.maxHedgeShare),
       clock,
       random,
       log,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -74,6 +74,12 @@
     help: 'Silences of upstreams during online attempts',
     registers,
   });
+  const hedges = new Counter({
+    name: 'anvilpaddle_hedges_total',
+    help: 'Second attempts beside a slow first one, by how they ended',
+    labelNames: ['end'],
+    registers,
+  });
   const sends = new Counter({
     name: 'anvilpaddle_upstream_sends_total',
     help: 'Requests sent to upstreams, by reason and whether the upstream had named a limit',
@@ -158,6 +164,7 @@
     countResponseEnd: ({ delimiter, bodyEnd, unfinishedBytes }) =>
       responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
     countSilence: () => silences.inc(),
+    countHedge: (end) => hedges.inc({ end }),
     countUpstreamCrash: () => upstreamCrashes.inc(),
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
     countLeaving: () => leavingResponses.inc(),
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -9,10 +9,13 @@
 import type { AttemptReport, CallerResponse } from '../callerResponse';
 import { isOutOfMemory, isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
-import type { Upstream } from '../types';
-import type { SendReason } from '../upstreamClient';
+import type { Route, Upstream } from '../types';
+import { SEND_REASON, type SendReason } from '../upstreamClient';
 import type { OnlineRequest, OnlineDependencies } from './types';
 
+/** Kind of request for which durations of attempts are learned together. */
+export const getHedgingKind = ({ name }: Route, service: string): string => `${name}/${service}`;
+
 /** Upstream and limits of one attempt. */
 export interface AttemptPlan {
   readonly upstream: Upstream;
@@ -32,6 +35,8 @@
   /** The upstream has begun to answer. */
   onHead(): void;
   onContent(): void;
+  /** The response begins to go to the caller. */
+  onAnswer(): void;
 }
 
 /** An attempt whose request has been sent; its response goes to the caller. */
@@ -71,7 +76,7 @@
 
 /** Sends the request to the upstream; `signal` aborts the attempt. */
 export const openAttempt = (
-  { head, team, message, body, digest }: OnlineRequest,
+  { head, route, team, message, body, digest }: OnlineRequest,
   { upstream, reason, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
@@ -79,7 +84,7 @@
 ): OnlineAttempt => {
   const { protocol, view, serviceTimes, upstreamLoads, health, crashDetector, quarantine } =
     dependencies;
-  const { upstreamClient, clock, log, metrics } = dependencies;
+  const { upstreamClient, hedging, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
   const concurrency = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
@@ -87,6 +92,7 @@
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
   let firstByteMs = 0;
   let contentMs: number | undefined;
+  let hasAnswered = false;
   let isSilent = false;
   let hasBeenSilent = false;
   let listener: AttemptListener | undefined;
@@ -122,6 +128,16 @@
     listener?.onContent();
   };
 
+  const onAnswer = (): void => {
+    if (hasAnswered) return;
+    hasAnswered = true;
+    if (reason === SEND_REASON.request) {
+      const nowMs = clock.monotonic();
+      hedging.learn(getHedgingKind(route, upstream.service), nowMs - sentMs, nowMs);
+    }
+    listener?.onAnswer();
+  };
+
   const end = (): void => {
     silenceTimer.stop();
     upstreamLoads.end(upstream.id, SERVICE_CLASS.online);
@@ -217,6 +233,7 @@
         ? await callerResponse.relay(callResult.message, attemptSignal, {
             isLast,
             onContent,
+            onAnswer,
             onBlocked: silenceTimer.pause,
           })
         : getFailedOutcome(callResult);
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -12,10 +12,11 @@
 import { isOutOfMemory, type ResponseEnd } from '../responseEnd';
 import { pickService } from '../routeTable';
 import { ROUTE_KIND, type Upstream } from '../types';
-import { SEND_REASON } from '../upstreamClient';
-import { openAttempt, type OnlineAttempt } from './onlineAttempt';
+import { SEND_REASON, type SendReason } from '../upstreamClient';
+import { getHedgingKind, openAttempt, type OnlineAttempt } from './onlineAttempt';
 import { newRequestPlacement, REJECTED, type SendStep } from './requestPlacement';
 import { runWithSuccessor, type SuccessorSource } from './successorSearch';
+import { HEDGE_END } from './types';
 import type { OnlineDependencies, OnlineOutcome, OnlineRequest, PlacementChoice } from './types';
 
 /** Number of upstreams that may reject a request unrun before the gateway refuses it. */
@@ -50,7 +51,7 @@
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
   const { head, digest, route, response, startedMs, signal } = request;
-  const { protocol, quarantine, byteBudget, clock, random, log } = dependencies;
+  const { protocol, quarantine, byteBudget, hedging, metrics, clock, random, log } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
   const getTimeLeftMs = (): number => timeoutMs - getElapsedMs();
@@ -65,8 +66,10 @@
   let lastResponseEnd: ResponseEnd | undefined;
   /** Attempt that has the request. */
   let current: OpenRequest | undefined;
+  /** Attempt that runs beside the current one because that is slow. */
+  let hedge: OpenRequest | undefined;
 
-  const { getNextStep, getRetryAfterMs } = newRequestPlacement(
+  const { getNextStep, getHedgeStep, getRetryAfterMs } = newRequestPlacement(
     { route, getElapsedMs, getTimeLeftMs, budget },
     dependencies,
   );
@@ -135,8 +138,11 @@
     (await quarantine.trials.take(digest.get())) &&
     !abortSignal.aborted;
 
-  const open = ({ upstream, choice }: SendStep, assessment: InputAssessment): OpenRequest => {
-    const isFirst = budget.isUnused();
+  const open = (
+    { upstream, choice }: SendStep,
+    assessment: InputAssessment,
+    reason: SendReason,
+  ): OpenRequest => {
     budget.begin(upstream.id);
     attemptCount += 1;
     const isClear = assessment.state === PART_STATE.clear;
@@ -145,10 +151,13 @@
         request,
         {
           upstream,
-          reason: isFirst ? SEND_REASON.request : SEND_REASON.retry,
+          reason,
           timeLeftMs: getTimeLeftMs(),
           expectedWaitMs: choice.waitMs,
-          isLast: () => current === opened && (!hasAttemptLeft() || !callerResponse.canRetry()),
+          isLast: () =>
+            current === opened &&
+            hedge === undefined &&
+            (!hasAttemptLeft() || !callerResponse.canRetry()),
         },
         callerResponse,
         abortSignal,
@@ -166,7 +175,25 @@
     const assessment = assess();
     if (assessment.state === PART_STATE.quarantined) return undefined;
     const step = getNextStep(service, assessment);
-    return step.kind === 'send' ? open(step, assessment) : undefined;
+    return step.kind === 'send' ? open(step, assessment, SEND_REASON.retry) : undefined;
+  };
+
+  /** Age at which the first attempt is hedged, if its request may be repeated. */
+  const getHedgeDelayMs = (attempt: OnlineAttempt): number | undefined => {
+    if (attemptCount > 1 || !callerResponse.canRetry()) return undefined;
+    hedging.recordRequest();
+    const kind = getHedgingKind(route, attempt.upstream.service);
+    return hedging.getDelayMs(kind, clock.monotonic());
+  };
+
+  /** Sends the request to a second upstream, if one has room to spare and the budget allows it. */
+  const openHedge = (service: string): OpenRequest | undefined => {
+    if (abortSignal.aborted || !callerResponse.canRetry() || !hasAttemptLeft()) return undefined;
+    const assessment = assess();
+    if (assessment.state !== PART_STATE.clear) return undefined;
+    const step = getHedgeStep(service);
+    if (step === undefined || !hedging.tryTake()) return undefined;
+    return open(step, assessment, SEND_REASON.hedge);
   };
 
   /** Runs an attempt; resolves with its report and the one that goes on after it, if any. */
@@ -192,6 +219,19 @@
       },
       canRunTwice: route.kind === ROUTE_KIND.repeatable,
       onUnused: ({ upstream }) => budget.giveUp(upstream.id),
+      hedgeDelayMs: getHedgeDelayMs(attempt),
+      openHedge: () => {
+        hedge = openHedge(service);
+        opened = hedge;
+        return hedge?.attempt;
+      },
+      onHedgeEnded: (end, ageMs) => {
+        hedge = undefined;
+        metrics.countHedge(end);
+        // The first attempt took at least as long.
+        if (end !== HEDGE_END.won) return;
+        hedging.learn(getHedgingKind(route, attempt.upstream.service), ageMs, clock.monotonic());
+      },
     };
     const { report, successor } = await runWithSuccessor(attempt, source, head.id, clock, log);
     countOutcome(attempt.upstream, report);
@@ -216,7 +256,8 @@
         const { reason, retryAfterMs } = getQuarantineRefusal(assessment);
         return refuse(reason, retryAfterMs);
       }
-      current = open(step, assessment);
+      const reason = budget.isUnused() ? SEND_REASON.request : SEND_REASON.retry;
+      current = open(step, assessment, reason);
     }
     const { assessment, choice } = current;
     lastChoice = choice;
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -1,5 +1,6 @@
 /** Places an online request: where it goes next, or when a refused caller may come back. */
 import {
+  getHedgeUpstream,
   getIsolatedCandidates,
   getPlacement,
   PART_STATE,
@@ -39,6 +40,8 @@
 export interface RequestPlacement {
   /** Next place for the request. */
   getNextStep(service: string, assessment: InputAssessment): PlacementStep;
+  /** Next place for the request beside an attempt that is slow; undefined if there is no room for it. */
+  getHedgeStep(service: string): SendStep | undefined;
   /** Time after which a caller that is refused may come back, in milliseconds. */
   getRetryAfterMs(service: string, shortage: Shortage): number;
 }
@@ -64,6 +67,13 @@
     return getPlacement(candidates, demand, random);
   };
 
+  const newSendStep = (upstreamId: string, waitMs: number): SendStep | undefined => {
+    const upstream = view.getUpstream(upstreamId);
+    if (upstream === undefined) return undefined;
+    const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
+    return { kind: 'send', upstream, choice: { upstream: upstream.id, ...load, waitMs } };
+  };
+
   return {
     getNextStep: (service, assessment) => {
       const isUnderWay = budget.mayHaveRun();
@@ -75,11 +85,13 @@
       const urgency = isUnderWay ? URGENCY.underWay : URGENCY.online;
       const placement = place(service, assessment, demand, urgency);
       if (placement.kind === 'refuse') return placement;
-      const upstream = view.getUpstream(placement.upstream);
-      if (upstream === undefined) return { kind: 'refuse', ...REJECTED };
-      const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
-      const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
-      return { kind: 'send', upstream, choice };
+      const step = newSendStep(placement.upstream, placement.waitMs);
+      return step ?? { kind: 'refuse', ...REJECTED };
+    },
+    getHedgeStep: (service) => {
+      const candidates = view.getCandidates(service, budget.allows, URGENCY.online);
+      const upstreamId = getHedgeUpstream(candidates, random);
+      return upstreamId === undefined ? undefined : newSendStep(upstreamId, 0);
     },
     getRetryAfterMs: (service, { queueMs, limitWaitMs }) => {
       const admissionIntervalMs = view.getAdmissionIntervalMs(service, 1 / getGatewayCount());
--- a/anvilpaddle-app/gateway/online/types.ts
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -3,6 +3,7 @@
 import type { ByteBudget, Clock, Logger, Random } from '@anvilpaddle/common';
 import type {
   Health,
+  Hedging,
   InputAssessment,
   LoadTracker,
   RequestDigest,
@@ -17,12 +18,27 @@
 import type { UpstreamClient } from '../upstreamClient';
 import type { StoredQuarantine } from '../storedQuarantine';
 
+/** How a hedge ended. */
+export const HEDGE_END = {
+  /** It answered before the first attempt, or the first attempt was lost. */
+  won: 'won',
+  /** The first attempt answered before it. */
+  lost: 'lost',
+  /** It did not answer within the time for which two upstreams may run one request. */
+  timedOut: 'timedOut',
+  /** Its upstream rejected the request or broke it off. */
+  failed: 'failed',
+} as const;
+/** One of the ends. */
+export type HedgeEnd = (typeof HEDGE_END)[keyof typeof HEDGE_END];
+
 /** Counters of the attempts of online requests. */
 export interface AttemptMetrics {
   /** Counts how the body of an upstream's response ended. */
   countResponseEnd(end: ResponseEnd): void;
   /** Counts an upstream's silence during an online attempt. */
   countSilence(): void;
+  countHedge(end: HedgeEnd): void;
 }
 
 /** Dependencies of all online requests. */
@@ -33,6 +49,7 @@
   readonly upstreamLoads: LoadTracker;
   readonly health: Health;
   readonly serviceTimes: ServiceTimes;
+  readonly hedging: Hedging;
   readonly crashDetector: CrashDetector;
   readonly quarantine: StoredQuarantine;
   readonly byteBudget: ByteBudget;
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -132,5 +132,7 @@
   readonly storeUrl: string;
   /** Bytes of requests and responses that the process holds at a moment, at most. */
   readonly maxHeldBytes: number;
+  /** Extra requests that hedging may send, as a fraction of the requests that may be hedged; 0: none. */
+  readonly maxHedgeShare: number;
   readonly bounds: GatewayBounds;
 }
--- a/anvilpaddle-app/gateway/upstreamClient.ts
+++ b/anvilpaddle-app/gateway/upstreamClient.ts
@@ -11,6 +11,8 @@
   request: 'request',
   /** Further attempt of an online request. */
   retry: 'retry',
+  /** Second attempt of an online request, beside a first one that is slow. */
+  hedge: 'hedge',
   /** First run of a batch item. */
   item: 'item',
   /** Further run of a batch item. */
