A status outside of 200 to 599 is no response

Cause: the parsers of Node.js and undici pass on any three digits as a status. The gateway and the entry passed 600 and 999 on to callers with their bodies, and a sidecar took 000, 001, 099, 600 and 999 for the result of a batch item. Clients of tables, operators and sidecars took 600 and 999.

Change: callHttp, through which all calls to upstreams go, ends such a call as lost: the attempt failed and may have run. The clients of stores, peers, sidecars and operators do the same.

--- a/anvilpaddle-app/cli/operatorClient.ts
+++ b/anvilpaddle-app/cli/operatorClient.ts
@@ -2,7 +2,9 @@
 import { request } from 'undici';
 import {
   getErrorMessage,
+  InvalidStatusError,
   isConnectError,
+  isFinalStatus,
   newFailure,
   newOk,
   type Result,
@@ -41,6 +43,10 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
+      if (!isFinalStatus(response.statusCode)) {
+        response.body.on('error', () => undefined).destroy();
+        throw new InvalidStatusError(response.statusCode);
+      }
       const json = (await response.body.json()) as { error?: Omit<OperatorError, 'kind'> };
       if (json.error === undefined) return newOk(json);
       const { code, message, details, run } = json.error;
--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -6,7 +6,9 @@
   BODY_DELIMITER,
   getBodyDelimiter,
   getErrorMessage,
+  InvalidStatusError,
   isConnectError,
+  isFinalStatus,
   STATUSES_WITHOUT_BODY,
 } from '@anvilpaddle/common';
 import {
@@ -64,6 +66,10 @@
   response: Dispatcher.ResponseData,
   attempt: Attempt,
 ): Promise<AttemptReply> => {
+  if (!isFinalStatus(response.statusCode)) {
+    response.body.on('error', () => undefined).destroy();
+    throw new InvalidStatusError(response.statusCode);
+  }
   const namedAttempt = response.headers[HEADER.attemptId];
   if (namedAttempt !== attempt.attempt) {
     response.body.on('error', () => undefined).destroy();
--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -16,8 +16,6 @@
 
 /** Lowest HTTP status of a server error. */
 const FIRST_SERVER_ERROR_STATUS = 500;
-/** Lowest status of a response that can be sent on; the parser passes on any three digits. */
-const FIRST_FINAL_STATUS = 200;
 /** Lowest HTTP status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -129,7 +127,6 @@
   const getMismatch = (message: IncomingMessage): AttemptOutcome | undefined => {
     if (!protocol.isResponseTo(message.headers, head.id)) return UNKNOWN;
     const status = message.statusCode ?? STATUS.badGateway;
-    if (status < FIRST_FINAL_STATUS) return UNKNOWN;
     if (protocol.isNotRun(status, message.headers)) return NOT_RUN;
     return isStarted() && !isRelayedAsStream(message) ? UNKNOWN : undefined;
   };
--- a/anvilpaddle-app/peers/peerClient.ts
+++ b/anvilpaddle-app/peers/peerClient.ts
@@ -8,6 +8,8 @@
 import { Agent, request } from 'undici';
 import {
   getErrorMessage,
+  InvalidStatusError,
+  isFinalStatus,
   newFailure,
   newId,
   newOk,
@@ -104,6 +106,7 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const body = await response.body.text();
+    if (!isFinalStatus(response.statusCode)) throw new InvalidStatusError(response.statusCode);
     if (response.statusCode !== 200) throw newCodedError(body, RPC_REFUSED);
     return JSON.parse(body);
   };
--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -13,8 +13,9 @@
 import { isConnectionRefused } from './connectError';
 import type { Clock, Timer } from './clock';
 import type { Address } from './http';
-import { BODY_DELIMITER, getBodyDelimiter, ResetWithDataError } from './responseEnd';
+import { InvalidStatusError } from './invalidStatusError';
 import { getErrorMessage } from './logging';
+import { BODY_DELIMITER, getBodyDelimiter, isFinalStatus, ResetWithDataError } from './responseEnd';
 
 /** Number of interim responses (status 1xx) to one request before its response. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -144,6 +145,12 @@
       }
     });
     outgoing.on('response', (message) => {
+      const { statusCode = 0 } = message;
+      if (!isFinalStatus(statusCode)) {
+        outgoing.destroy();
+        resolve({ kind: 'lost', detail: getErrorMessage(new InvalidStatusError(statusCode)) });
+        return;
+      }
       response = message;
       if (getBodyDelimiter(message.headers) === BODY_DELIMITER.close) {
         watchCloseDelimitedEnd(message);
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -10,6 +10,7 @@
 export * from './http';
 export * from './httpCall';
 export * from './ids';
+export * from './invalidStatusError';
 export * from './logging';
 export * from './logStream';
 export * from './mailbox';
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -5,7 +5,9 @@
   BYTES_PER_MIB,
   getBodyDelimiter,
   getErrorMessage,
+  InvalidStatusError,
   isConnectError,
+  isFinalStatus,
   newFailure,
   newOk,
   readStream,
@@ -83,6 +85,7 @@
         });
         const content = await readStream(response.body, MAX_RESPONSE_BYTES);
         if (content === undefined) throw new ResponseTooLargeError();
+        if (!isFinalStatus(response.statusCode)) throw new InvalidStatusError(response.statusCode);
         const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
         if (options.needsDelimiter === true && response.statusCode === 200 && !isDelimited) {
           const detail = `${method} ${path}: the response has neither a length nor chunks`;
