Measure the processor time of gossip and of one gateway among peers

Cause: no measurement showed what a gateway does for its peers, which is the larger part of its processor time at 31 to 38 gateways.

Change: `npm run measure -- gossip` replays a fleet of gateways with a manual clock and without sockets (34 upstreams, 77 teams, items, suspects, limits) and times the building and the applying of datagrams.

--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -98,7 +98,7 @@
   readonly metrics: GossipMetrics;
 }
 
-/** Starts the gossip on this gateway's address. */
+/** Starts the gossip on this gateway's address; `openSocket` opens its socket. */
 export const newGossip = (
   self: Gateway,
   gatewayList: GatewayList,
@@ -106,6 +106,7 @@
   { getState, onPeerUpdate, metrics }: GossipHooks,
   clock: Clock,
   log: Logger,
+  openSocket: typeof newGossipSocket = newGossipSocket,
 ): Gossip => {
   const peers = new Map<string, PeerState>();
   const startedMs = clock.monotonic();
@@ -173,7 +174,7 @@
     apply(datagram, sender);
   };
 
-  const socket = newGossipSocket(self, receive, metrics, log);
+  const socket = openSocket(self, receive, metrics, log);
 
   const getSuspectReports = (nowMs: number): Pick<Datagram, 'suspects' | 'requests'> => {
     if (nowMs < nextSuspectReportMs) return { suspects: [], requests: [] };
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -4,6 +4,8 @@
 import { measureCapacity } from './capacity';
 import { measureConfig } from './config';
 import { measureEndToEnd } from './endToEnd';
+import { measureGatewayCpu } from './gatewayCpu';
+import { measureGossip } from './gossip';
 import { measureHeldBytes } from './heldBytes';
 import { measureLimits } from './limits';
 import { measureRetries } from './retries';
@@ -18,6 +20,8 @@
   batch: measureBatch,
   capacity: measureCapacity,
   config: measureConfig,
+  gatewayCpu: measureGatewayCpu,
+  gossip: measureGossip,
   heldBytes: measureHeldBytes,
   limits: measureLimits,
   retries: measureRetries,
--- a/measurements/kit/processUsage.ts
+++ b/measurements/kit/processUsage.ts
@@ -11,6 +11,8 @@
 /** Processor time that a process has used since its start, and its resident memory. */
 export interface ProcessUsage {
   readonly cpuMs: number;
+  /** The part of it that was spent in the kernel. */
+  readonly systemMs: number;
   readonly residentBytes: number;
 }
 
@@ -19,8 +21,13 @@
   const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
   // The command's name may contain spaces, so the fields are counted from its closing parenthesis.
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const ticks = Number(fields[USER_TIME_FIELD]) + Number(fields[SYSTEM_TIME_FIELD]);
+  const userTicks = Number(fields[USER_TIME_FIELD]);
+  const systemTicks = Number(fields[SYSTEM_TIME_FIELD]);
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
   const residentKib = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? '0');
-  return { cpuMs: ticks * MS_PER_TICK, residentBytes: residentKib * 1024 };
+  return {
+    cpuMs: (userTicks + systemTicks) * MS_PER_TICK,
+    systemMs: systemTicks * MS_PER_TICK,
+    residentBytes: residentKib * 1024,
+  };
 };
