--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -75,6 +75,8 @@
 /** Last report of a peer. */
 interface PeerState extends GatewayState {
   readonly vm: string;
+  /** Requests that the peer had admitted; undefined for a peer of an earlier version. */
+  readonly admitted: number | undefined;
   /** Time for which the peer's process had run when it sent the report. */
   readonly ageMs: number;
   readonly lastSeenMs: number;
@@ -98,7 +100,7 @@
   readonly metrics: GossipMetrics;
 }
 
-/** Starts the gossip on this gateway's address. */
+/** Starts the gossip on this gateway's address; `openSocket` opens its socket. */
 export const newGossip = (
   self: Gateway,
   gatewayList: GatewayList,
@@ -106,6 +108,7 @@
   { getState, onPeerUpdate, metrics }: GossipHooks,
   clock: Clock,
   log: Logger,
+  openSocket: typeof newGossipSocket = newGossipSocket,
 ): Gossip => {
   const peers = new Map<string, PeerState>();
   const startedMs = clock.monotonic();
@@ -131,7 +134,8 @@
 
   const apply = (datagram: Datagram, sender: Address): void => {
     const nowMs = clock.monotonic();
-    const { from, vm, ageMs, loads, spent, takesJobs, reachesStore, isServing } = datagram;
+    const { from, admitted, vm, ageMs, loads, spent } = datagram;
+    const { takesJobs, reachesStore, isServing } = datagram;
     // A datagram that was overtaken by a later one has older state.
     if (ageMs < (peers.get(from)?.ageMs ?? 0)) return;
     // A new process on a VM may send its first datagram before its record has been read.
@@ -141,7 +145,14 @@
       removeEarlierLoads(vm);
     }
     const state = { takesJobs, reachesStore, isServing };
-    peers.set(from, { vm, ageMs, lastSeenMs: nowMs, startedMs: nowMs - ageMs, ...state });
+    peers.set(from, {
+      vm,
+      admitted,
+      ageMs,
+      lastSeenMs: nowMs,
+      startedMs: nowMs - ageMs,
+      ...state,
+    });
     upstreamLoads.updatePeer(
       from,
       new Map(loads.map(([id, online, batch]) => [id, { online, batch }])),
@@ -155,16 +166,18 @@
     const admissionCounts = spent.map(
       ([team, total, inWindow]) => [team, { total, inWindow }] as const,
     );
-    limiter.updatePeer(from, new Map(admissionCounts), nowMs);
+    limiter.updatePeer(from, admissionCounts, nowMs);
     quarantine.requests.updatePeer(from, parsePartReports(datagram.requests), nowMs);
     quarantine.parts.updatePeer(from, parsePartReports(datagram.suspects), nowMs);
     upstreamLimits.updatePeer(from, decodeLimitReports(datagram.limits), nowMs);
     onPeerUpdate();
   };
 
+  const getKnownAdmitted = (peer: string): number | undefined => peers.get(peer)?.admitted;
+
   const receive = (content: Buffer, sender: Address): void => {
     const relayed = getRelayedContent(content);
-    const datagram = parseDatagram(relayed ?? content);
+    const datagram = parseDatagram(relayed ?? content, getKnownAdmitted);
     if (datagram === undefined) {
       log.warn({ bytes: content.length }, 'unreadable datagram');
       return;
@@ -173,7 +186,7 @@
     apply(datagram, sender);
   };
 
-  const socket = newGossipSocket(self, receive, metrics, log);
+  const socket = openSocket(self, receive, metrics, log);
 
   const getSuspectReports = (nowMs: number): Pick<Datagram, 'suspects' | 'requests'> => {
     if (nowMs < nextSuspectReportMs) return { suspects: [], requests: [] };
@@ -186,6 +199,7 @@
 
   const newDatagram = (nowMs: number): Datagram => ({
     from: self.incarnation,
+    admitted: limiter.getOwnTotal(),
     vm: self.vm,
     address: self.address,
     failureDomain: self.failureDomain,
