Where a response without a length ends is judged by the reads of its connection

Cause: libuv reports a reset that follows a read of less than its buffer as an end, in the same turn of the event loop. The turns were those in which the socket passed data on: a paused socket passes on data and end together, so whole responses to slow readers, and items longer than one read, were broken off as reset. An end after a read that fills its buffer was taken for a reset too. A FIN while the request was still being written ended the response as a whole one, although a reset follows.

Change: the turns in which the socket was read count, an end after a full read is a real one, and an end before the request has been written makes the response incomplete. Responses without a body are not watched, which added listeners to kept connections.

--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -12,10 +12,16 @@
 import type { Socket } from 'node:net';
 import { isConnectionRefused } from './connectError';
 import type { Clock, Timer } from './clock';
+import { watchCloseDelimitedEnd } from './closeDelimitedEnd';
 import type { Address } from './http';
+import {
+  BODY_DELIMITER,
+  getBodyDelimiter,
+  isFinalStatus,
+  STATUSES_WITHOUT_BODY,
+} from './responseEnd';
 import { InvalidStatusError } from './invalidStatusError';
 import { getErrorMessage } from './logging';
-import { BODY_DELIMITER, getBodyDelimiter, isFinalStatus, ResetWithDataError } from './responseEnd';
 
 /** Number of interim responses (status 1xx) to one request before its response. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -50,26 +56,11 @@
 export type HttpCallResult =
   { readonly kind: 'answered'; readonly message: IncomingMessage } | HttpCallFailure;
 
-/**
- * Detects a connection reset at the end of a response that is delimited by the close of its
- * connection. Node.js reports a reset that it reads together with data as a normal end, but in the
- * same turn of the event loop as that data; a normal end comes in a later turn.
- */
-const watchCloseDelimitedEnd = (message: IncomingMessage): void => {
-  const { socket } = message;
-  let isLaterTurn = false;
-  const startTurn = (): void => {
-    isLaterTurn = false;
-    setImmediate(() => {
-      isLaterTurn = true;
-    });
-  };
-  startTurn();
-  socket.on('data', startTurn);
-  socket.prependListener('end', () => {
-    if (!isLaterTurn) message.destroy(new ResetWithDataError());
-  });
-};
+const hasBody = (method: string, status: number): boolean =>
+  method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
+
+const isCloseDelimited = ({ headers }: IncomingMessage): boolean =>
+  getBodyDelimiter(headers) === BODY_DELIMITER.close;
 
 /** Creates the request, which is sent by its `end`. */
 const newOutgoingRequest = ({
@@ -132,7 +123,9 @@
     };
     signal.addEventListener('abort', abort, { once: true });
     outgoing.on('close', () => signal.removeEventListener('abort', abort));
+    let bytesBefore = 0;
     outgoing.on('socket', (socket) => {
+      bytesBefore = socket.bytesRead;
       socket.setNoDelay(true);
       if (socket.connecting) waitForConnection(socket);
       else setConnected();
@@ -152,8 +145,8 @@
         return;
       }
       response = message;
-      if (getBodyDelimiter(message.headers) === BODY_DELIMITER.close) {
-        watchCloseDelimitedEnd(message);
+      if (hasBody(call.method, statusCode) && isCloseDelimited(message)) {
+        watchCloseDelimitedEnd(message, outgoing, bytesBefore);
       }
       // A reader in bulk closes the connection itself, after it has read what has arrived.
       if (call.isBulk === true) signal.removeEventListener('abort', abort);
