Datagrams name the last admissions apart, so that the list of all is rarely read

Cause: with four requests a second, a third of the datagrams of a peer come with a changed count, for which the admissions of all teams were parsed and looked up although one or two had changed.

Change: besides the count, a datagram names the teams of the last four admissions with their totals. A receiver that has applied a datagram from no more than four admissions before reads these alone; it reads the whole list otherwise, as after losses or at a surge. What is counted is the same.

--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,7 +1,7 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
 import { isIPv4 } from 'node:net';
 import { isPort, type Address } from '@anvilpaddle/common';
-import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
+import { RECENT_ADMISSIONS, type ItemGroups, type PartReport } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
 
 /**
@@ -28,6 +28,8 @@
    * `spent`. It follows `from` at the start of the text; a peer of an earlier version sends none.
    */
   readonly admitted?: number;
+  /** Teams of the last `RECENT_ADMISSIONS` of these requests, with the totals of the teams. */
+  readonly recent?: readonly (readonly [string, number])[];
   readonly vm: string;
   /** Address of the sender, which may not be that from which the datagram comes: it may be relayed. */
   readonly address?: Address;
@@ -87,34 +89,50 @@
 });
 
 /** Start of a datagram: its sender and the number of requests that it has admitted. */
-const START = /^\{"from":"([^"\\]+)","admitted":(\d+),/;
+const START = /^\{"from":"([^"\\]+)","admitted":(\d+),"recent":/;
 const SPENT_START = '"spent":[';
 /** What follows the admissions; no string within them can contain it, as quotes are escaped there. */
 const SPENT_END = '],"running":[';
 
-/** The text with empty admissions if these are known; they are most of a datagram. */
-const skipKnownAdmissions = (
+/**
+ * The text without the admissions of all teams, which are most of it; undefined if they are needed, as
+ * the recent ones alone don't lead from the known number of admissions to that of the datagram.
+ */
+const cutAdmissions = (
   text: string,
   getKnownAdmitted: (from: string) => number | undefined,
-): string => {
+): string | undefined => {
   const [, from = '', admitted] = START.exec(text) ?? [];
-  if (admitted === undefined || getKnownAdmitted(from) !== Number(admitted)) return text;
+  if (admitted === undefined) return undefined;
+  const added = Number(admitted) - (getKnownAdmitted(from) ?? -Infinity);
+  if (added < 0 || added > RECENT_ADMISSIONS) return undefined;
   const start = text.indexOf(SPENT_START) + SPENT_START.length;
   const end = text.indexOf(SPENT_END, start);
-  return start < SPENT_START.length || end < 0 ? text : text.slice(0, start) + text.slice(end);
+  if (start < SPENT_START.length || end < 0) return undefined;
+  return text.slice(0, start) + text.slice(end);
 };
 
+const isRecentEntry = (entry: unknown): entry is readonly [string, number] =>
+  Array.isArray(entry) && isName(entry[0]) && isCount(entry[1]);
+
+/** Recent admissions in the form of `spent`; the admissions in the window count for new peers only. */
+const getRecentSpent = ({ recent }: Datagram): Datagram['spent'] =>
+  Array.isArray(recent)
+    ? recent.filter(isRecentEntry).map(([team, total]) => [team, total, 0] as const)
+    : [];
+
 /**
  * Parses a peer's datagram without its invalid entries; undefined when the rest is invalid. Its
- * admissions are left out if the count of them that is known of the peer is unchanged.
+ * admissions are only the recent ones if those before them are known of the peer.
  */
 export const parseDatagram = (
   content: Buffer,
   getKnownAdmitted: (from: string) => number | undefined = () => undefined,
 ): Datagram | undefined => {
   try {
-    const text = skipKnownAdmissions(content.toString(), getKnownAdmitted);
-    const datagram = JSON.parse(text) as Partial<Datagram> | null;
+    const text = content.toString();
+    const shortText = cutAdmissions(text, getKnownAdmitted);
+    const datagram = JSON.parse(shortText ?? text) as Partial<Datagram> | null;
     const isValid =
       isName(datagram?.from) &&
       isName(datagram.vm) &&
@@ -122,7 +140,9 @@
       Number(datagram.ageMs) >= 0 &&
       isUsableAddress(datagram.address) &&
       [datagram.loads, datagram.spent, datagram.running, datagram.waiting].every(Array.isArray);
-    return isValid ? getValidEntries(datagram as Datagram) : undefined;
+    if (!isValid) return undefined;
+    const valid = getValidEntries(datagram as Datagram);
+    return shortText === undefined ? valid : { ...valid, spent: getRecentSpent(valid) };
   } catch {
     return undefined;
   }
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -200,6 +200,7 @@
   const newDatagram = (nowMs: number): Datagram => ({
     from: self.incarnation,
     admitted: limiter.getOwnTotal(),
+    recent: limiter.getRecent(),
     vm: self.vm,
     address: self.address,
     failureDomain: self.failureDomain,
--- a/anvilpaddle-app/gateway/tests/datagram.test.ts
+++ b/anvilpaddle-app/gateway/tests/datagram.test.ts
@@ -77,22 +77,29 @@
   });
 });
 
-// Guards against admissions that are lost because their count looks known, or that each peer reads again.
+// Guards against admissions that are lost because they look known, or that each peer reads again.
 describe('the admissions of a datagram', () => {
-  const SPENT = [['a "],"running":[ b', 3, 2]];
+  const SPENT = [
+    ['a "],"running":[ b', 30, 2],
+    ['one', 70, 9],
+  ];
+  const RECENT = [['one', 70]];
   const { from: sender, ...rest } = DATAGRAM;
-  const WITH_COUNT = { from: sender, admitted: 3, ...rest, spent: SPENT };
+  const CONTENT = { from: sender, admitted: 100, recent: RECENT, ...rest, spent: SPENT };
   const parseKnown = (content: object, known: number | undefined): unknown =>
     parseDatagram(Buffer.from(JSON.stringify(content)), (from) =>
       from === sender ? known : undefined,
     )?.spent;
 
   it.each([
-    ['are skipped when their count is known', WITH_COUNT, 3, []],
-    ['are read when their count has grown', WITH_COUNT, 2, SPENT],
-    ['are read from a sender that is not known', WITH_COUNT, undefined, SPENT],
-    ['are read from another sender', { ...WITH_COUNT, from: 'gw_2' }, 3, SPENT],
-    ['are read from an earlier version', { ...DATAGRAM, spent: SPENT }, 3, SPENT],
+    ['are the recent ones when all others are known', CONTENT, 96, [['one', 70, 0]]],
+    ['are all when more than the recent ones are new', CONTENT, 95, SPENT],
+    ['are all when more are known', CONTENT, 101, SPENT],
+    ['are all for a sender that is not known', CONTENT, undefined, SPENT],
+    ['are all for another sender', { ...CONTENT, from: 'gw_2' }, 100, SPENT],
+    ['are all for an earlier version', { ...DATAGRAM, spent: SPENT }, 100, SPENT],
+    ['are without odd recent ones', { ...CONTENT, recent: [['one', -1], ['', 1], 5] }, 100, []],
+    ['are none when the recent ones are no list', { ...CONTENT, recent: 5 }, 100, []],
   ])('%s', (_, content, known, spent) => {
     expect(parseKnown(content, known)).toEqual(spent);
   });
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -7,6 +7,7 @@
   newLoadTracker,
   newSlidingWindowLimiter,
   newUpstreamLimits,
+  RECENT_ADMISSIONS,
 } from '@anvilpaddle/decisions';
 import type { GatewayState } from '../datagram';
 import type { Gateway, GatewayList } from '../gatewayList';
@@ -139,11 +140,14 @@
     Object.assign(b.address, { port });
     admit('one');
     await sendUpdate(sender, receiver);
+    Array.from({ length: 2 * RECENT_ADMISSIONS }, () => admit('three'));
+    await sendUpdate(sender, receiver);
     await sendUpdate(sender, receiver);
 
     expect([...receiver.limit.getMark()]).toEqual([
       ['one', 2],
       ['two', 1],
+      ['three', 2 * RECENT_ADMISSIONS],
     ]);
   });
 
--- a/packages/decisions/limits/slidingWindowLimiter.ts
+++ b/packages/decisions/limits/slidingWindowLimiter.ts
@@ -78,6 +78,8 @@
   getOwn(nowMs: number): ReadonlyMap<string, AdmissionReport>;
   /** Requests of all teams that this gateway has admitted since its start. */
   getOwnTotal(): number;
+  /** Teams of this gateway's last admissions, at most `RECENT_ADMISSIONS`, with their totals. */
+  getRecent(): readonly (readonly [string, number])[];
   /** Counts the admissions that a peer reports; each team may occur once. */
   updatePeer(
     peer: string,
@@ -98,6 +100,11 @@
   restore(admissions: ReadonlyMap<string, AdmissionSlots>, ageMs: number, nowMs: number): void;
 }
 
+/**
+ * Number of the last admissions whose teams are reported apart. It is more than a gateway usually admits
+ * between two datagrams to a peer.
+ */
+export const RECENT_ADMISSIONS = 4;
 const MIN_RETRY_AFTER_MS = 50;
 /** Admissions of a team that need not be stored at once: a number, and a fraction of the limit. */
 const MIN_UNSTORED = 4;
@@ -122,6 +129,7 @@
   const counters = new Map<string, WindowCounter>();
   const ownTotals = new Map<string, number>();
   let ownTotal = 0;
+  let recentTeams: readonly string[] = [];
   const peerTotals = new Map<string, Map<string, number>>();
   /** Admissions of all gateways since the start, as far as they are known. */
   const knownTotals = new Map<string, number>();
@@ -177,6 +185,7 @@
       addAdmissions(team, 1, nowMs);
       ownTotals.set(team, (ownTotals.get(team) ?? 0) + 1);
       ownTotal += 1;
+      recentTeams = [...recentTeams.slice(1 - RECENT_ADMISSIONS), team];
       return { admitted: true };
     },
     getOwn: (nowMs) =>
@@ -190,6 +199,7 @@
         ]),
       ),
     getOwnTotal: () => ownTotal,
+    getRecent: () => [...new Set(recentTeams)].map((team) => [team, ownTotals.get(team) ?? 0]),
     updatePeer: (peer, reports, nowMs) => {
       const known = peerTotals.get(peer);
       const totals = known ?? new Map<string, number>();
