Replay of batch items under load that rises fivefold, with lost upstreams

The replays that exist model one upstream and an exact view.

Change: placement/tests/batchReplay.ts drives several gateways, each with its own load tracker, item tracker, run time estimator and placement, by one manual clock. Reports arrive 5 to 60 ms after they are sent, 50 ms apart (250 ms when nothing changes), 2% are lost.

--- /dev/null
+++ b/packages/decisions/placement/tests/batchReplay.ts
@@ -0,0 +1,458 @@
+/**
+ * Replays a load of online requests and batch items on the decisions of several gateways, without a
+ * network: each gateway has its own trackers and run time estimator and knows its peers by reports
+ * that arrive late.
+ */
+import { newSeededRandom, type Random } from '@anvilpaddle/common';
+import { newRunTimeEstimator, type ItemTiming } from '../../batch/itemOrder';
+import { newItemTracker, type GatewayItems } from '../../batch/itemTracker';
+import { getUpstreamForItem, type BatchCandidate, type CompetingItems } from '../batchPlan';
+import { getTotalLoad, newLoadTracker, type Loads } from '../loadTracker';
+import { getPlacement, type Candidate } from '../placement';
+
+/** Decisions that the replay compares. */
+export interface BatchPolicy {
+  compare(a: ItemTiming, b: ItemTiming, nowMs: number): number;
+  getItemsToStart<T extends ItemTiming>(
+    waiting: CompetingItems<T>,
+    candidates: readonly BatchCandidate[],
+    nowMs: number,
+  ): T[];
+  getItemsToPreempt<T extends ItemTiming>(
+    running: CompetingItems<T>,
+    candidate: BatchCandidate,
+    nowMs: number,
+  ): T[];
+}
+
+/** Load and fleet of a replay. */
+export interface ReplayLoad {
+  readonly gateways: number;
+  readonly upstreams: number;
+  /** Mean online load, as a fraction of all slots. */
+  readonly onlineFraction: number;
+  /** The online load alternates between two multiples of its mean. */
+  readonly wave: {
+    readonly lowMs: number;
+    readonly highMs: number;
+    readonly low: number;
+    readonly high: number;
+  };
+  readonly itemsPerSecond: number;
+  /** Mean number of events of an item. */
+  readonly eventsPerItem: number;
+  /** Part of the upstreams that are lost for a while. */
+  readonly outage?: { readonly fromMs: number; readonly toMs: number; readonly fraction: number };
+}
+
+/** Result of a replay. */
+export interface ReplayResult {
+  readonly items: number;
+  readonly late: number;
+  readonly done: number;
+  /** Runs that yielded to online requests. */
+  readonly cutRuns: number;
+  /** Of these, runs that had given no event. */
+  readonly earlyCuts: number;
+  /** Runs that were lost with their upstream. */
+  readonly lostRuns: number;
+  /** Fraction of the slot time outside of load rises that is idle while items wait. */
+  readonly idleFraction: number;
+  /** Online requests refused, and waits of the others for a slot. */
+  readonly refused: number;
+  readonly meanWaitMs: number;
+  readonly p99WaitMs: number;
+}
+
+const STEP_MS = 10;
+const TICK_MS = 30;
+const MAX_STARTS_PER_TICK = 2;
+const MAX_REPORTED_ITEMS = 8;
+const SLOTS = 8;
+const ITEMS_PER_JOB = 10;
+const DUE_MS = 18_000;
+const SUBMISSION_MS = 34_000;
+/** Items submitted last are due at the end. */
+const REPLAY_MS = SUBMISSION_MS + DUE_MS;
+/** Duration of an online request at the fastest upstream. */
+const ONLINE_MS = 400;
+/** Time per event at the fastest upstream. */
+const EVENT_MS = 17;
+/** Time to the first event of a run, new or resumed. */
+const RUN_START_MS = 42;
+const SLOW_RESPONSE = { fraction: 0.15, factor: 2.5 };
+const UPSTREAM_SLOWNESS_RANGE = 0.3;
+/** Mean slowness of a response at a random upstream. */
+const MEAN_SLOWNESS =
+  (1 + UPSTREAM_SLOWNESS_RANGE / 2) * (1 + SLOW_RESPONSE.fraction * (SLOW_RESPONSE.factor - 1));
+/** Time until gateways stop sending to a lost upstream, or send to one that has returned. */
+const OUTAGE_NOTICE_MS = 500;
+const REPORT_IDLE_MS = 250;
+const REPORT_DELAY_MS = { min: 5, max: 60 };
+const LOST_REPORTS_FRACTION = 0.02;
+const OBJECTIVE_MS = 300;
+const TIMEOUT_MS = 10_000;
+
+interface Item {
+  readonly gateway: number;
+  readonly dueMs: number;
+  readonly totalEvents: number;
+  events: number;
+  notBeforeMs: number;
+  work: Work | undefined;
+}
+
+/** A request or a run of an item at an upstream. */
+interface Work {
+  readonly gateway: number;
+  readonly upstream: number;
+  readonly item: Item | undefined;
+  readonly sentMs: number;
+  /** Time until the next event, or for an online request until its end. */
+  leftMs: number;
+  readonly eventMs: number;
+  readonly eventsAtStart: number;
+}
+
+interface Report {
+  readonly from: number;
+  readonly to: number;
+  readonly sentMs: number;
+  readonly loads: Loads;
+  readonly items: GatewayItems;
+}
+
+/** Number of events of a Poisson process. */
+const getPoisson = (mean: number, random: Random): number => {
+  const limit = Math.exp(-mean);
+  let count = -1;
+  for (let product = 1; product > limit; product *= random()) count += 1;
+  return count;
+};
+
+const getRange = (count: number): number[] => Array.from({ length: count }, (_, index) => index);
+
+/** Replays the load. */
+export const replayBatchLoad = (
+  policy: BatchPolicy,
+  load: ReplayLoad,
+  seed: number,
+): ReplayResult => {
+  const random = newSeededRandom(seed);
+  /** Random source of the load alone, so that all policies get the same. */
+  const loadRandom = newSeededRandom(seed + 1000);
+  const { wave, outage } = load;
+  const reportIntervalMs = Math.max(25, (load.gateways - 1) * 2.5);
+  const upstreams = getRange(load.upstreams).map((index) => ({
+    index,
+    id: `u${index}`,
+    slowness: 1 + loadRandom() * UPSTREAM_SLOWNESS_RANGE,
+    queue: [] as Work[],
+    running: [] as Work[],
+  }));
+  const lostCount = Math.round(load.upstreams * (outage?.fraction ?? 0));
+  const isLost = (index: number, nowMs: number, noticeMs = 0): boolean =>
+    outage !== undefined &&
+    index < lostCount &&
+    nowMs >= outage.fromMs + noticeMs &&
+    nowMs < outage.toMs + noticeMs;
+  const gateways = getRange(load.gateways).map((index) => {
+    const gateway = {
+      index,
+      loads: newLoadTracker(() => {
+        gateway.hasChanged = true;
+      }),
+      tracker: newItemTracker(),
+      estimator: newRunTimeEstimator(),
+      items: new Set<Item>(),
+      hasChanged: false,
+      lastReportMs: -Infinity,
+      lastReportOf: getRange(load.gateways).map(() => -Infinity),
+    };
+    return gateway;
+  });
+  type GatewayState = (typeof gateways)[number];
+  /** Reports by the step at which they arrive. */
+  const reports = new Map<number, Report[]>();
+  const waits: number[] = [];
+  let items = 0;
+  let inTime = 0;
+  let done = 0;
+  let cutRuns = 0;
+  let lostRuns = 0;
+  let earlyCuts = 0;
+  let refused = 0;
+  let valleySlotMs = 0;
+  let idleSlotMs = 0;
+
+  const getCandidates = (gateway: GatewayState, nowMs: number): (BatchCandidate & Candidate)[] =>
+    upstreams
+      .filter(({ index }) => !isLost(index, nowMs, OUTAGE_NOTICE_MS))
+      .map(({ id }) => ({
+        id,
+        slots: SLOTS,
+        load: gateway.loads.getLoad(id, nowMs),
+        weight: 1,
+        spareTokens: Infinity,
+        isSameFailureDomain: false,
+        upstreamMeanMs: ONLINE_MS * MEAN_SLOWNESS,
+        serviceMeanMs: ONLINE_MS * MEAN_SLOWNESS,
+        limitWaitMs: undefined,
+      }));
+
+  const getSlowness = (upstream: number): number =>
+    (upstreams[upstream]?.slowness ?? 1) *
+    (random() < SLOW_RESPONSE.fraction ? SLOW_RESPONSE.factor : 1);
+
+  const send = (
+    gateway: GatewayState,
+    upstream: number,
+    pending: Item | undefined,
+    nowMs: number,
+  ): void => {
+    const slowness = getSlowness(upstream);
+    const work: Work = {
+      gateway: gateway.index,
+      upstream,
+      item: pending,
+      sentMs: nowMs,
+      leftMs: pending === undefined ? ONLINE_MS * (0.5 + random()) * slowness : RUN_START_MS,
+      eventMs: EVENT_MS * slowness,
+      eventsAtStart: pending?.events ?? 0,
+    };
+    upstreams[upstream]?.queue.push(work);
+    gateway.loads.begin(`u${upstream}`, pending === undefined ? 'online' : 'batch');
+    if (pending !== undefined) pending.work = work;
+  };
+
+  /** Ends a request or run that its upstream no longer has. */
+  const end = (work: Work, nowMs: number): void => {
+    const { item } = work;
+    const gateway = gateways[work.gateway] as GatewayState;
+    gateway.loads.end(`u${work.upstream}`, item === undefined ? 'online' : 'batch');
+    if (item === undefined) return;
+    item.work = undefined;
+    gateway.estimator.learnRun('r', item.events - work.eventsAtStart, nowMs - work.sentMs);
+  };
+
+  const cancel = (work: Work, nowMs: number): void => {
+    const upstream = upstreams[work.upstream];
+    if (upstream === undefined) return;
+    upstream.queue = upstream.queue.filter((other) => other !== work);
+    upstream.running = upstream.running.filter((other) => other !== work);
+    end(work, nowMs);
+  };
+
+  const placeOnline = (gatewayIndex: number, nowMs: number): void => {
+    const gateway = gateways[gatewayIndex] as GatewayState;
+    const placement = getPlacement(
+      getCandidates(gateway, nowMs),
+      { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: TIMEOUT_MS },
+      random,
+    );
+    if (placement.kind === 'refuse') refused += 1;
+    else send(gateway, Number(placement.upstream.slice(1)), undefined, nowMs);
+  };
+
+  const submitJob = (nowMs: number): void => {
+    // The load balancer spreads connections unevenly.
+    const gateway = gateways[Math.floor(loadRandom() ** 1.5 * load.gateways)] as GatewayState;
+    getRange(ITEMS_PER_JOB).forEach(() => {
+      const totalEvents = Math.round(load.eventsPerItem * (0.7 + 0.6 * loadRandom()));
+      const dueMs = nowMs + DUE_MS;
+      items += 1;
+      gateway.items.add({
+        gateway: gateway.index,
+        dueMs,
+        totalEvents,
+        events: 0,
+        notBeforeMs: 0,
+        work: undefined,
+      });
+    });
+  };
+
+  const finishItem = (item: Item, nowMs: number): void => {
+    const gateway = gateways[item.gateway] as GatewayState;
+    gateway.estimator.learnCompletion('r', item.events);
+    gateway.items.delete(item);
+    done += 1;
+    if (nowMs <= item.dueMs) inTime += 1;
+  };
+
+  /** Advances a run or request by one step; returns whether it has ended. */
+  const advance = (progress: Work, nowMs: number): boolean => {
+    progress.leftMs -= STEP_MS;
+    const { item } = progress;
+    if (item === undefined) return progress.leftMs <= 0;
+    while (progress.leftMs <= 0 && item.events < item.totalEvents) {
+      item.events += 1;
+      progress.leftMs += progress.eventMs;
+    }
+    if (item.events < item.totalEvents) return false;
+    finishItem(item, nowMs);
+    return true;
+  };
+
+  const advanceUpstream = (upstream: (typeof upstreams)[number], nowMs: number): void => {
+    if (isLost(upstream.index, nowMs)) {
+      const lost = [...upstream.queue, ...upstream.running];
+      upstream.queue = [];
+      upstream.running = [];
+      lost.forEach((work) => {
+        end(work, nowMs);
+        const { item } = work;
+        if (item === undefined) placeOnline(work.gateway, nowMs);
+        else {
+          lostRuns += 1;
+          item.notBeforeMs = nowMs + 150 * (1 + random());
+        }
+      });
+      return;
+    }
+    const ended = new Set(upstream.running.filter((work) => advance(work, nowMs)));
+    ended.forEach((work) => end(work, nowMs));
+    upstream.running = upstream.running.filter((work) => !ended.has(work));
+    while (upstream.running.length < SLOTS && upstream.queue.length > 0) {
+      const work = upstream.queue.shift() as Work;
+      upstream.running.push(work);
+      if (work.item === undefined) waits.push(nowMs - work.sentMs);
+    }
+  };
+
+  const getTiming = ({ estimator }: GatewayState, item: Item) => ({
+    item,
+    dueMs: item.dueMs,
+    remainingMs: estimator.getRemainingMs('r', item.events),
+  });
+
+  const getRunning = (gateway: GatewayState) =>
+    [...gateway.items]
+      .filter(({ work }) => work !== undefined)
+      .map((item) => getTiming(gateway, item));
+
+  const groupByUpstream = (running: ReturnType<typeof getRunning>) => {
+    const groups = new Map<string, typeof running>();
+    running.forEach((timing) => {
+      const id = `u${timing.item.work?.upstream}`;
+      groups.set(id, [...(groups.get(id) ?? []), timing]);
+    });
+    return groups;
+  };
+
+  const preempt = (gateway: GatewayState, nowMs: number): void =>
+    groupByUpstream(getRunning(gateway)).forEach((own, id) => {
+      const known = gateway.loads.getLoad(id, nowMs);
+      if (getTotalLoad(known) <= SLOTS) return;
+      const candidate = { id, slots: SLOTS, load: known, weight: 1, spareTokens: Infinity };
+      const peers = gateway.tracker.getRunning(id, nowMs);
+      policy.getItemsToPreempt({ own, peers }, candidate, nowMs).forEach(({ item }) => {
+        cutRuns += 1;
+        if (item.work !== undefined && item.events === item.work.eventsAtStart) earlyCuts += 1;
+        if (item.work !== undefined) cancel(item.work, nowMs);
+      });
+    });
+
+  const tick = (gateway: GatewayState, nowMs: number): void => {
+    const ready = [...gateway.items]
+      .filter(({ work, notBeforeMs }) => work === undefined && notBeforeMs <= nowMs)
+      .map((item) => getTiming(gateway, item));
+    if (ready.length > 0) {
+      const peers = gateway.tracker.getWaiting('s', nowMs);
+      policy
+        .getItemsToStart({ own: ready, peers }, getCandidates(gateway, nowMs), nowMs)
+        .slice(0, MAX_STARTS_PER_TICK)
+        .forEach(({ item }) => {
+          const id = getUpstreamForItem(getCandidates(gateway, nowMs), random);
+          if (id !== undefined) send(gateway, Number(id.slice(1)), item, nowMs);
+        });
+    }
+    const waiting = ready
+      .filter(({ item }) => item.work === undefined)
+      .sort((a, b) => policy.compare(a, b, nowMs))
+      .slice(0, MAX_REPORTED_ITEMS);
+    gateway.tracker.setOwn({
+      running: groupByUpstream(getRunning(gateway)),
+      waiting: new Map([['s', waiting]]),
+    });
+  };
+
+  const report = (self: number, nowMs: number): void => {
+    const gateway = gateways[self] as GatewayState;
+    const intervalMs = gateway.hasChanged ? reportIntervalMs : REPORT_IDLE_MS;
+    if (nowMs - gateway.lastReportMs < intervalMs) return;
+    gateway.hasChanged = false;
+    gateway.lastReportMs = nowMs;
+    const loads = new Map(gateway.loads.getOwn());
+    const state = gateway.tracker.getOwn();
+    gateways.forEach(({ index }) => {
+      if (index === self || random() < LOST_REPORTS_FRACTION) return;
+      const { min, max } = REPORT_DELAY_MS;
+      const content = { from: self, to: index, sentMs: nowMs, loads, items: state };
+      const delaySteps = Math.ceil((min + random() * (max - min)) / STEP_MS);
+      const atMs = nowMs + delaySteps * STEP_MS;
+      const arriving = reports.get(atMs) ?? [];
+      arriving.push(content);
+      reports.set(atMs, arriving);
+    });
+  };
+
+  const deliver = (nowMs: number): void => {
+    const due = reports.get(nowMs) ?? [];
+    reports.delete(nowMs);
+    due.forEach(({ from, to, sentMs, loads, items: state }) => {
+      const gateway = gateways[to] as GatewayState;
+      if (sentMs < (gateway.lastReportOf[from] ?? 0)) return;
+      gateway.lastReportOf[from] = sentMs;
+      gateway.loads.updatePeer(`g${from}`, loads, nowMs);
+      gateway.tracker.updatePeer(`g${from}`, state, nowMs);
+    });
+  };
+
+  const countIdleSlots = (nowMs: number): void => {
+    const usable = upstreams.filter(({ index }) => !isLost(index, nowMs));
+    const waiting = gateways.reduce(
+      (sum, { items: own }) => sum + [...own].filter(({ work }) => work === undefined).length,
+      0,
+    );
+    const idle = usable.reduce((sum, { running }) => sum + SLOTS - running.length, 0);
+    valleySlotMs += usable.length * SLOTS * STEP_MS;
+    idleSlotMs += Math.min(idle, waiting) * STEP_MS;
+  };
+
+  for (let nowMs = 0; nowMs < REPLAY_MS; nowMs += STEP_MS) {
+    deliver(nowMs);
+    const isHigh = nowMs % (wave.lowMs + wave.highMs) >= wave.lowMs;
+    const onlinePerMs =
+      (load.onlineFraction * load.upstreams * SLOTS) / (ONLINE_MS * MEAN_SLOWNESS);
+    const arrivals = getPoisson(
+      onlinePerMs * STEP_MS * (isHigh ? wave.high : wave.low),
+      loadRandom,
+    );
+    getRange(arrivals).forEach(() => placeOnline(Math.floor(loadRandom() * load.gateways), nowMs));
+    const jobRate = load.itemsPerSecond / ITEMS_PER_JOB / 1000;
+    if (nowMs < SUBMISSION_MS) {
+      getRange(getPoisson(jobRate * STEP_MS, loadRandom)).forEach(() => submitJob(nowMs));
+    }
+    upstreams.forEach((upstream) => advanceUpstream(upstream, nowMs));
+    if (!isHigh) countIdleSlots(nowMs);
+    gateways.forEach((gateway) => {
+      preempt(gateway, nowMs);
+      if ((nowMs + gateway.index * STEP_MS) % TICK_MS === 0) tick(gateway, nowMs);
+      report(gateway.index, nowMs);
+    });
+  }
+  const sortedWaits = waits.sort((a, b) => a - b);
+  return {
+    items,
+    late: items - inTime,
+    done,
+    cutRuns,
+    lostRuns,
+    earlyCuts,
+    idleFraction: idleSlotMs / valleySlotMs,
+    refused,
+    meanWaitMs: waits.reduce((sum, ms) => sum + ms, 0) / Math.max(1, waits.length),
+    p99WaitMs: sortedWaits[Math.floor(waits.length * 0.99)] ?? 0,
+  };
+};
