Cold upstreams get what they take, from all gateways together

Placement of requests and items takes warm upstreams first; times at cold ones are neither learned nor held against their health. Without cold_start_s and cold_per_s nothing changes.

The whole suite was not run.

--- a/anvilpaddle-app/gateway/evacuations.ts
+++ b/anvilpaddle-app/gateway/evacuations.ts
@@ -23,13 +23,8 @@
   /** Not a request for an evacuation. */
   | { readonly kind: 'other' };
 
-/** End of an evacuation. */
-export interface EvacuationEnd {
-  /** Monotonic time at which this gateway learned of it, in milliseconds. */
-  readonly endedMs: number;
-  /** Revision of the store by which the request had been removed. */
-  readonly revision: number;
-}
+/** Called as this gateway learns that an evacuation has ended, by this revision of the store. */
+export type OnEvacuationEnd = (failureDomain: string, revision: number) => void;
 
 /** Evacuated failure domains, as the store last listed them. */
 export interface Evacuations {
@@ -45,8 +40,6 @@
   isCurrent(): boolean;
   /** Number of evacuated failure domains. */
   getCount(): number;
-  /** The last end of an evacuation of the failure domain that this process has seen. */
-  getEnd(failureDomain: string): EvacuationEnd | undefined;
 }
 
 /**
@@ -56,6 +49,7 @@
 export const newEvacuations = (
   parseKey: (key: string) => EvacuationKey,
   evacuationMs: number | undefined,
+  onEnd: OnEvacuationEnd,
   clock: Clock,
   log: Logger,
 ): Evacuations => {
@@ -63,7 +57,6 @@
   let evacuated: ReadonlyMap<string, number> = new Map();
   /** Revisions of the last change of each request; they outlive it, so that no older change is applied. */
   const lastRevisions = new Map<string, number>();
-  const ends = new Map<string, EvacuationEnd>();
   /** Revisions of records without a name that were logged. */
   const namelessRevisions = new Set<number>();
   let hasRead = false;
@@ -95,8 +88,8 @@
   };
 
   const end = (failureDomain: string, revision: number): void => {
-    ends.set(failureDomain, { endedMs: clock.monotonic(), revision });
     log.warn({ failureDomain, revision }, 'evacuation ends');
+    onEnd(failureDomain, revision);
   };
 
   const isCurrent = (): boolean =>
@@ -115,7 +108,9 @@
         if (!before.has(failureDomain)) begin(failureDomain, requestRevision);
       });
       before.forEach((_, failureDomain) => {
-        if (!next.has(failureDomain)) end(failureDomain, revision);
+        if (next.has(failureDomain)) return;
+        // A read doesn't tell by which revision the row was removed.
+        end(failureDomain, isSnapshot ? revision : (lastRevisions.get(failureDomain) ?? revision));
       });
     },
     applyFailure: ({ requestedMs, requestedWallMs }) => {
@@ -127,6 +122,5 @@
     isEvacuated: (failureDomain) => evacuated.has(failureDomain),
     isCurrent,
     getCount: () => evacuated.size,
-    getEnd: (failureDomain) => ends.get(failureDomain),
   };
 };
--- a/anvilpaddle-app/gateway/fleetView.ts
+++ b/anvilpaddle-app/gateway/fleetView.ts
@@ -3,6 +3,7 @@
 import type {
   BatchCandidate,
   Candidate,
+  ColdUpstreams,
   Health,
   LoadTracker,
   ServiceTimes,
@@ -37,6 +38,8 @@
   getUpstream(id: string): Upstream | undefined;
   /** Whether the operators have requested that nothing more be sent to the upstream's failure domain. */
   isEvacuated(upstream: Upstream): boolean;
+  /** Whether an upstream is slow for now, as it has just started. */
+  isCold(upstream: Upstream): boolean;
   /** Why no upstream of a service may get requests; undefined if one may, or for want of room alone. */
   getClosure(service: string): Closure | undefined;
   /** Reports that another process answered at an upstream's address. */
@@ -55,13 +58,15 @@
   health: Health,
   serviceTimes: ServiceTimes,
   limits: Pick<UpstreamLimits, 'getRequestsPerSecond' | 'getWaitMs' | 'getSpareTokens'>,
+  coldUpstreams: Pick<ColdUpstreams, 'isCold'>,
   evacuations: Pick<Evacuations, 'isEvacuated' | 'isCurrent' | 'getCount'>,
   failureDomain: string,
   clock: Clock,
 ): FleetView => {
-  const getCommonFields = ({ id, slots }: Upstream, nowMs: number) => ({
+  const getCommonFields = ({ id, slots, incarnation }: Upstream, nowMs: number) => ({
     id,
     slots,
+    isCold: coldUpstreams.isCold(incarnation, nowMs),
     load: upstreamLoads.getLoad(id, nowMs),
     weight: health.weight(id, nowMs),
   });
@@ -75,7 +80,7 @@
   const getAdmissionRate = ({ slots, incarnation }: Upstream, serviceMeanMs: number): number =>
     Math.min(
       (slots * MS_PER_SECOND) / serviceMeanMs,
-      limits.getRequestsPerSecond(incarnation) ?? Infinity,
+      limits.getRequestsPerSecond(incarnation, clock.monotonic()) ?? Infinity,
     );
 
   return {
@@ -104,6 +109,7 @@
         : undefined;
     },
     getUpstream: (id) => upstreamWatch.get(id),
+    isCold: ({ incarnation }) => coldUpstreams.isCold(incarnation, clock.monotonic()),
     isEvacuated: (upstream) => evacuations.isEvacuated(upstream.failureDomain),
     getClosure: (service) => {
       if (!evacuations.isCurrent()) return CLOSURE.unknown;
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -31,7 +31,7 @@
 import type { GatewaySettings } from './types';
 import { newTeamAdmissions } from './teamAdmissions';
 import { newUpstreamClient } from './upstreamClient';
-import { newUpstreamFleet } from './upstreamFleet';
+import { newUpstreamFleet, type UpstreamFleet } from './upstreamFleet';
 import type { UpstreamSource } from './upstreamWatch';
 
 /**
@@ -92,10 +92,23 @@
   const recordStore = platform.newRecordStore(storeClient);
   const objectStore = platform.newObjectStore(storeClient);
 
-  const evacuations = newEvacuations(platform.parseEvacuationKey, bounds.evacuationMs, clock, log);
+  const fleetRef: { fleet?: UpstreamFleet } = {};
+  const evacuations = newEvacuations(
+    platform.parseEvacuationKey,
+    bounds.evacuationMs,
+    (failureDomain, revision) =>
+      fleetRef.fleet?.coldUpstreams.applyEvacuationEnd(failureDomain, revision, clock.monotonic()),
+    clock,
+    log,
+  );
   const fleet = newUpstreamFleet(
     recordStore,
-    { source: platform.upstreamSource, failureDomain: settings.failureDomain, evacuations },
+    {
+      source: platform.upstreamSource,
+      failureDomain: settings.failureDomain,
+      evacuations,
+      coldTolerance: bounds.coldTolerance,
+    },
     {
       onLoadChange: () => {
         peersRef.gossip?.scheduleSend();
@@ -108,7 +121,16 @@
     random,
     log,
   );
-  const { upstreamLoads, upstreamLimits, upstreamWatch, health, serviceTimes, fleetView } = fleet;
+  fleetRef.fleet = fleet;
+  const {
+    upstreamLoads,
+    upstreamLimits,
+    coldUpstreams,
+    upstreamWatch,
+    health,
+    serviceTimes,
+    fleetView,
+  } = fleet;
   const byteBudget = newByteBudget(settings.maxHeldBytes);
   const itemTracker = newItemTracker();
   const callerServer: Server = createServer({ requestTimeout: 0 });
@@ -119,7 +141,10 @@
     bounds,
     CONFIG_READ_INTERVAL_MS,
     {
-      onChange: (next) => callerConnections.applyBounds(next.bounds),
+      onChange: (next) => {
+        callerConnections.applyBounds(next.bounds);
+        fleet.applyServices(next.services);
+      },
       onUpdate: (update) => evacuations.applyUpdate(update),
       onFailure: (call) => evacuations.applyFailure(call),
     },
@@ -159,6 +184,11 @@
     getQuarantinedRequests: () => quarantine.requests.getQuarantinedCount(),
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
+    getColdUpstreams: () => coldUpstreams.getColdCount(clock.monotonic()),
+    getColdRateUsed: () => {
+      const { sent, taken } = upstreamLimits.getColdUse(clock.monotonic());
+      return taken === 0 ? 0 : sent / taken;
+    },
     getEvacuatedFailureDomains: () => evacuations.getCount(),
     getHeldBytes: byteBudget.getHeldBytes,
   });
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -38,6 +38,8 @@
   readonly getQuarantinedParts: () => number;
   readonly getQuarantinedRequests: () => number;
   readonly getLimitedUpstreams: () => number;
+  readonly getColdUpstreams: () => number;
+  readonly getColdRateUsed: () => number;
   readonly getEvacuatedFailureDomains: () => number;
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
@@ -144,6 +146,16 @@
     'Upstreams that name a limit for the requests of all gateways',
     gauges.getLimitedUpstreams,
   );
+  addGauge(
+    'anvilpaddle_cold_upstreams',
+    'Upstreams that have just started, or become cold again, and are slow for now',
+    gauges.getColdUpstreams,
+  );
+  addGauge(
+    'anvilpaddle_cold_rate_used_fraction',
+    'Requests of all gateways in the last second, of those that the cold upstreams take in one',
+    gauges.getColdRateUsed,
+  );
   addGauge(
     'anvilpaddle_evacuated_failure_domains',
     'Failure domains whose upstreams the operators want to get nothing more',
--- a/anvilpaddle-app/gateway/jobs/itemExecution.ts
+++ b/anvilpaddle-app/gateway/jobs/itemExecution.ts
@@ -32,7 +32,7 @@
   { runs, runTimeEstimator, getJobRoute }: ItemExecutionState,
   dependencies: ItemExecutionDependencies,
 ): ExecuteItem => {
-  const { protocol, clock, random, log } = dependencies;
+  const { protocol, view, clock, random, log } = dependencies;
 
   /** Adds an item's result and aborts the runs of the item that are left. */
   const addResult = (job: OwnedJob, pending: PendingItem, result: ItemResult): void => {
@@ -70,6 +70,7 @@
     const observer = runs.add(run);
     const target = { upstream, host: job.getRecord().host, team: job.team };
     const before = { events: pending.events, startedMs: clock.monotonic() };
+    const wasCold = view.isCold(upstream);
     const outcome = await runItem(
       pending.item,
       target,
@@ -82,7 +83,8 @@
     if (abort.signal.reason === SUPERSEDED) return;
     const events = pending.events - before.events;
     const runMs = clock.monotonic() - before.startedMs;
-    runTimeEstimator.learnRun(job.getRecord().route, events, runMs);
+    // A cold upstream is slower than the others.
+    if (!wasCold) runTimeEstimator.learnRun(job.getRecord().route, events, runMs);
     if (abort.signal.aborted && outcome.kind !== 'done') return;
     if (outcome.kind === 'broken') {
       log.info(
--- a/anvilpaddle-app/gateway/jobs/itemRuns.ts
+++ b/anvilpaddle-app/gateway/jobs/itemRuns.ts
@@ -32,7 +32,11 @@
 }
 
 /** Creates an empty set of runs. */
-export const newItemRuns = (health: Health, clock: Clock): ItemRuns => {
+export const newItemRuns = (
+  health: Health,
+  isCold: (upstream: Upstream) => boolean,
+  clock: Clock,
+): ItemRuns => {
   const runs = new Set<Run>();
   const silentRuns = new Set<Run>();
 
@@ -46,7 +50,9 @@
   /** Aborts a run because another one has gone on with the item. */
   const supersede = (run: Run): void => {
     const nowMs = clock.monotonic();
-    if (silentRuns.has(run)) health.record(run.upstream.id, ATTEMPT_RESULT.failed, 0, nowMs);
+    if (silentRuns.has(run) && !isCold(run.upstream)) {
+      health.record(run.upstream.id, ATTEMPT_RESULT.failed, 0, nowMs);
+    }
     run.abort.abort(SUPERSEDED);
   };
 
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -69,7 +69,7 @@
 /** Starts claiming jobs and running their items. */
 export const newJobRunner = (dependencies: JobRunnerDependencies): JobRunner => {
   const { jobs: jobCache, view, health, items: itemTracker, clock, log } = dependencies;
-  const runs = newItemRuns(health, clock);
+  const runs = newItemRuns(health, (upstream) => view.isCold(upstream), clock);
   let isStopped = false;
   let timer: Timer | undefined;
 
--- a/anvilpaddle-app/gateway/limitLog.ts
+++ b/anvilpaddle-app/gateway/limitLog.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger } from '@anvilpaddle/common';
 import {
   UPSTREAM_LIMIT_WINDOW_MS,
+  type ColdState,
   type UpstreamLimit,
   type UpstreamLimits,
 } from '@anvilpaddle/decisions';
@@ -18,6 +19,24 @@
   log.info({ upstream, requestsPerSecond: requestsPerSecond ?? null }, 'upstream limit');
 };
 
+/** Logs that an upstream has become cold. */
+export const logCold = (
+  log: Logger,
+  { incarnation, untilMs, requestsPerSecond }: ColdState,
+  nowMs: number,
+): void => {
+  const forMs = Math.round(untilMs - nowMs);
+  log.info(
+    { upstream: incarnation, forMs, requestsPerSecond: requestsPerSecond ?? null },
+    'upstream cold',
+  );
+};
+
+/** Logs that an upstream has become warm. */
+export const logWarm = (log: Logger, upstream: string): void => {
+  log.info({ upstream }, 'upstream warm');
+};
+
 /** Starts to log, once a window, what each upstream with a limit has got. */
 export const startLimitLog = (limits: UpstreamLimits, clock: Clock, log: Logger): void => {
   clock.every(UPSTREAM_LIMIT_WINDOW_MS, () =>
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -81,6 +81,7 @@
     dependencies;
   const { upstreamClient, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
+  const wasCold = view.isCold(upstream);
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
   const concurrency = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
   const abandonment = new AbortController();
@@ -95,11 +96,14 @@
   const hasOutlivedStart = (): boolean =>
     contentMs !== undefined && clock.monotonic() - contentMs >= OUTLIVED_MS;
 
+  /** Whether the upstream may be slow because it is cold, or was when the request was sent. */
+  const isSlowAsCold = (): boolean => wasCold || view.isCold(upstream);
+
   const silenceTimer = newSilenceTimer(clock, (isFirstReport) => {
     if (isFirstReport) {
       isSilent = true;
       hasBeenSilent = true;
-      health.recordSilence(upstream.id, clock.monotonic());
+      if (!isSlowAsCold()) health.recordSilence(upstream.id, clock.monotonic());
       metrics.countSilence();
       log.warn(
         {
@@ -157,14 +161,15 @@
 
   const recordAttempt = (callResult: HttpCallResult, outcome: AttemptReport): void => {
     const result = getHealthResult(callResult, outcome);
-    // With a silence, the time would measure that rather than the upstream.
-    const usualFirstByteMs = hasBeenSilent ? undefined : firstByteMs;
+    // With a silence, or a cold upstream, the time would measure that rather than the upstream.
+    const isUsual = !hasBeenSilent && !isSlowAsCold();
+    const usualFirstByteMs = isUsual ? firstByteMs : undefined;
     if (!isOutOfMemory(outcome.responseEnd)) {
       health.record(upstream.id, result, usualFirstByteMs, clock.monotonic());
     }
     if (result === ATTEMPT_RESULT.ok) {
-      // With a wait or a silence, the time would measure that rather than the upstream.
-      if (expectedWaitMs === 0 && !hasBeenSilent) {
+      // The same holds for a request that waited.
+      if (expectedWaitMs === 0 && isUsual) {
         serviceTimes.learn(upstream.service, upstream.id, clock.monotonic() - sentMs);
       }
       return;
--- a/anvilpaddle-app/gateway/tests/evacuations.test.ts
+++ b/anvilpaddle-app/gateway/tests/evacuations.test.ts
@@ -29,7 +29,9 @@
     warn: ({ failureDomain }: { failureDomain?: string }, message: string) =>
       lines.push(`${message} ${failureDomain ?? ''}`.trim()),
   });
-  const evacuations = newEvacuations(parseEvacuationKey, bound.ms, clock, log);
+  const ends: unknown[] = [];
+  const onEnd = (...end: readonly unknown[]) => ends.push(end);
+  const evacuations = newEvacuations(parseEvacuationKey, bound.ms, onEnd, clock, log);
   const apply = (isSnapshot: boolean, revision: number, changes: readonly Change[]): void =>
     evacuations.applyUpdate({
       records: changes.map(newRecord),
@@ -42,6 +44,7 @@
   return {
     clock,
     lines,
+    ends,
     evacuations,
     read: (revision: number, changes: readonly Change[]) => apply(true, revision, changes),
     watch: (revision: number, changes: readonly Change[]) => apply(false, revision, changes),
@@ -63,19 +66,19 @@
   });
 
   it('begin and end by the watch, for two failure domains at once', () => {
-    const { lines, evacuations, read, watch, getState } = start();
+    const { lines, ends, evacuations, read, watch, getState } = start();
     read(1, [CONFIG]);
     watch(3, [
       { key: 'evacuate/a', revision: 2, value: '{}' },
       { key: 'evacuate/b/c', revision: 3, value: '{}' },
     ]);
     const both = getState('a', 'b/c');
-    watch(4, [{ key: 'evacuate/a', revision: 4 }]);
+    watch(5, [{ key: 'evacuate/a', revision: 4 }]);
 
     expect(both).toEqual([true, true]);
     expect(getState('a', 'b/c')).toEqual([false, true]);
     expect(evacuations.getCount()).toBe(1);
-    expect(evacuations.getEnd('a')).toEqual({ endedMs: 0, revision: 4 });
+    expect(ends).toEqual([['a', 4]]);
     expect(lines).toEqual(['evacuation begins a', 'evacuation begins b/c', 'evacuation ends a']);
   });
 
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -52,6 +52,7 @@
   getBatchCandidates: () => [],
   getBatchCandidate: () => undefined,
   getUpstream: () => undefined,
+  isCold: () => false,
   isEvacuated: () => false,
   getClosure: () => undefined,
   reportReplaced: () => undefined,
--- a/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
+++ b/anvilpaddle-app/gateway/tests/upstreamWatch.test.ts
@@ -52,8 +52,7 @@
   const watch = newUpstreamWatch(
     newStore(pages, onRead),
     { table: 't', parse: parseUpstream },
-    isClosed,
-    () => undefined,
+    { isClosed, onRecord: () => undefined, onChange: () => undefined },
     clock,
     newSilentLogger(),
   );
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -61,6 +61,10 @@
   readonly maxConnections: number;
   /** Path of an upstream's health check. */
   readonly healthPath: string;
+  /** Time from its start for which an upstream is slow (cold), in milliseconds; 0 for never. */
+  readonly coldStartMs: number;
+  /** Requests per second that a cold upstream takes from all gateways together; 0 for any number. */
+  readonly coldRequestsPerSecond: number;
 }
 
 /** Team with its API keys and its rate limit across all gateways; a rate of 0 means no limit. */
@@ -101,6 +105,8 @@
   readonly slots: number;
   /** Whether it finishes its requests and must get no new ones. */
   readonly isDraining: boolean;
+  /** Time for which it is cold from when it wrote its record, in milliseconds; undefined if not said. */
+  readonly coldLeftMs?: number | undefined;
 }
 
 /** Limits that the platform guarantees or requires. */
@@ -118,6 +124,8 @@
    * the platform names none.
    */
   readonly evacuationMs: number | undefined;
+  /** How far the requests to a cold upstream in any second may exceed what it takes. */
+  readonly coldTolerance: LimitTolerance;
   /** Time for which a job's results stay readable after its submission. */
   readonly jobRetentionMs: number;
 }
--- a/anvilpaddle-app/gateway/upstreamClient.ts
+++ b/anvilpaddle-app/gateway/upstreamClient.ts
@@ -69,8 +69,9 @@
   return {
     send: async (upstream, request, reason, signal) => {
       const { address, incarnation } = upstream;
-      metrics.countSend(reason, limits.getRequestsPerSecond(incarnation) !== undefined);
-      limits.recordSend(incarnation, clock.monotonic());
+      const nowMs = clock.monotonic();
+      metrics.countSend(reason, limits.getRequestsPerSecond(incarnation, nowMs) !== undefined);
+      limits.recordSend(incarnation, nowMs);
       const result = await callUpstream({ ...request, address }, signal, clock);
       if (result.kind === 'not_sent') limits.recordUnsent(incarnation, clock.monotonic());
       if (result.kind === 'answered') {
--- a/anvilpaddle-app/gateway/upstreamFleet.ts
+++ b/anvilpaddle-app/gateway/upstreamFleet.ts
@@ -1,12 +1,15 @@
 /** What a gateway knows of the upstreams: their list, loads, health, service times and limits. */
 import { MS_PER_SECOND, type Clock, type Logger, type Random } from '@anvilpaddle/common';
 import {
+  newColdUpstreams,
   newHealth,
   newLoadTracker,
   newServiceTimes,
   newUpstreamLimits,
   type BucketVisibility,
+  type ColdUpstreams,
   type Health,
+  type LimitTolerance,
   type LoadTracker,
   type ServiceTimes,
   type UpstreamLimits,
@@ -15,7 +18,8 @@
 import type { Evacuations } from './evacuations';
 import { newFleetView, type FleetView } from './fleetView';
 import { newKeptVisibility } from './keptVisibility';
-import { logLimitChange, startLimitLog } from './limitLog';
+import { logCold, logLimitChange, logWarm, startLimitLog } from './limitLog';
+import type { Service } from './types';
 import { newUpstreamWatch, type UpstreamSource, type UpstreamWatch } from './upstreamWatch';
 
 const HEALTH_SETTINGS = {
@@ -29,6 +33,7 @@
   readonly source: UpstreamSource;
   readonly failureDomain: string;
   readonly evacuations: Evacuations;
+  readonly coldTolerance: LimitTolerance;
 }
 
 /** Connections of the fleet to its gateway. */
@@ -46,15 +51,18 @@
   readonly upstreamWatch: UpstreamWatch;
   readonly upstreamLoads: LoadTracker;
   readonly upstreamLimits: UpstreamLimits;
+  readonly coldUpstreams: ColdUpstreams;
   readonly health: Health;
   readonly serviceTimes: ServiceTimes;
   readonly fleetView: FleetView;
+  /** Applies the services of a new configuration. */
+  applyServices(services: readonly Service[]): void;
 }
 
 /** Starts to follow the upstreams. */
 export const newUpstreamFleet = (
   store: RecordStore,
-  { source, failureDomain, evacuations }: UpstreamFleetSettings,
+  { source, failureDomain, evacuations, coldTolerance }: UpstreamFleetSettings,
   { onLoadChange, onLimitChange, getVisibility }: UpstreamFleetHooks,
   clock: Clock,
   random: Random,
@@ -64,25 +72,47 @@
   const upstreamLimits = newUpstreamLimits({
     getVisibility: newKeptVisibility(getVisibility, clock),
     random,
+    coldBound: { windowMs: MS_PER_SECOND, tolerance: coldTolerance },
     onChange: (upstream, limit) => {
       logLimitChange(log, upstream, limit);
       onLimitChange();
     },
   });
   startLimitLog(upstreamLimits, clock, log);
+  const coldUpstreams = newColdUpstreams({
+    onCold: (state, wasCold) => {
+      const { incarnation, requestsPerSecond, untilMs } = state;
+      const nowMs = clock.monotonic();
+      const rate = requestsPerSecond === undefined ? undefined : { requestsPerSecond, untilMs };
+      upstreamLimits.setColdRate(incarnation, rate, nowMs);
+      if (!wasCold) logCold(log, state, nowMs);
+    },
+    onWarm: (incarnation) => {
+      upstreamLimits.setColdRate(incarnation, undefined, clock.monotonic());
+      logWarm(log, incarnation);
+    },
+  });
   const health = newHealth(HEALTH_SETTINGS);
   const serviceTimes = newServiceTimes();
   const upstreamWatch = newUpstreamWatch(
     store,
     source,
-    (name) => evacuations.isEvacuated(name) || !evacuations.isCurrent(),
-    () => {
-      const upstreams = upstreamWatch.getAll();
-      const known = new Set(upstreams.map(({ id }) => id));
-      health.retain(known);
-      serviceTimes.retain(known);
-      const incarnations = new Set(upstreams.map((upstream) => upstream.incarnation));
-      upstreamLimits.retain(incarnations, clock.monotonic());
+    {
+      isClosed: (name) => evacuations.isEvacuated(name) || !evacuations.isCurrent(),
+      onRecord: (upstream, revision) =>
+        coldUpstreams.applyRecord(
+          { ...upstream, coldLeftMs: upstream.coldLeftMs, revision },
+          clock.monotonic(),
+        ),
+      onChange: () => {
+        const upstreams = upstreamWatch.getAll();
+        const known = new Set(upstreams.map(({ id }) => id));
+        health.retain(known);
+        serviceTimes.retain(known);
+        const incarnations = new Set(upstreams.map((upstream) => upstream.incarnation));
+        coldUpstreams.completeRead(incarnations, clock.monotonic());
+        upstreamLimits.retain(incarnations, clock.monotonic());
+      },
     },
     clock,
     log,
@@ -93,9 +123,28 @@
     health,
     serviceTimes,
     upstreamLimits,
+    coldUpstreams,
     evacuations,
     failureDomain,
     clock,
   );
-  return { upstreamWatch, upstreamLoads, upstreamLimits, health, serviceTimes, fleetView };
+  return {
+    upstreamWatch,
+    upstreamLoads,
+    upstreamLimits,
+    coldUpstreams,
+    health,
+    serviceTimes,
+    fleetView,
+    applyServices: (services) =>
+      coldUpstreams.setServices(
+        new Map(
+          services.map(({ name, coldStartMs, coldRequestsPerSecond: requestsPerSecond }) => [
+            name,
+            { coldStartMs, requestsPerSecond },
+          ]),
+        ),
+        clock.monotonic(),
+      ),
+  };
 };
--- a/anvilpaddle-app/gateway/upstreamWatch.ts
+++ b/anvilpaddle-app/gateway/upstreamWatch.ts
@@ -47,15 +47,21 @@
   return upstream.isDraining ? 'leaving' : 'usable';
 };
 
-/**
- * Starts to follow the list; `onChange` is called after each update from the store. The upstreams of a
- * failure domain that `isClosed` get no work.
- */
+/** Connections of the list to its gateway. */
+export interface UpstreamWatchHooks {
+  /** Whether the upstreams of a failure domain get no work. */
+  isClosed(failureDomain: string): boolean;
+  /** Called for each record of an upstream, also for one that was read before. */
+  onRecord(upstream: Upstream, revision: number): void;
+  /** Called after each update from the store. */
+  onChange(): void;
+}
+
+/** Starts to follow the list. */
 export const newUpstreamWatch = (
   store: RecordStore,
   source: UpstreamSource,
-  isClosed: (failureDomain: string) => boolean,
-  onChange: () => void,
+  { isClosed, onRecord, onChange }: UpstreamWatchHooks,
   clock: Clock,
   log: Logger,
 ): UpstreamWatch => {
@@ -83,7 +89,10 @@
       log.warn({ upstream: key, revision }, 'unreadable upstream record');
     }
     if (next === undefined) upstreams.delete(key);
-    else upstreams.set(key, next);
+    else {
+      upstreams.set(key, next);
+      onRecord(next, revision);
+    }
     const isUnchanged =
       known?.incarnation === next?.incarnation && known?.isDraining === next?.isDraining;
     if (isUnchanged) return;
--- a/measurements/worstLoad.ts
+++ b/measurements/worstLoad.ts
@@ -106,6 +106,7 @@
         upstreamMeanMs: 2 * IDLE_SERVICE_MS,
         serviceMeanMs: 2 * IDLE_SERVICE_MS,
         limitWaitMs: undefined,
+        isCold: false,
       }));
 
   const request = (nowMs: number): void => {
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -12,6 +12,7 @@
 export * from './batch/jobOrder';
 export * from './batch/waitingTokens';
 export * from './limits/absenceTracker';
+export * from './limits/coldUpstreams';
 export * from './limits/constants';
 export * from './limits/distributedLimiter';
 export * from './limits/tokenBucket';
--- a/packages/decisions/limits/sharedBucket.ts
+++ b/packages/decisions/limits/sharedBucket.ts
@@ -1,6 +1,6 @@
 /** Token bucket of a rate that several gateways share, as one of them knows it. */
 import { MS_PER_SECOND, type Random } from '@anvilpaddle/common';
-import type { GatewayVisibility } from './slidingWindowLimiter';
+import type { GatewayVisibility, LimitTolerance } from './slidingWindowLimiter';
 
 /** How urgent a request is that takes a token. */
 export const URGENCY = {
@@ -16,6 +16,12 @@
 /** Which gateways share a bucket, and how many of them this gateway sees. */
 export type BucketVisibility = Pick<GatewayVisibility, 'members' | 'recentlySeen'>;
 
+/** Rule by which the requests to an upstream are judged: how far they may exceed the rate in any window. */
+export interface RateBound {
+  readonly windowMs: number;
+  readonly tolerance: LimitTolerance;
+}
+
 /** Bucket of one rate. Times are monotonic milliseconds. */
 export interface SharedBucket {
   /** Sets the rate, in requests per second. */
@@ -37,13 +43,14 @@
  * unit is requests per second.
  */
 const MIN_RATE = 0.25;
-/** Span of the rate that an unused bucket keeps beyond its first token. */
-const KEPT_MS = 1000;
+/**
+ * Fraction of the tolerated requests that an unused bucket keeps beyond its first token. The others are
+ * for what several gateways take at once on old reports.
+ */
+const KEPT_FRACTION = 0.5;
 const MIN_KEPT_TOKENS = 1;
 /** Tokens beyond those from which any gateway may take, so that items find some while none is lost. */
 const SPARE_TOKENS = 0.5;
-/** Span of the rate that is the largest debt of the bucket. */
-const MAX_DEBT_MS = 4000;
 /**
  * Time after all gateways are seen again in which their reports of what they sent meanwhile arrive; it
  * is longer than a gateway waits between two reports.
@@ -61,6 +68,7 @@
  */
 export const newSharedBucket = (
   requestsPerSecond: number,
+  { windowMs, tolerance }: RateBound,
   getVisibility: () => BucketVisibility,
   random: Random,
   startMs: number,
@@ -77,22 +85,23 @@
     const { members, recentlySeen } = getVisibility();
     return Math.min(1, recentlySeen / Math.max(1, members));
   };
+  /** Tokens of the whole rate in a span of time. */
+  const getTokens = (spanMs: number): number => (rate * spanMs) / MS_PER_SECOND;
   const getKeptTokens = (): number =>
-    Math.max(MIN_KEPT_TOKENS, (rate * KEPT_MS) / MS_PER_SECOND) * getShare();
+    Math.max(MIN_KEPT_TOKENS, getTokens(windowMs) * tolerance.share * KEPT_FRACTION) * getShare();
+  /** Largest debt: what was sent a whole window ago no longer counts. */
+  const getMaxDebt = (): number => getTokens(windowMs);
   /** Tokens over which the gateways that see each other spread their turns; none for a single one. */
   const getSpreadTokens = (): number =>
     getKeptTokens() * (1 - 1 / Math.max(1, getVisibility().recentlySeen));
   const getCapacity = (): number => 1 + getKeptTokens() + SPARE_TOKENS;
   const getTokensPerMs = (): number => (rate * getShare()) / MS_PER_SECOND;
 
-  /** Tokens of the whole rate in a span of time. */
-  const getTokens = (spanMs: number): number => (rate * spanMs) / MS_PER_SECOND;
-
   const withhold = (elapsedMs: number, nowMs: number): void => {
     const unseenShare = 1 - getShare();
     if (unseenShare > 0) withheldMs = nowMs;
     else if (nowMs - withheldMs > CATCH_UP_MS) withheld = 0;
-    withheld = Math.min(getTokens(MAX_DEBT_MS), withheld + getTokens(elapsedMs) * unseenShare);
+    withheld = Math.min(getMaxDebt(), withheld + getTokens(elapsedMs) * unseenShare);
   };
 
   const advance = (nowMs: number): void => {
@@ -103,7 +112,7 @@
   };
 
   const remove = (count: number): void => {
-    level = Math.max(level - count, -getTokens(MAX_DEBT_MS));
+    level = Math.max(level - count, -getMaxDebt());
     draw = random();
   };
 
--- a/packages/decisions/limits/tests/upstreamLimits.test.ts
+++ b/packages/decisions/limits/tests/upstreamLimits.test.ts
@@ -374,7 +374,7 @@
     limits.retain(new Set(), 1000);
     limits.retain(new Set(['u1/1']), 6000);
 
-    expect(limits.getRequestsPerSecond('u1/1')).toBe(1);
+    expect(limits.getRequestsPerSecond('u1/1', 6000)).toBe(1);
     expect(limits.getSpareTokens('u1/1', 1000)).toBe(spareTokens);
     expect(limits.getLimitedCount()).toBe(1);
   });
@@ -385,9 +385,9 @@
     limits.recordSend('u2/1', 0);
     limits.retain(new Set(), 1000);
     limits.retain(new Set(), 600_000);
-    const before = limits.getRequestsPerSecond('u1/1');
+    const before = limits.getRequestsPerSecond('u1/1', 600_000);
     limits.retain(new Set(), 601_000);
 
-    expect([before, limits.getRequestsPerSecond('u1/1')]).toEqual([1, undefined]);
+    expect([before, limits.getRequestsPerSecond('u1/1', 601_000)]).toEqual([1, undefined]);
   });
 });
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -1,8 +1,10 @@
 /** Limits that upstreams name for the requests of all gateways together. */
-import { MS_PER_MINUTE, type Random } from '@anvilpaddle/common';
+import { MS_PER_MINUTE, MS_PER_SECOND, type Random } from '@anvilpaddle/common';
+import { newColdBucket, type ColdBucket } from './coldBucket';
 import {
   newSharedBucket,
   type BucketVisibility,
+  type RateBound,
   type SharedBucket,
   type Urgency,
 } from './sharedBucket';
@@ -22,6 +24,22 @@
   readonly saidMs: number;
 }
 
+/** What a cold upstream takes. */
+export interface ColdRate {
+  /** Requests per second from all gateways together. */
+  readonly requestsPerSecond: number;
+  /** Monotonic time until which the upstream is cold, in milliseconds. */
+  readonly untilMs: number;
+}
+
+/** Use of what the cold upstreams take. */
+export interface ColdUse {
+  /** Requests of all gateways in the last window, as far as this one knows. */
+  readonly sent: number;
+  /** Requests that the upstreams take in a window. */
+  readonly taken: number;
+}
+
 /** What a gateway reports to its peers about one upstream. */
 export interface UpstreamLimitReport {
   /** Incarnation of the upstream. */
@@ -49,8 +67,12 @@
   recordUnsent(upstream: string, nowMs: number): void;
   /** Applies the limit in a response of the upstream; undefined if the response names none. */
   recordResponse(upstream: string, requestsPerSecond: number | undefined, nowMs: number): void;
-  /** Limit of the upstream in requests per second; undefined if it has none. */
-  getRequestsPerSecond(upstream: string): number | undefined;
+  /** Sets what a cold upstream takes; undefined once it is warm, or takes any number. */
+  setColdRate(upstream: string, cold: ColdRate | undefined, nowMs: number): void;
+  /** Use of what the cold upstreams take together. */
+  getColdUse(nowMs: number): ColdUse;
+  /** Lowest rate in force for the upstream, in requests per second; undefined if there is none. */
+  getRequestsPerSecond(upstream: string, nowMs: number): number | undefined;
   /** Time until this gateway may send a request, in milliseconds; undefined without a limit. */
   getWaitMs(upstream: string, urgency: Urgency, nowMs: number): number | undefined;
   /** Number of batch items that all gateways together may send now; infinite without a limit. */
@@ -76,6 +98,8 @@
 export interface UpstreamLimitHooks {
   readonly getVisibility: () => BucketVisibility;
   readonly random: Random;
+  /** How far the requests to a cold upstream may exceed what it takes. */
+  readonly coldBound?: RateBound;
   /** Called when the limit of an upstream begins, changes or ends. */
   readonly onChange?: (upstream: string, limit: UpstreamLimit) => void;
 }
@@ -86,6 +110,23 @@
  */
 const START_MS = 500;
 
+/** Bound of the limits that upstreams name. */
+const LIMIT_BOUND: RateBound = {
+  windowMs: UPSTREAM_LIMIT_WINDOW_MS,
+  tolerance: { share: 0.5, count: 5 },
+};
+/** Bound of what cold upstreams take. */
+export const DEFAULT_COLD_BOUND: RateBound = {
+  windowMs: MS_PER_SECOND,
+  tolerance: { share: 0.5, count: 5 },
+};
+
+/**
+ * Age of a report that says nothing of a limit, only what was sent to a cold upstream. Every other
+ * statement is newer, also to a gateway of a version that doesn't know cold upstreams.
+ */
+const NO_STATEMENT_AGE_MS = 1e9;
+
 /**
  * Age up to which a peer's report of a limit is applied if the limit is not known here. The end of a
  * limit is remembered for as long, so that no older report can bring the limit back.
@@ -98,6 +139,7 @@
 export const newUpstreamLimits = ({
   getVisibility,
   random,
+  coldBound = DEFAULT_COLD_BOUND,
   onChange = () => undefined,
 }: UpstreamLimitHooks): UpstreamLimits => {
   const limits = new Map<string, UpstreamLimit>();
@@ -106,6 +148,8 @@
   const sendsByUpstream = new Map<string, UpstreamSends>();
   /** Buckets of the limits in force. */
   const buckets = new Map<string, SharedBucket>();
+  /** What the cold upstreams take. */
+  const colds = new Map<string, ColdRate & { readonly bucket: ColdBucket }>();
   /** Time from which each upstream with a limit has not been listed. */
   const missingSinceMs = new Map<string, number>();
   /** Time at which this gateway learnt of each limit. */
@@ -119,6 +163,25 @@
     return sends;
   };
 
+  const getCold = (upstream: string, nowMs: number) => {
+    const cold = colds.get(upstream);
+    return cold !== undefined && cold.untilMs > nowMs ? cold : undefined;
+  };
+
+  /** Buckets in force for an upstream: that of its limit, and that of a cold one. */
+  const getBuckets = (upstream: string, nowMs: number): SharedBucket[] => {
+    const cold = getCold(upstream, nowMs)?.bucket;
+    const bucket = buckets.get(upstream);
+    return [...(bucket === undefined ? [] : [bucket]), ...(cold === undefined ? [] : [cold])];
+  };
+
+  /** Begins to count what gateways send to an upstream, unless that has begun already. */
+  const startCounting = (upstream: string, nowMs: number): void => {
+    if (buckets.has(upstream) || getCold(upstream, nowMs) !== undefined) return;
+    startedMs.set(upstream, nowMs);
+    getSends(upstream).restartReports();
+  };
+
   const updateBucket = (
     upstream: string,
     requestsPerSecond: number | undefined,
@@ -128,9 +191,11 @@
     if (requestsPerSecond === undefined) buckets.delete(upstream);
     else if (bucket !== undefined) bucket.setRate(requestsPerSecond, nowMs);
     else {
-      buckets.set(upstream, newSharedBucket(requestsPerSecond, getVisibility, random, nowMs));
-      startedMs.set(upstream, nowMs);
-      getSends(upstream).restartReports();
+      startCounting(upstream, nowMs);
+      buckets.set(
+        upstream,
+        newSharedBucket(requestsPerSecond, LIMIT_BOUND, getVisibility, random, nowMs),
+      );
     }
   };
 
@@ -155,11 +220,11 @@
   return {
     recordSend: (upstream, nowMs) => {
       getSends(upstream).recordOwn(nowMs);
-      buckets.get(upstream)?.take(nowMs);
+      getBuckets(upstream, nowMs).forEach((bucket) => bucket.take(nowMs));
     },
     recordUnsent: (upstream, nowMs) => {
       getSends(upstream).takeBackOwn(nowMs);
-      buckets.get(upstream)?.giveBack(nowMs);
+      getBuckets(upstream, nowMs).forEach((bucket) => bucket.giveBack(nowMs));
     },
     recordResponse: (upstream, requestsPerSecond, nowMs) => {
       const isUnlimited = limits.get(upstream)?.requestsPerSecond === undefined;
@@ -167,9 +232,49 @@
       heardMs.set(upstream, nowMs);
       applyLimit(upstream, { requestsPerSecond, saidMs: nowMs }, nowMs);
     },
-    getRequestsPerSecond: (upstream) => limits.get(upstream)?.requestsPerSecond,
-    getWaitMs: (upstream, urgency, nowMs) => buckets.get(upstream)?.getWaitMs(urgency, nowMs),
-    getSpareTokens: (upstream, nowMs) => buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
+    setColdRate: (upstream, cold, nowMs) => {
+      const known = getCold(upstream, nowMs);
+      if (cold === undefined || cold.untilMs <= nowMs) {
+        colds.delete(upstream);
+        return;
+      }
+      const { requestsPerSecond } = cold;
+      if (known !== undefined) {
+        known.bucket.setRate(requestsPerSecond, nowMs);
+        colds.set(upstream, { ...cold, bucket: known.bucket });
+        return;
+      }
+      startCounting(upstream, nowMs);
+      const bucket = newColdBucket(requestsPerSecond, coldBound, getVisibility, random, nowMs);
+      colds.set(upstream, { ...cold, bucket });
+    },
+    getColdUse: (nowMs) =>
+      [...colds.values()]
+        .filter(({ untilMs }) => untilMs > nowMs)
+        .reduce<ColdUse>(
+          ({ sent, taken }, { bucket, requestsPerSecond }) => ({
+            sent: sent + bucket.getSentInWindow(nowMs),
+            taken: taken + (requestsPerSecond * coldBound.windowMs) / MS_PER_SECOND,
+          }),
+          { sent: 0, taken: 0 },
+        ),
+    getRequestsPerSecond: (upstream, nowMs) => {
+      const limit = limits.get(upstream)?.requestsPerSecond;
+      const cold = getCold(upstream, nowMs)?.requestsPerSecond;
+      return limit === undefined || cold === undefined ? (limit ?? cold) : Math.min(limit, cold);
+    },
+    getWaitMs: (upstream, urgency, nowMs) => {
+      const limitMs = buckets.get(upstream)?.getWaitMs(urgency, nowMs);
+      const coldMs = getCold(upstream, nowMs)?.bucket.getWaitMs(urgency, nowMs);
+      return limitMs === undefined || coldMs === undefined
+        ? (limitMs ?? coldMs)
+        : Math.max(limitMs, coldMs);
+    },
+    getSpareTokens: (upstream, nowMs) =>
+      Math.min(
+        buckets.get(upstream)?.getSpareTokens(nowMs) ?? Infinity,
+        getCold(upstream, nowMs)?.bucket.getSpareTokens(nowMs) ?? Infinity,
+      ),
     getLimitedCount: () =>
       [...buckets.keys()].filter((upstream) => !missingSinceMs.has(upstream)).length,
     takeSends: (nowMs) =>
@@ -184,29 +289,44 @@
       ),
     getReports: (nowMs) => {
       removeEnded(nowMs);
-      return [...limits].flatMap(([upstream, { requestsPerSecond, saidMs }]) => {
+      const coldReports = [...colds.keys()]
+        .filter((upstream) => !limits.has(upstream) && getCold(upstream, nowMs) !== undefined)
+        .map((upstream) => ({
+          upstream,
+          requestsPerSecond: undefined,
+          ageMs: NO_STATEMENT_AGE_MS,
+          sent: getSends(upstream).getOwn(nowMs),
+        }))
+        .filter(({ sent }) => sent.inWindow > 0);
+      const limitReports = [...limits].flatMap(([upstream, { requestsPerSecond, saidMs }]) => {
         const sent = getSends(upstream).getOwn(nowMs);
         const sinceHeardMs = nowMs - (heardMs.get(upstream) ?? -Infinity);
         if (sent.inWindow === 0 && sinceHeardMs >= UPSTREAM_LIMIT_WINDOW_MS) return [];
         return [{ upstream, requestsPerSecond, ageMs: nowMs - saidMs, sent }];
       });
+      return [...limitReports, ...coldReports];
     },
     updatePeer: (peer, reports, nowMs) =>
       reports.forEach(({ upstream, requestsPerSecond, ageMs, sent }) => {
-        if (ageMs >= MAX_REPORT_AGE_MS && !limits.has(upstream)) return;
-        applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
+        const isApplied = ageMs < MAX_REPORT_AGE_MS || limits.has(upstream);
+        if (!isApplied && getCold(upstream, nowMs) === undefined) return;
+        if (isApplied) applyLimit(upstream, { requestsPerSecond, saidMs: nowMs - ageMs }, nowMs);
         const sends = getSends(upstream);
         const isStarting = nowMs - (startedMs.get(upstream) ?? nowMs) < START_MS;
         if (isStarting && !sends.isKnown(peer)) sends.startPeer(peer, sent);
         const added = sends.recordPeer(peer, sent, nowMs);
-        if (added > 0) buckets.get(upstream)?.takeForPeers(added, nowMs);
+        if (added === 0) return;
+        getBuckets(upstream, nowMs).forEach((bucket) => bucket.takeForPeers(added, nowMs));
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams, nowMs) => {
       upstreams.forEach((upstream) => missingSinceMs.delete(upstream));
+      colds.forEach(({ untilMs }, upstream) => {
+        if (untilMs <= nowMs) colds.delete(upstream);
+      });
       const isDropped = (upstream: string): boolean => {
         if (upstreams.has(upstream)) return false;
-        if (!buckets.has(upstream)) return true;
+        if (!buckets.has(upstream) && !colds.has(upstream)) return true;
         const sinceMs = missingSinceMs.get(upstream) ?? nowMs;
         missingSinceMs.set(upstream, sinceMs);
         return nowMs - sinceMs >= MAX_MISSING_MS;
@@ -215,8 +335,8 @@
       [...known]
         .filter(isDropped)
         .forEach((upstream) =>
-          [limits, heardMs, sendsByUpstream, buckets, startedMs, missingSinceMs].forEach((states) =>
-            states.delete(upstream),
+          [limits, heardMs, sendsByUpstream, buckets, colds, startedMs, missingSinceMs].forEach(
+            (states) => states.delete(upstream),
           ),
         );
     },
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -12,6 +12,8 @@
   readonly weight: number;
   /** Items that the limit which the upstream names allows now; infinite without a limit. */
   readonly spareTokens: number;
+  /** Whether the upstream is slow for now, as it has just started. */
+  readonly isCold: boolean;
 }
 
 /** Batch items of all gateways that compete for the same slots. */
@@ -57,10 +59,13 @@
   return Math.round(Math.sqrt(TURNOVER_FRACTION * online));
 };
 
+/** Rank of cold upstreams for items, below all others. */
+const COLD_RANK = -1;
+
 /**
  * Upstream for the next item: the one with the most free slots among those that can take it; undefined
  * if there is none. Upstreams with limits go first: online requests can't fill their slots, so an item
- * runs there undisturbed. Ties, and all upstreams with limits, are chosen from at random, so that
+ * runs there undisturbed. Cold upstreams go last. Ties, and all upstreams with limits, are chosen from at random, so that
  * gateways that decide at the same moment spread out.
  */
 export const getUpstreamForItem = (
@@ -71,7 +76,7 @@
     .filter((candidate) => getSpareSlots(candidate) >= 1)
     .map((candidate) => ({
       id: candidate.id,
-      rank: Number(isLimited(candidate)),
+      rank: candidate.isCold ? COLD_RANK : Number(isLimited(candidate)),
       slots: (isLimited(candidate) ? 0 : getFreeSlots(candidate)) + random(),
     }))
     .sort((a, b) => b.rank - a.rank || b.slots - a.slots);
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -19,6 +19,8 @@
    * undefined without a limit.
    */
   readonly limitWaitMs: number | undefined;
+  /** Whether the upstream is slow for now, as it has just started. */
+  readonly isCold: boolean;
 }
 
 /** Times left for a request. */
@@ -113,18 +115,21 @@
         limitWaitMs: Math.min(...candidates.map(({ limitWaitMs = 0 }) => limitWaitMs)),
       };
 
-/** Whether the upstream has a free slot and no limit. */
-const isFree = ({ load, slots, limitWaitMs }: Candidate): boolean =>
-  limitWaitMs === undefined && getTotalLoad(load) < slots;
+/** Whether the upstream has a limit or is cold, so that others go first while they have a free slot. */
+const isSpared = ({ limitWaitMs, isCold }: Candidate): boolean =>
+  limitWaitMs !== undefined || isCold;
+
+/** Whether the upstream has a free slot, and need not be spared. */
+const isFree = (candidate: Candidate): boolean =>
+  !isSpared(candidate) && getTotalLoad(candidate.load) < candidate.slots;
 
 /**
- * Candidates whose limits allow a request. What a limit allows is kept for times without free slots
- * elsewhere, and for batch items.
+ * Candidates whose limits allow a request. What a limit allows, and what a cold upstream takes, is kept
+ * for times without free slots elsewhere, and for batch items.
  */
 const getPreferred = (candidates: readonly Candidate[]): readonly Candidate[] => {
   const allowed = candidates.filter(({ limitWaitMs = 0 }) => limitWaitMs <= 0);
-  const isAnyLimited = allowed.some(({ limitWaitMs }) => limitWaitMs !== undefined);
-  const free = isAnyLimited ? allowed.filter(isFree) : [];
+  const free = allowed.some(isSpared) ? allowed.filter(isFree) : [];
   return free.length > 0 ? free : allowed;
 };
 
--- a/packages/decisions/placement/tests/batchPlan.test.ts
+++ b/packages/decisions/placement/tests/batchPlan.test.ts
@@ -16,6 +16,7 @@
   load: { online, batch },
   weight: 1,
   spareTokens: Infinity,
+  isCold: false,
 });
 
 /** Items of up to five gateways, no two of them equally urgent. */
@@ -96,6 +97,7 @@
         load: { online, batch },
         weight: isHealthy ? 1 : 0.5,
         spareTokens: Infinity,
+        isCold: false,
       }));
     fc.assert(
       fc.property(fc.array(candidate, { maxLength: 8 }), fc.nat(), (drawn, seed) => {
@@ -123,6 +125,19 @@
     expect([pick(1, 0), pick(0, 0), pick(1, 6)]).toEqual(['limited', 'unlimited', 'unlimited']);
   });
 
+  it('starts an item at a cold upstream only if no warm one has a free slot, and with a token', () => {
+    const pick = (online: number, spareTokens: number): string | undefined =>
+      getUpstreamForItem(
+        [
+          { ...newCandidate(8, online, 0), id: 'warm' },
+          { ...newCandidate(8, 0, 0), id: 'cold', isCold: true, spareTokens },
+        ],
+        () => 0.5,
+      );
+
+    expect([pick(7, 1), pick(8, 1), pick(8, 0)]).toEqual(['warm', 'cold', undefined]);
+  });
+
   it('keeps no slots for online requests that limits keep away', () => {
     const limited = { ...newCandidate(8, 4, 0), spareTokens: 1 };
 
--- a/packages/decisions/placement/tests/placement.test.ts
+++ b/packages/decisions/placement/tests/placement.test.ts
@@ -13,6 +13,7 @@
   upstreamMeanMs: fc.integer({ min: 10, max: 2000 }),
   serviceMeanMs: fc.integer({ min: 10, max: 2000 }),
   limitWaitMs: fc.constantFrom(undefined, undefined, 0, 300),
+  isCold: fc.boolean(),
 });
 
 const candidates = fc
@@ -47,6 +48,7 @@
       upstreamMeanMs: 100,
       serviceMeanMs: 100,
       limitWaitMs,
+      isCold: false,
     });
     const choose = (unlimitedLoad: number, limitWaitMs: number) =>
       getPlacement(
@@ -86,6 +88,28 @@
     ).toEqual({ kind: 'refuse', queueMs: 0, limitWaitMs: 700 });
   });
 
+  it('chooses a cold upstream only if no warm one has a free slot', () => {
+    const newCandidate = (id: string, online: number): Candidate => ({
+      id,
+      slots: 4,
+      load: { online, batch: 0 },
+      weight: 1,
+      isSameFailureDomain: id === 'cold',
+      upstreamMeanMs: 100,
+      serviceMeanMs: 100,
+      limitWaitMs: undefined,
+      isCold: id === 'cold',
+    });
+    const choose = (warmLoad: number) =>
+      getPlacement(
+        [newCandidate('warm', warmLoad), newCandidate('cold', 0)],
+        { objectiveLeftMs: 10, timeLeftMs: 5000 },
+        () => 0.5,
+      );
+
+    expect([choose(3), choose(4)]).toMatchObject([{ upstream: 'warm' }, { upstream: 'cold' }]);
+  });
+
   it('refuses when there is no upstream', () => {
     const timing = { objectiveLeftMs: 300, timeLeftMs: 5000 };
 
@@ -128,6 +152,7 @@
         upstreamMeanMs: getUpstreamMeanMs(index),
         serviceMeanMs: PEAK.serviceMs,
         limitWaitMs: undefined,
+        isCold: false,
       })),
       { objectiveLeftMs: OBJECTIVE_MS, timeLeftMs: 5000 },
       random,
