The cost of cold upstreams, measured

Cause: the design note named the cost of a report without a figure, and each send built lists of buckets.

--- a/measurements/upstreamLimits.ts
+++ b/measurements/upstreamLimits.ts
@@ -1,11 +1,17 @@
 /** Measurement of the limits that upstreams name: bytes and processor time of reports and decisions. */
 import { newSeededRandom } from '@anvilpaddle/common';
-import { newUpstreamLimits, URGENCY, type UpstreamLimits } from '@anvilpaddle/decisions';
+import {
+  newUpstreamLimits,
+  URGENCY,
+  type ColdRate,
+  type UpstreamLimits,
+} from '@anvilpaddle/decisions';
 import { decodeLimitReports, encodeLimitReports } from 'anvilpaddle-app/gateway/limitReport';
 import { printTable } from './kit/table';
 
 const REPORTED_UPSTREAMS = [1, 10, 100, 1000];
 const LIMIT = 2.4;
+const COLD: ColdRate = { requestsPerSecond: 29, untilMs: Infinity };
 const ROUNDS = 200;
 const US_PER_MS = 1000;
 /** Time between two rounds, so that buckets change. */
@@ -27,13 +33,15 @@
   return ((performance.now() - startedMs) * US_PER_MS) / ROUNDS;
 };
 
-const measureUpstreams = (count: number) => {
+const measureUpstreams = (count: number, areCold: boolean) => {
   const upstreams = Array.from({ length: count }, (_, index) => getUpstream(index));
   const sender = newLimits(1);
   const receiver = newLimits(2);
   upstreams.forEach((upstream) => {
-    sender.recordResponse(upstream, LIMIT, 0);
-    receiver.recordResponse(upstream, LIMIT, 0);
+    [sender, receiver].forEach((limits) => {
+      if (areCold) limits.setColdRate(upstream, COLD, 0);
+      else limits.recordResponse(upstream, LIMIT, 0);
+    });
   });
   let text = '';
   const sendUs = measureRound((nowMs) => {
@@ -58,7 +66,10 @@
 /** Measures the cost by the number of upstreams in a report. */
 export const measureUpstreamLimits = (): Promise<void> => {
   // The first pass warms the code up.
-  REPORTED_UPSTREAMS.forEach(measureUpstreams);
-  printTable('Limits that upstreams name', REPORTED_UPSTREAMS.map(measureUpstreams));
+  const measure = (areCold: boolean) =>
+    REPORTED_UPSTREAMS.map((count) => measureUpstreams(count, areCold));
+  [false, true].forEach(measure);
+  printTable('Limits that upstreams name', measure(false));
+  printTable('Cold upstreams', measure(true));
   return Promise.resolve();
 };
--- a/packages/decisions/limits/upstreamLimits.ts
+++ b/packages/decisions/limits/upstreamLimits.ts
@@ -168,11 +168,16 @@
     return cold !== undefined && cold.untilMs > nowMs ? cold : undefined;
   };
 
-  /** Buckets in force for an upstream: that of its limit, and that of a cold one. */
-  const getBuckets = (upstream: string, nowMs: number): SharedBucket[] => {
-    const cold = getCold(upstream, nowMs)?.bucket;
+  /** Changes the buckets in force for an upstream: that of its limit, and that of a cold one. */
+  const changeBuckets = (
+    upstream: string,
+    nowMs: number,
+    change: (bucket: SharedBucket) => void,
+  ): void => {
     const bucket = buckets.get(upstream);
-    return [...(bucket === undefined ? [] : [bucket]), ...(cold === undefined ? [] : [cold])];
+    if (bucket !== undefined) change(bucket);
+    const cold = getCold(upstream, nowMs);
+    if (cold !== undefined) change(cold.bucket);
   };
 
   /** Begins to count what gateways send to an upstream, unless that has begun already. */
@@ -220,11 +225,11 @@
   return {
     recordSend: (upstream, nowMs) => {
       getSends(upstream).recordOwn(nowMs);
-      getBuckets(upstream, nowMs).forEach((bucket) => bucket.take(nowMs));
+      changeBuckets(upstream, nowMs, (bucket) => bucket.take(nowMs));
     },
     recordUnsent: (upstream, nowMs) => {
       getSends(upstream).takeBackOwn(nowMs);
-      getBuckets(upstream, nowMs).forEach((bucket) => bucket.giveBack(nowMs));
+      changeBuckets(upstream, nowMs, (bucket) => bucket.giveBack(nowMs));
     },
     recordResponse: (upstream, requestsPerSecond, nowMs) => {
       const isUnlimited = limits.get(upstream)?.requestsPerSecond === undefined;
@@ -316,7 +321,7 @@
         if (isStarting && !sends.isKnown(peer)) sends.startPeer(peer, sent);
         const added = sends.recordPeer(peer, sent, nowMs);
         if (added === 0) return;
-        getBuckets(upstream, nowMs).forEach((bucket) => bucket.takeForPeers(added, nowMs));
+        changeBuckets(upstream, nowMs, (bucket) => bucket.takeForPeers(added, nowMs));
       }),
     removePeer: (peer) => sendsByUpstream.forEach((sends) => sends.removePeer(peer)),
     retain: (upstreams, nowMs) => {
