--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -12,6 +12,8 @@
   readonly weight: number;
   /** Items that the limit which the upstream names allows now; infinite without a limit. */
   readonly spareTokens: number;
+  /** Whether the upstream is slow for now, as it has just started. */
+  readonly isCold: boolean;
 }
 
 /** Batch items of all gateways that compete for the same slots. */
@@ -72,7 +74,7 @@
  * can't fill their slots, so an item runs there undisturbed. They are chosen from at random, so that
  * gateways that decide at the same moment spread out. Elsewhere the item takes the free slot of its
  * place among the items that start: gateways that all chose the emptiest upstream would send more
- * items there than it has slots.
+ * items there than it has slots. Cold upstreams go last.
  */
 export const getUpstreamForItem = (
   candidates: readonly BatchCandidate[],
@@ -80,10 +82,11 @@
   place = 0,
 ): string | undefined => {
   const spare = candidates.filter((candidate) => getSpareSlots(candidate) >= 1);
-  const limited = getRandomElement(spare.filter(isLimited), random);
+  const warm = spare.filter(({ isCold }) => !isCold);
+  const limited = getRandomElement(warm.filter(isLimited), random);
   if (limited !== undefined) return limited.id;
-  const slots = getSlotOrder(spare);
-  return slots[Math.min(place, slots.length - 1)];
+  const slots = getSlotOrder(warm);
+  return slots[Math.min(place, slots.length - 1)] ?? getRandomElement(spare, random)?.id;
 };
 
 /** An item of this gateway with its place among the items of all gateways, from 0. */
