Loads are applied only when changed, items decoded when asked for

Cause: each datagram made a map of the sender's loads, took its former loads from the sums and added the new ones, although many datagrams change none; it made maps of all items, which only a gateway with items of its own looks up; and the checks copied the datagram and each of its lists.

Change: loads that are as in the sender's last datagram keep their map, by which the tracker knows that only the time of the report is new. Items are decoded when they are first looked up. Lists without invalid entries are kept, and the checked datagram is the parsed one. Empty lists of suspects and limits are left out of a datagram, as in one of an earlier version.

--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -1,7 +1,13 @@
 /** Datagrams in which gateways report their state to each other, and their encoding. */
 import { isIPv4 } from 'node:net';
 import { isPort, type Address } from '@anvilpaddle/common';
-import { RECENT_ADMISSIONS, type ItemGroups, type PartReport } from '@anvilpaddle/decisions';
+import {
+  RECENT_ADMISSIONS,
+  type GatewayItems,
+  type ItemGroups,
+  type Loads,
+  type PartReport,
+} from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
 
 /**
@@ -47,14 +53,17 @@
   readonly running: EncodedItems;
   /** The most urgent waiting batch items, by service. */
   readonly waiting: EncodedItems;
-  /** Prompt parts that were present at crashes of upstreams; a peer of an earlier version sends none. */
-  readonly suspects?: readonly PartReport[];
-  /** Requests that were aboard at crashes; a peer of an earlier version sends none. */
-  readonly requests?: readonly PartReport[];
-  /** Limits that upstreams named; a peer of an earlier version sends none. */
-  readonly limits?: readonly EncodedLimitReport[];
+  /** Prompt parts that were present at crashes of upstreams; missing if there are none. */
+  readonly suspects?: readonly PartReport[] | undefined;
+  /** Requests that were aboard at crashes; missing if there are none. */
+  readonly requests?: readonly PartReport[] | undefined;
+  /** Limits that upstreams named; missing if there are none. */
+  readonly limits?: readonly EncodedLimitReport[] | undefined;
 }
 
+/** A datagram that is being checked. */
+type MutableDatagram = { -readonly [Field in keyof Datagram]: Datagram[Field] };
+
 /** Longest name of a gateway, VM, team, upstream or service. */
 const MAX_NAME_CHARS = 256;
 
@@ -78,15 +87,11 @@
 const isItemGroup = (entry: unknown): boolean =>
   Array.isArray(entry) && isName(entry[0]) && Array.isArray(entry[1]) && entry[1].every(isItem);
 
-/** The datagram without its invalid entries; peers are frequent, so it is checked by hand. */
-const getValidEntries = (datagram: Datagram): Datagram => ({
-  ...datagram,
-  failureDomain: isName(datagram.failureDomain) ? datagram.failureDomain : undefined,
-  loads: datagram.loads.filter((entry) => isNamedPair(entry, isCount)),
-  spent: datagram.spent.filter((entry) => isNamedPair(entry, isCount)),
-  running: datagram.running.filter(isItemGroup),
-  waiting: datagram.waiting.filter(isItemGroup),
-});
+/** The entries that are valid, in the same list if all of them are, as usual. */
+const getValid = <T>(entries: readonly T[], isValid: (entry: T) => boolean): readonly T[] =>
+  entries.every(isValid) ? entries : entries.filter(isValid);
+
+const isCountEntry = (entry: unknown): boolean => isNamedPair(entry, isCount);
 
 /** Start of a datagram: its sender and the number of requests that it has admitted. */
 const START = /^\{"from":"([^"\\]+)","admitted":(\d+),"recent":/;
@@ -132,7 +137,8 @@
   try {
     const text = content.toString();
     const shortText = cutAdmissions(text, getKnownAdmitted);
-    const datagram = JSON.parse(shortText ?? text) as Partial<Datagram> | null;
+    // Peers are frequent, so their datagrams are checked by hand and changed in place.
+    const datagram = JSON.parse(shortText ?? text) as Partial<MutableDatagram> | null;
     const isValid =
       isName(datagram?.from) &&
       isName(datagram.vm) &&
@@ -141,8 +147,14 @@
       isUsableAddress(datagram.address) &&
       [datagram.loads, datagram.spent, datagram.running, datagram.waiting].every(Array.isArray);
     if (!isValid) return undefined;
-    const valid = getValidEntries(datagram as Datagram);
-    return shortText === undefined ? valid : { ...valid, spent: getRecentSpent(valid) };
+    const valid = datagram as MutableDatagram;
+    if (!isName(valid.failureDomain)) valid.failureDomain = undefined;
+    valid.loads = getValid(valid.loads, isCountEntry);
+    valid.spent =
+      shortText === undefined ? getValid(valid.spent, isCountEntry) : getRecentSpent(valid);
+    valid.running = getValid(valid.running, isItemGroup);
+    valid.waiting = getValid(valid.waiting, isItemGroup);
+    return valid;
   } catch {
     return undefined;
   }
@@ -166,11 +178,43 @@
     items.map(({ dueMs, remainingMs }) => [Math.round(dueMs), Math.round(remainingMs)] as const),
   ]);
 
-/** Decodes the items of a datagram. */
-export const decodeItems = (encoded: EncodedItems): ItemGroups =>
+const decodeItems = (encoded: EncodedItems): ItemGroups =>
   new Map(
     encoded.map(([name, items]) => [
       name,
       items.map(([dueMs, remainingMs]) => ({ dueMs, remainingMs })),
     ]),
   );
+
+/** Items of a datagram; each group of them is decoded when it is first asked for. */
+export const newDecodedItems = ({
+  running,
+  waiting,
+}: Pick<Datagram, 'running' | 'waiting'>): GatewayItems => {
+  let decodedRunning: ItemGroups | undefined;
+  let decodedWaiting: ItemGroups | undefined;
+  return {
+    get running() {
+      decodedRunning ??= decodeItems(running);
+      return decodedRunning;
+    },
+    get waiting() {
+      decodedWaiting ??= decodeItems(waiting);
+      return decodedWaiting;
+    },
+  };
+};
+
+type EncodedLoads = Datagram['loads'];
+
+/** Loads by upstream. */
+export const decodeLoads = (loads: EncodedLoads): Loads =>
+  new Map(loads.map(([id, online, batch]) => [id, { online, batch }]));
+
+/** Whether two datagrams of a gateway have the same loads. */
+export const areSameLoads = (loads: EncodedLoads, others: EncodedLoads): boolean =>
+  loads.length === others.length &&
+  loads.every(([id, online, batch], index) => {
+    const other = others[index];
+    return other?.[0] === id && other[1] === online && other[2] === batch;
+  });
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -12,6 +12,7 @@
 import {
   getRelayPlan,
   type ItemTracker,
+  type Loads,
   type LoadTracker,
   type InputQuarantine,
   type GatewayVisibility,
@@ -19,10 +20,12 @@
   type UpstreamLimits,
 } from '@anvilpaddle/decisions';
 import {
-  decodeItems,
+  areSameLoads,
+  decodeLoads,
   encodeItems,
   getRelayedContent,
   markForRelay,
+  newDecodedItems,
   parseDatagram,
   type Datagram,
   type GatewayState,
@@ -81,6 +84,9 @@
   readonly ageMs: number;
   readonly lastSeenMs: number;
   readonly startedMs: number;
+  /** Its loads, as they were sent and as they were applied. */
+  readonly encodedLoads: Datagram['loads'];
+  readonly loads: Loads;
 }
 
 /** State that gateways share by gossip. */
@@ -100,6 +106,10 @@
   readonly metrics: GossipMetrics;
 }
 
+/** The list, or nothing if it is empty: an undefined field is left out of a datagram. */
+const omitEmpty = <T>(list: readonly T[]): readonly T[] | undefined =>
+  list.length === 0 ? undefined : list;
+
 /** Starts the gossip on this gateway's address; `openSocket` opens its socket. */
 export const newGossip = (
   self: Gateway,
@@ -144,25 +154,23 @@
       gatewayList.addFromDatagram({ vm, incarnation: from, address, failureDomain });
       removeEarlierLoads(vm);
     }
-    const state = { takesJobs, reachesStore, isServing };
+    const known = peers.get(from);
+    const isSameLoads = known !== undefined && areSameLoads(loads, known.encodedLoads);
+    const peerLoads = isSameLoads ? known.loads : decodeLoads(loads);
     peers.set(from, {
       vm,
       admitted,
       ageMs,
       lastSeenMs: nowMs,
       startedMs: nowMs - ageMs,
-      ...state,
+      takesJobs,
+      reachesStore,
+      isServing,
+      encodedLoads: loads,
+      loads: peerLoads,
     });
-    upstreamLoads.updatePeer(
-      from,
-      new Map(loads.map(([id, online, batch]) => [id, { online, batch }])),
-      nowMs,
-    );
-    const peerItems = {
-      running: decodeItems(datagram.running),
-      waiting: decodeItems(datagram.waiting),
-    };
-    itemTracker.updatePeer(from, peerItems, nowMs);
+    upstreamLoads.updatePeer(from, peerLoads, nowMs);
+    itemTracker.updatePeer(from, newDecodedItems(datagram), nowMs);
     const admissionCounts = spent.map(
       ([team, total, inWindow]) => [team, { total, inWindow }] as const,
     );
@@ -189,11 +197,11 @@
   const socket = openSocket(self, receive, metrics, log);
 
   const getSuspectReports = (nowMs: number): Pick<Datagram, 'suspects' | 'requests'> => {
-    if (nowMs < nextSuspectReportMs) return { suspects: [], requests: [] };
+    if (nowMs < nextSuspectReportMs) return {};
     nextSuspectReportMs = nowMs + SUSPECT_REPORT_INTERVAL_MS;
     return {
-      suspects: quarantine.parts.getReports(nowMs),
-      requests: quarantine.requests.getReports(nowMs),
+      suspects: omitEmpty(quarantine.parts.getReports(nowMs)),
+      requests: omitEmpty(quarantine.requests.getReports(nowMs)),
     };
   };
 
@@ -212,7 +220,7 @@
     running: encodeItems(itemTracker.getOwn().running),
     waiting: encodeItems(itemTracker.getOwn().waiting),
     ...getSuspectReports(nowMs),
-    limits: encodeLimitReports(upstreamLimits.getReports(nowMs)),
+    limits: omitEmpty(encodeLimitReports(upstreamLimits.getReports(nowMs))),
     ...getState(),
   });
 
--- a/packages/decisions/batch/itemTracker.ts
+++ b/packages/decisions/batch/itemTracker.ts
@@ -21,7 +21,7 @@
   setOwn(items: GatewayItems): void;
   /** This gateway's report to its peers. */
   getOwn(): GatewayItems;
-  /** Replaces a peer's items by its latest report. */
+  /** Replaces a peer's items by its latest report, of which only what is looked up is read. */
   updatePeer(peer: string, items: GatewayItems, nowMs: number): void;
   /** Items of peers that run at an upstream. */
   getRunning(upstream: string, nowMs: number): readonly ItemTiming[];
@@ -38,7 +38,8 @@
 const NO_ITEMS: GatewayItems = { running: new Map(), waiting: new Map() };
 
 /** Items that a peer reported, with the time of the report. */
-interface PeerItems extends GatewayItems {
+interface PeerItems {
+  readonly items: GatewayItems;
   readonly receivedMs: number;
 }
 
@@ -60,11 +61,11 @@
     },
     getOwn: () => own,
     updatePeer: (peer, items, nowMs) => {
-      peers.set(peer, { ...items, receivedMs: nowMs });
+      peers.set(peer, { items, receivedMs: nowMs });
     },
     getRunning: (upstream, nowMs) =>
-      getRecentPeers(nowMs).flatMap(({ running }) => running.get(upstream) ?? []),
+      getRecentPeers(nowMs).flatMap(({ items }) => items.running.get(upstream) ?? []),
     getWaiting: (service, nowMs) =>
-      getRecentPeers(nowMs).flatMap(({ waiting }) => waiting.get(service) ?? []),
+      getRecentPeers(nowMs).flatMap(({ items }) => items.waiting.get(service) ?? []),
   };
 };
--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -24,7 +24,10 @@
   end(upstream: string, serviceClass: ServiceClass): void;
   /** Load by this gateway's requests, as reported to its peers. */
   getOwn(): Loads;
-  /** Replaces the loads of a peer by those that it has just reported. */
+  /**
+   * Replaces the loads of a peer by those that it has just reported. They must not change afterwards; the
+   * same object as before says that they are unchanged, which costs little.
+   */
   updatePeer(peer: string, loads: Loads, nowMs: number): void;
   /** Removes the loads of a peer whose process has ended and with it its connections. */
   removePeer(peer: string): void;
@@ -90,6 +93,11 @@
 
   return {
     update: (peer, loads, nowMs) => {
+      if (reports.get(peer)?.loads === loads) {
+        reports.delete(peer);
+        reports.set(peer, { loads, receivedMs: nowMs });
+        return;
+      }
       remove(peer);
       reports.set(peer, { loads, receivedMs: nowMs });
       add(loads, 1);
--- a/packages/decisions/placement/tests/loadTracker.test.ts
+++ b/packages/decisions/placement/tests/loadTracker.test.ts
@@ -53,6 +53,18 @@
     expect(tracker.getLoad('u1', RECEIVED_MS)).toEqual({ online: 0, batch: 0 });
   });
 
+  // Guards against unchanged loads that are not counted for longer, or are counted twice.
+  it('counts unchanged loads from their last report on', () => {
+    const tracker = newLoadTracker();
+    tracker.updatePeer('peer', LOADS, RECEIVED_MS);
+    tracker.updatePeer('peer', LOADS, RECEIVED_MS + 1400);
+    expect(tracker.getLoad('u1', RECEIVED_MS + 2800)).toEqual({ online: 3, batch: 2 });
+    expect(tracker.getLoad('u1', RECEIVED_MS + 3000)).toEqual({ online: 0, batch: 2 });
+
+    tracker.updatePeer('peer', LOADS, RECEIVED_MS + 3100);
+    expect(tracker.getLoad('u1', RECEIVED_MS + 3100)).toEqual({ online: 3, batch: 2 });
+  });
+
   it('notifies of each change of the own load', () => {
     let changes = 0;
     const tracker = newLoadTracker(() => {
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -349,6 +349,7 @@
         .map((suspect) => getOwnReport(suspect, nowMs)),
     isSuspect: (part) => (suspects.get(part)?.crashes.size ?? 0) > 0,
     updatePeer: (peer, reports, nowMs) => {
+      if (reports.length === 0) return;
       const isNew = reports.map((report) => addReport(report, nowMs));
       const survived = reports.flatMap((report) => addSurvivalsOfPeer(peer, report));
       review(survived, nowMs);
