The measurement of a gateway among peers sends requests that are served

Its requests had no id, so that the stand-ins' responses were dropped and the gateway retried and refused.

--- a/measurements/gatewayCpu.ts
+++ b/measurements/gatewayCpu.ts
@@ -6,7 +6,7 @@
 import type { Gateway } from 'anvilpaddle-app/gateway/gatewayList';
 import { getRunFlags } from 'anvilpaddle-platform/tests/kit/deployFlags';
 import { startTestCluster } from 'anvilpaddle-platform/tests/kit/testCluster';
-import { startTraffic } from 'anvilpaddle-platform/tests/kit/traffic';
+import { getServedShare, sendStream, startTraffic } from 'anvilpaddle-platform/tests/kit/traffic';
 import { startGossipFleet } from './kit/gossipFleet';
 import { getProcessUsage } from './kit/processUsage';
 import { printTable } from './kit/table';
@@ -16,6 +16,7 @@
 const WARM_UP_MS = 10 * MS_PER_SECOND;
 const MEASURED_MS = 20 * MS_PER_SECOND;
 const REQUEST_INTERVAL_MS = 250;
+const EVENT_INTERVAL_MS = 30;
 /** Workers renew their records at this interval, so that the watch of the list has changes. */
 const WORKER_HEARTBEAT_MS = 1200;
 /** Interval at which the peers are brought up to the time. */
@@ -89,11 +90,10 @@
     ),
   ];
   writePeers();
-  let number = 0;
-  const traffic = startTraffic(() => {
-    number += 1;
-    return cluster.call(gateway, { path: `/stream/${number}?eventMs=30`, body: 'a prompt' });
-  }, REQUEST_INTERVAL_MS);
+  const traffic = startTraffic(
+    () => sendStream(cluster, gateway, EVENT_INTERVAL_MS),
+    REQUEST_INTERVAL_MS,
+  );
   await sleep(WARM_UP_MS);
   const [before, switches, sentBefore, receivedBefore] = [
     getProcessUsage(gateway.pid),
@@ -112,6 +112,7 @@
       'received/s': ((sent - sentBefore) / seconds).toFixed(0),
       'sent/s': ((received - receivedBefore) / seconds).toFixed(0),
       'waits/s': ((getContextSwitches(gateway.pid) - switches) / seconds).toFixed(0),
+      'served, %': (100 * getServedShare(traffic.replies)).toFixed(0),
       'resident MB': (after.residentBytes / 1e6).toFixed(0),
     },
   ]);
