--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -51,6 +51,8 @@
 export * from './scheduling/scheduler';
 export * from './scheduling/serviceEstimates';
 export * from './scheduling/preemptiveScheduler';
+export * from './scheduling/teamShares';
+export * from './scheduling/teamSlots';
 export * from './settings/config';
 export * from './settings/configErrors';
 export * from './settings/configState';
--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -30,6 +30,8 @@
   removePeer(peer: string): void;
   /** Load of an upstream by all gateways whose requests may still run. */
   getLoad(upstream: string, nowMs: number): UpstreamLoad;
+  /** Ids of the upstreams at which requests of any gateway may run. */
+  getBusyIds(nowMs: number): ReadonlySet<string>;
 }
 
 /**
@@ -48,6 +50,8 @@
   remove(peer: string): void;
   /** Number of requests at an upstream by the peers that reported recently. */
   get(upstream: string, nowMs: number): number;
+  /** Upstreams at which such requests run. */
+  getIds(nowMs: number): Iterable<string>;
 }
 
 /** Loads that a peer reported. */
@@ -99,6 +103,10 @@
       removeTimedOut(nowMs);
       return totals.get(upstream) ?? 0;
     },
+    getIds: (nowMs) => {
+      removeTimedOut(nowMs);
+      return totals.keys();
+    },
   };
 };
 
@@ -134,5 +142,7 @@
         batch: batch + peers.batch.get(upstream, nowMs),
       };
     },
+    getBusyIds: (nowMs) =>
+      new Set([...own.keys(), ...peers.online.getIds(nowMs), ...peers.batch.getIds(nowMs)]),
   };
 };
--- a/packages/decisions/placement/placement.ts
+++ b/packages/decisions/placement/placement.ts
@@ -27,6 +27,11 @@
   readonly objectiveLeftMs: number;
   /** Time left until the request times out, in milliseconds. */
   readonly timeLeftMs: number;
+  /**
+   * Longest wait for a slot that is allowed whatever time is left, in milliseconds; 0 for a request that
+   * may only have a free slot. Without a bound by default.
+   */
+  readonly maxWaitMs?: number;
 }
 
 /** Why no upstream can be chosen. */
@@ -132,11 +137,12 @@
  * Chooses the healthy upstream with the least load relative to its slots, among some of those whose
  * limits allow a request now; one with a limit only if no other has a free slot. If the request would
  * wait too long there, it looks at all of them. It is refused if there is none, or if its wait would
- * exceed the time left or `MAX_QUEUE_FRACTION` of the time left until the latency objective.
+ * exceed the time left, `MAX_QUEUE_FRACTION` of the time left until the latency objective, or what it
+ * is allowed to wait at most.
  */
 export const getPlacement = (
   candidates: readonly Candidate[],
-  { timeLeftMs, objectiveLeftMs }: RequestTiming,
+  { timeLeftMs, objectiveLeftMs, maxWaitMs = Infinity }: RequestTiming,
   random: Random,
   drawnUpstreams = DRAWN_UPSTREAMS,
 ): Placement => {
@@ -144,12 +150,20 @@
   // If no upstream is healthy, all are tried: a suspect one is better than none.
   const usable = healthy.length > 0 ? healthy : candidates.map((c) => ({ ...c, weight: 1 }));
   const preferred = getPreferred(usable);
-  const maxQueueMs = Math.max(0, Math.min(timeLeftMs, objectiveLeftMs * MAX_QUEUE_FRACTION));
+  const maxQueueMs = Math.max(
+    0,
+    Math.min(timeLeftMs, objectiveLeftMs * MAX_QUEUE_FRACTION, maxWaitMs),
+  );
   const drawn = getDrawn(preferred, drawnUpstreams, random);
   const chosen = getLeastLoaded(drawn, random);
   if (chosen === undefined) return { kind: 'refuse', ...getLimitShortage(usable) };
   const isLookingFurther = drawn.length < preferred.length && getQueueMs(chosen) > maxQueueMs;
-  const best = isLookingFurther ? (getLeastLoaded(preferred, random) ?? chosen) : chosen;
+  const further = isLookingFurther ? (getLeastLoaded(preferred, random) ?? chosen) : chosen;
+  // The score may prefer an upstream with a queue to one whose slots batch items hold.
+  const isWithinMaxWait = (candidate: Candidate): boolean => getQueueMs(candidate) <= maxWaitMs;
+  const best = isWithinMaxWait(further)
+    ? further
+    : (getLeastLoaded(preferred.filter(isWithinMaxWait), random) ?? further);
   const queueMs = getQueueMs(best);
   return queueMs <= maxQueueMs
     ? { kind: 'send', upstream: best.id, waitMs: queueMs }
