Gateways share scarce capacity among teams

Requests of all teams queued alike while a service was short of capacity, so that a surging team's requests delayed all others.

A gateway now counts its running online requests by service, team and priority, reports them in its datagrams (new optional field teams, left out where the configuration does not call for shares; odd entries are dropped alone) and places a request of a team over its share only in a free slot. Such a refusal is a 503 whose Retry-After follows from the slots that the team holds beyond its share. A request that may have run is placed as before. Teams get priority and weight from the configuration; odd values of these two count as missing, since such rows were accepted until now. The request line names the team's slots, share and capacity; new metrics anvilpaddle_share_refusals_total and anvilpaddle_teams_over_share.

Tests: platform/tests/teamShares (two gateway processes), gateway/tests (requestPlacement, teamReport, gossip) and platform/tests/gatewayProcess pass; in a first run at load 23 one test of gatewayProcess (retry after a fault, 502 for 200) failed, not in the second.

--- a/anvilpaddle-app/gateway/callerHandler.ts
+++ b/anvilpaddle-app/gateway/callerHandler.ts
@@ -237,6 +237,7 @@
         head,
         route,
         team: team?.name,
+        priority: team?.priority ?? route.priority,
         message,
         body: body.value,
         digest,
--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -3,6 +3,7 @@
 import { isPort, type Address } from '@anvilpaddle/common';
 import type { ItemGroups, PartReport } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
+import type { EncodedHeldSlots } from './teamReport';
 
 /**
  * Batch items by group. Each item is a pair in milliseconds: its due time on the store's clock and
@@ -46,6 +47,8 @@
   readonly requests?: readonly PartReport[];
   /** Limits that upstreams named; a peer of an earlier version sends none. */
   readonly limits?: readonly EncodedLimitReport[];
+  /** Slots of teams; only where they share scarce capacity. A peer of an earlier version sends none. */
+  readonly teams?: readonly EncodedHeldSlots[] | undefined;
 }
 
 /** Longest name of a gateway, VM, team, upstream or service. */
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -10,7 +10,13 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import { newItemTracker, newRetryAfterSchedule } from '@anvilpaddle/decisions';
+import {
+  newItemTracker,
+  newRetryAfterSchedule,
+  newTeamShares,
+  newTeamSlots,
+  URGENCY,
+} from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import type { Program } from '../process/program';
 import { newCallerConnections } from './callerConnections';
@@ -27,7 +33,7 @@
 import { newJobService } from './jobs/jobService';
 import { newJobStore } from './jobs/jobStore';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
-import type { GatewaySettings } from './types';
+import type { GatewaySettings, Team } from './types';
 import { newTeamAdmissions } from './teamAdmissions';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamFleet } from './upstreamFleet';
@@ -39,6 +45,9 @@
  */
 const CONFIG_READ_INTERVAL_MS = 1000;
 
+/** Teams of a configuration without any. */
+const NO_TEAMS: readonly Team[] = [];
+
 /** Services and formats of the platform on which a gateway runs. */
 export interface GatewayPlatform {
   /** Store client over this VM's direct path. */
@@ -118,6 +127,15 @@
     clock,
     log,
   );
+  const teamSlots = newTeamSlots();
+  const teamShares = newTeamShares(
+    {
+      teamSlots,
+      getTeams: () => configWatch.current()?.teams ?? NO_TEAMS,
+      getCandidates: (service) => fleetView.getCandidates(service, () => true, URGENCY.online),
+    },
+    clock.monotonic(),
+  );
   const self = {
     vm: settings.vm,
     incarnation,
@@ -151,6 +169,7 @@
     getQuarantinedRequests: () => quarantine.requests.getQuarantinedCount(),
     getViewAgeMs: () => peersRef.gossip?.getViewAgeMs() ?? 0,
     getLimitedUpstreams: () => upstreamLimits.getLimitedCount(),
+    getTeamsOverShare: () => teamShares.countOver(clock.monotonic()),
     getHeldBytes: byteBudget.getHeldBytes,
   });
   metricsRef.metrics = metrics;
@@ -168,7 +187,15 @@
   const gossip = newGossip(
     self,
     gatewayList,
-    { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits },
+    {
+      upstreamLoads,
+      items: itemTracker,
+      limit: limiter,
+      quarantine,
+      upstreamLimits,
+      teamSlots,
+      teamShares,
+    },
     { getState, onPeerUpdate, metrics },
     clock,
     log,
@@ -249,6 +276,8 @@
       view: fleetView,
       upstreamClient,
       upstreamLoads,
+      teamSlots,
+      teamShares,
       health,
       crashDetector,
       quarantine,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -14,6 +14,11 @@
 import type { Route } from './types';
 import type { UpstreamMetrics } from './upstreamClient';
 
+/** Largest number of teams with a label value of their own, in the order in which they come. */
+const MAX_TEAM_LABELS = 20;
+/** Label value of the other teams. */
+const OTHER_TEAMS = 'other';
+
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
 /** Metrics of one gateway. */
@@ -38,6 +43,7 @@
   readonly getQuarantinedParts: () => number;
   readonly getQuarantinedRequests: () => number;
   readonly getLimitedUpstreams: () => number;
+  readonly getTeamsOverShare: () => number;
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
 }
@@ -58,6 +64,17 @@
     labelNames: ['status'],
     registers,
   });
+  const shareRefusals = new Counter({
+    name: 'anvilpaddle_share_refusals_total',
+    help: 'Requests refused because their team was over its share of scarce capacity, by team',
+    labelNames: ['team'],
+    registers,
+  });
+  const labelledTeams = new Set<string>();
+  const getTeamLabel = (team: string): string => {
+    if (labelledTeams.size < MAX_TEAM_LABELS) labelledTeams.add(team);
+    return labelledTeams.has(team) ? team : OTHER_TEAMS;
+  };
   const responseEnds = new Counter({
     name: 'anvilpaddle_response_ends_total',
     help: 'Bodies of upstreams’ responses by delimiter, end and whether a stream stopped inside an event',
@@ -143,6 +160,11 @@
     'Upstreams that name a limit for the requests of all gateways',
     gauges.getLimitedUpstreams,
   );
+  addGauge(
+    'anvilpaddle_teams_over_share',
+    'Teams that hold more slots than their share of scarce capacity',
+    gauges.getTeamsOverShare,
+  );
   addGauge(
     'anvilpaddle_view_age_ms',
     'Mean time since the last datagrams of the gateways that were seen recently',
@@ -158,6 +180,7 @@
     countResponseEnd: ({ delimiter, bodyEnd, unfinishedBytes }) =>
       responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
     countSilence: () => silences.inc(),
+    countShareRefusal: (team) => shareRefusals.inc({ team: getTeamLabel(team) }),
     countUpstreamCrash: () => upstreamCrashes.inc(),
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
     countLeaving: () => leavingResponses.inc(),
--- a/anvilpaddle-app/gateway/gossip.ts
+++ b/anvilpaddle-app/gateway/gossip.ts
@@ -16,6 +16,8 @@
   type InputQuarantine,
   type GatewayVisibility,
   type SlidingWindowLimiter,
+  type TeamShares,
+  type TeamSlots,
   type UpstreamLimits,
 } from '@anvilpaddle/decisions';
 import {
@@ -31,6 +33,7 @@
 import { DATAGRAM_PURPOSE, newGossipSocket, type GossipMetrics } from './gossipSocket';
 import { decodeLimitReports, encodeLimitReports } from './limitReport';
 import { parsePartReports } from './partReport';
+import { decodeHeldSlots, encodeHeldSlots } from './teamReport';
 
 /** Minimum time between two datagrams to the same peer. */
 const MIN_SEND_INTERVAL_MS = 25;
@@ -88,6 +91,8 @@
   readonly limit: SlidingWindowLimiter;
   readonly quarantine: Pick<InputQuarantine, 'parts' | 'requests'>;
   readonly upstreamLimits: UpstreamLimits;
+  readonly teamSlots: Pick<TeamSlots, 'updatePeer' | 'removePeer'>;
+  readonly teamShares: Pick<TeamShares, 'getReport'>;
 }
 
 /** Connections of the gossip to its gateway. */
@@ -102,7 +107,15 @@
 export const newGossip = (
   self: Gateway,
   gatewayList: GatewayList,
-  { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits }: SharedState,
+  {
+    upstreamLoads,
+    items: itemTracker,
+    limit: limiter,
+    quarantine,
+    upstreamLimits,
+    teamSlots,
+    teamShares,
+  }: SharedState,
   { getState, onPeerUpdate, metrics }: GossipHooks,
   clock: Clock,
   log: Logger,
@@ -118,7 +131,9 @@
   /** Drops the loads of earlier processes on a VM: their connections closed when they ended. */
   const removeEarlierLoads = (vm: string): void =>
     peers.forEach((peer, incarnation) => {
-      if (peer.vm === vm) upstreamLoads.removePeer(incarnation);
+      if (peer.vm !== vm) return;
+      upstreamLoads.removePeer(incarnation);
+      teamSlots.removePeer(incarnation);
     });
 
   /** Passes a datagram from another failure domain on to the other gateways in this one. */
@@ -159,6 +174,7 @@
     quarantine.requests.updatePeer(from, parsePartReports(datagram.requests), nowMs);
     quarantine.parts.updatePeer(from, parsePartReports(datagram.suspects), nowMs);
     upstreamLimits.updatePeer(from, decodeLimitReports(datagram.limits), nowMs);
+    teamSlots.updatePeer(from, decodeHeldSlots(datagram.teams), nowMs);
     onPeerUpdate();
   };
 
@@ -198,6 +214,7 @@
     waiting: encodeItems(itemTracker.getOwn().waiting),
     ...getSuspectReports(nowMs),
     limits: encodeLimitReports(upstreamLimits.getReports(nowMs)),
+    teams: encodeHeldSlots(teamShares.getReport(nowMs)),
     ...getState(),
   });
 
@@ -242,6 +259,7 @@
       peers.delete(peer);
       limiter.removePeer(peer);
       upstreamLimits.removePeer(peer);
+      teamSlots.removePeer(peer);
     });
   };
 
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -71,7 +71,7 @@
 
 /** Sends the request to the upstream; `signal` aborts the attempt. */
 export const openAttempt = (
-  { head, team, message, body, digest }: OnlineRequest,
+  { head, team, priority, message, body, digest }: OnlineRequest,
   { upstream, reason, timeLeftMs, expectedWaitMs, isLast }: AttemptPlan,
   callerResponse: CallerResponse,
   signal: AbortSignal,
@@ -79,9 +79,11 @@
 ): OnlineAttempt => {
   const { protocol, view, serviceTimes, upstreamLoads, health, crashDetector, quarantine } =
     dependencies;
-  const { upstreamClient, clock, log, metrics } = dependencies;
+  const { teamSlots, upstreamClient, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
+  const holder = team === undefined ? undefined : { service: upstream.service, team, priority };
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
+  if (holder !== undefined) teamSlots.begin(holder);
   const concurrency = getTotalLoad(upstreamLoads.getLoad(upstream.id, sentMs));
   const abandonment = new AbortController();
   const attemptSignal = AbortSignal.any([signal, abandonment.signal]);
@@ -125,6 +127,7 @@
   const end = (): void => {
     silenceTimer.stop();
     upstreamLoads.end(upstream.id, SERVICE_CLASS.online);
+    if (holder !== undefined) teamSlots.end(holder);
   };
 
   const call = async (): Promise<HttpCallResult> => {
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -6,6 +6,7 @@
   PART_STATE,
   type AttemptOutcome,
   type InputAssessment,
+  type TeamShare,
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
 import { getQuarantineRefusal, STATUS, type Refusal } from '../refusal';
@@ -14,7 +15,7 @@
 import { ROUTE_KIND, type Upstream } from '../types';
 import { SEND_REASON } from '../upstreamClient';
 import { openAttempt, type OnlineAttempt } from './onlineAttempt';
-import { newRequestPlacement, REJECTED, type SendStep } from './requestPlacement';
+import { newRequestPlacement, REJECTED, type RefuseStep, type SendStep } from './requestPlacement';
 import { runWithSuccessor, type SuccessorSource } from './successorSearch';
 import type { OnlineDependencies, OnlineOutcome, OnlineRequest, PlacementChoice } from './types';
 
@@ -22,6 +23,8 @@
 const MAX_REJECTIONS = 3;
 /** Reason of a refusal where each upstream has a limit that allows no request now. */
 const LIMITS_REACHED = 'the upstreams have reached their limits';
+/** Reason of a refusal where the team of the request holds more slots than its share. */
+const OVER_SHARE = 'the team is over its share';
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
 
@@ -37,6 +40,12 @@
   }
 };
 
+/** Why no upstream gets a request. */
+const getShortageReason = ({ limitWaitMs, isOverShare }: RefuseStep): string => {
+  if (isOverShare === true) return OVER_SHARE;
+  return limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
+};
+
 /** Attempt under way, with the knowledge on which its upstream was chosen. */
 interface OpenRequest {
   readonly attempt: OnlineAttempt;
@@ -49,8 +58,8 @@
   request: OnlineRequest,
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
-  const { head, digest, route, response, startedMs, signal } = request;
-  const { protocol, quarantine, byteBudget, clock, random, log } = dependencies;
+  const { head, digest, route, team, priority, response, startedMs, signal } = request;
+  const { protocol, quarantine, byteBudget, clock, random, log, metrics } = dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
   const getElapsedMs = (): number => clock.monotonic() - startedMs;
   const getTimeLeftMs = (): number => timeoutMs - getElapsedMs();
@@ -62,12 +71,13 @@
   let rejectionCount = 0;
   let firstByteMs: number | undefined;
   let lastChoice: PlacementChoice | undefined;
+  let lastShare: TeamShare | undefined;
   let lastResponseEnd: ResponseEnd | undefined;
   /** Attempt that has the request. */
   let current: OpenRequest | undefined;
 
   const { getNextStep, getRetryAfterMs } = newRequestPlacement(
-    { route, getElapsedMs, getTimeLeftMs, budget },
+    { route, team, priority, getElapsedMs, getTimeLeftMs, budget },
     dependencies,
   );
   const callerResponse = newCallerResponse(head, route, response, protocol, byteBudget, () => {
@@ -85,6 +95,7 @@
       durationMs,
       ...lastChoice,
       ...lastResponseEnd,
+      ...lastShare,
     };
   };
 
@@ -208,9 +219,10 @@
     if (current === undefined) {
       const assessment = assess();
       const step = getNextStep(service, assessment);
+      lastShare = step.share;
       if (step.kind === 'refuse') {
-        const reason = step.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
-        return refuse(reason, getRetryAfterMs(service, step));
+        if (step.isOverShare === true && team !== undefined) metrics.countShareRefusal(team);
+        return refuse(getShortageReason(step), getRetryAfterMs(service, step));
       }
       if (assessment.state === PART_STATE.quarantined && !(await takeTrial(assessment, step))) {
         const { reason, retryAfterMs } = getQuarantineRefusal(assessment);
--- a/anvilpaddle-app/gateway/online/requestPlacement.ts
+++ b/anvilpaddle-app/gateway/online/requestPlacement.ts
@@ -2,13 +2,16 @@
 import {
   getIsolatedCandidates,
   getPlacement,
+  isOverShare,
   PART_STATE,
+  placeWithinShare,
   URGENCY,
   type AttemptBudget,
   type Placement,
   type InputAssessment,
   type RequestTiming,
   type Shortage,
+  type TeamShare,
   type Urgency,
 } from '@anvilpaddle/decisions';
 import type { Route, Upstream } from '../types';
@@ -19,10 +22,20 @@
   readonly kind: 'send';
   readonly upstream: Upstream;
   readonly choice: PlacementChoice;
+  /** Share of the request's team; undefined unless capacity is short. */
+  readonly share: TeamShare | undefined;
+}
+
+/** No upstream gets the request. */
+export interface RefuseStep extends Shortage {
+  readonly kind: 'refuse';
+  readonly share?: TeamShare | undefined;
+  /** Whether it might have waited for a slot if its team weren't over its share. */
+  readonly isOverShare?: boolean;
 }
 
 /** Next step of a request: it is sent, or no upstream has room for it. */
-export type PlacementStep = SendStep | ({ readonly kind: 'refuse' } & Shortage);
+export type PlacementStep = SendStep | RefuseStep;
 
 /** Shortage of which nothing is known but that the upstreams reject. */
 export const REJECTED: Shortage = { queueMs: 0 };
@@ -30,6 +43,8 @@
 /** Times left for the request that is placed. */
 export interface PlacedRequest {
   readonly route: Route;
+  readonly team: string | undefined;
+  readonly priority: number;
   readonly getElapsedMs: () => number;
   readonly getTimeLeftMs: () => number;
   readonly budget: AttemptBudget;
@@ -40,13 +55,21 @@
   /** Next place for the request. */
   getNextStep(service: string, assessment: InputAssessment): PlacementStep;
   /** Time after which a caller that is refused may come back, in milliseconds. */
-  getRetryAfterMs(service: string, shortage: Shortage): number;
+  getRetryAfterMs(service: string, shortage: Omit<RefuseStep, 'kind'>): number;
 }
 
 /** Creates the placement of a request. */
 export const newRequestPlacement = (
-  { route, getElapsedMs, getTimeLeftMs, budget }: PlacedRequest,
-  { view, upstreamLoads, retrySchedule, getGatewayCount, clock, random }: OnlineDependencies,
+  { route, team, priority, getElapsedMs, getTimeLeftMs, budget }: PlacedRequest,
+  {
+    view,
+    upstreamLoads,
+    teamShares,
+    retrySchedule,
+    getGatewayCount,
+    clock,
+    random,
+  }: OnlineDependencies,
 ): RequestPlacement => {
   /** Places the request; a suspect, or a trial, goes to the upstream of its part if that has room. */
   const place = (
@@ -73,15 +96,34 @@
         : route.latencyObjectiveMs - getElapsedMs();
       const demand = { objectiveLeftMs, timeLeftMs: getTimeLeftMs() };
       const urgency = isUnderWay ? URGENCY.underWay : URGENCY.online;
-      const placement = place(service, assessment, demand, urgency);
-      if (placement.kind === 'refuse') return placement;
+      // What was begun is finished, whatever its team holds.
+      const scarce =
+        isUnderWay || team === undefined
+          ? undefined
+          : teamShares.getShare({ service, team, priority }, clock.monotonic());
+      const placement = placeWithinShare(scarce, (maxWaitMs) =>
+        place(service, assessment, { ...demand, maxWaitMs }, urgency),
+      );
+      const share = scarce?.share;
+      if (placement.kind === 'refuse') {
+        const isHeldBack = share !== undefined && isOverShare(share);
+        return {
+          ...placement,
+          share,
+          isOverShare: isHeldBack && placement.limitWaitMs === undefined,
+        };
+      }
       const upstream = view.getUpstream(placement.upstream);
       if (upstream === undefined) return { kind: 'refuse', ...REJECTED };
       const load = upstreamLoads.getLoad(upstream.id, clock.monotonic());
       const choice = { upstream: upstream.id, ...load, waitMs: placement.waitMs };
-      return { kind: 'send', upstream, choice };
+      return { kind: 'send', upstream, choice, share };
     },
-    getRetryAfterMs: (service, { queueMs, limitWaitMs }) => {
+    getRetryAfterMs: (service, { queueMs, limitWaitMs, share, isOverShare: isHeldBack }) => {
+      if (isHeldBack === true && share !== undefined && team !== undefined) {
+        const holder = { service, team, priority };
+        return teamShares.getRetryAfterMs(holder, share, getGatewayCount(), clock.monotonic());
+      }
       const admissionIntervalMs = view.getAdmissionIntervalMs(service, 1 / getGatewayCount());
       const shortage = { queueMs, limitWaitMs, admissionIntervalMs };
       return retrySchedule.getRetryAfterMs(shortage, clock.monotonic());
--- a/anvilpaddle-app/gateway/online/types.ts
+++ b/anvilpaddle-app/gateway/online/types.ts
@@ -8,6 +8,9 @@
   RequestDigest,
   RetryAfterSchedule,
   ServiceTimes,
+  TeamShare,
+  TeamShares,
+  TeamSlots,
 } from '@anvilpaddle/decisions';
 import type { RequestHead, CallerProtocol } from '../callerProtocol';
 import type { CrashDetector } from '../crashDetector';
@@ -23,6 +26,8 @@
   countResponseEnd(end: ResponseEnd): void;
   /** Counts an upstream's silence during an online attempt. */
   countSilence(): void;
+  /** Counts a request that was refused because its team was over its share. */
+  countShareRefusal(team: string): void;
 }
 
 /** Dependencies of all online requests. */
@@ -31,6 +36,8 @@
   readonly view: FleetView;
   readonly upstreamClient: UpstreamClient;
   readonly upstreamLoads: LoadTracker;
+  readonly teamSlots: Pick<TeamSlots, 'begin' | 'end'>;
+  readonly teamShares: Pick<TeamShares, 'getShare' | 'getRetryAfterMs'>;
   readonly health: Health;
   readonly serviceTimes: ServiceTimes;
   readonly crashDetector: CrashDetector;
@@ -50,6 +57,8 @@
   readonly head: RequestHead;
   readonly route: Route;
   readonly team: string | undefined;
+  /** Priority of the team, or else of the route; 0 is the most urgent. */
+  readonly priority: number;
   readonly message: IncomingMessage;
   readonly body: Buffer;
   readonly digest: RequestDigest;
@@ -72,8 +81,12 @@
   readonly assessment?: InputAssessment;
 }
 
-/** How a request ended, for the log and the metrics. */
-export interface OnlineOutcome extends Partial<PlacementChoice>, Partial<ResponseEnd> {
+/**
+ * How a request ended, for the log and the metrics. Its team's share is that at the last placement, if
+ * capacity was short then.
+ */
+export interface OnlineOutcome
+  extends Partial<PlacementChoice>, Partial<ResponseEnd>, Partial<TeamShare> {
   readonly result: 'served' | 'refused' | 'failed' | 'left';
   readonly reason: string;
   readonly attempts: number;
--- a/anvilpaddle-app/gateway/tests/gossip.test.ts
+++ b/anvilpaddle-app/gateway/tests/gossip.test.ts
@@ -6,6 +6,7 @@
   newItemTracker,
   newLoadTracker,
   newSlidingWindowLimiter,
+  newTeamSlots,
   newUpstreamLimits,
 } from '@anvilpaddle/decisions';
 import type { GatewayState } from '../datagram';
@@ -50,6 +51,7 @@
   const clock = new ManualClock();
   /** Gateways that became known by their datagrams. */
   const added: Gateway[] = [];
+  const teamSlots = newTeamSlots();
   const shared = {
     upstreamLoads: newLoadTracker(),
     items: newItemTracker(),
@@ -59,6 +61,8 @@
       getVisibility: () => ({ members: 1, recentlySeen: 1 }),
       random: Math.random,
     }),
+    teamSlots,
+    teamShares: { getReport: () => teamSlots.getOwn() },
   };
   let onPeerUpdate = (): void => undefined;
   const sent: string[] = [];
@@ -137,6 +141,21 @@
     });
   });
 
+  it('reports the slots of teams, and none once their requests have ended', async () => {
+    const [a, b] = await Promise.all([newGateway('vm-a', 'a'), newGateway('vm-b', 'b')]);
+    const sender = newNode(a, [b]);
+    const receiver = newNode(b, [a]);
+    const holder = { service: 'models', team: 'one', priority: 2 };
+    sender.teamSlots.begin(holder);
+    await sendUpdate(sender, receiver);
+    const whileItRuns = receiver.teamSlots.getHeld('models', 0);
+    sender.teamSlots.end(holder);
+    await sendUpdate(sender, receiver);
+
+    expect(whileItRuns).toEqual([{ ...holder, slots: 1 }]);
+    expect(receiver.teamSlots.getHeld('models', 0)).toEqual([]);
+  });
+
   it('reaches the gateways of another failure domain through one of them', async () => {
     const [a, b, c] = await Promise.all([
       newGateway('vm-a', 'a', 'zone-1'),
@@ -222,12 +241,15 @@
     const first = newNode(a, [b]);
     first.upstreamLoads.begin('u1', 'online');
     first.upstreamLoads.begin('u1', 'batch');
+    first.teamSlots.begin({ service: 'models', team: 'one', priority: 0 });
     await sendUpdate(first, receiver);
     expect(receiver.upstreamLoads.getLoad('u1', 0)).toEqual({ online: 1, batch: 1 });
+    expect(receiver.teamSlots.getHeld('models', 0)).toHaveLength(1);
 
     const successor = newNode({ ...(await newGateway('vm-a', 'a2')) }, [b]);
     await sendUpdate(successor, receiver);
     expect(receiver.upstreamLoads.getLoad('u1', 0)).toEqual({ online: 0, batch: 0 });
+    expect(receiver.teamSlots.getHeld('models', 0)).toEqual([]);
   });
 });
 
--- a/anvilpaddle-app/gateway/types.ts
+++ b/anvilpaddle-app/gateway/types.ts
@@ -69,6 +69,10 @@
   readonly keys: readonly string[];
   readonly ratePerSecond: number;
   readonly burst: number;
+  /** Priority of its requests, 0 being the most urgent; undefined if that of the route applies. */
+  readonly priority: number | undefined;
+  /** Its part of scarce capacity relative to other teams of its priority. */
+  readonly weight: number;
 }
 
 /** Size limits and timeouts for callers' requests. */
--- a/measurements/index.ts
+++ b/measurements/index.ts
@@ -9,6 +9,7 @@
 import { measureRetries } from './retries';
 import { measureRouting } from './routing';
 import { measureScheduling } from './scheduling';
+import { measureTeamShares } from './teamShares';
 import { measureUpstreamLimits } from './upstreamLimits';
 import { measureWorstLoad } from './worstLoad';
 
@@ -23,6 +24,7 @@
   retries: measureRetries,
   routing: measureRouting,
   scheduling: measureScheduling,
+  teamShares: measureTeamShares,
   upstreamLimits: measureUpstreamLimits,
   worstLoad: measureWorstLoad,
 };
