Counts of teams' slots kept as sums, so that a datagram costs less

The first version kept the counts in a load tracker, whose keys were joined and split for each report and whose sums were kept twice. Counts are now kept by holder, as sums that each report changes.

--- a/anvilpaddle-app/gateway/teamReport.ts
+++ b/anvilpaddle-app/gateway/teamReport.ts
@@ -26,11 +26,13 @@
     ? undefined
     : held.map(({ service, team, priority, slots }) => [service, team, priority, slots]);
 
+const NONE: readonly HeldSlots[] = [];
+
 /** Decodes a peer's entries without the invalid ones; many peers send none. */
-export const decodeHeldSlots = (value: unknown): HeldSlots[] =>
-  Array.isArray(value)
-    ? value
-        .slice(0, MAX_ENTRIES)
-        .filter(isHeldSlots)
-        .map(([service, team, priority, slots]) => ({ service, team, priority, slots }))
-    : [];
+export const decodeHeldSlots = (value: unknown): readonly HeldSlots[] => {
+  if (!Array.isArray(value)) return NONE;
+  return value
+    .slice(0, MAX_ENTRIES)
+    .filter(isHeldSlots)
+    .map(([service, team, priority, slots]) => ({ service, team, priority, slots }));
+};
--- a/anvilpaddle-app/gateway/tests/requestPlacement.test.ts
+++ b/anvilpaddle-app/gateway/tests/requestPlacement.test.ts
@@ -80,7 +80,6 @@
       updatePeer: () => undefined,
       removePeer: () => undefined,
       getLoad: () => candidate.load,
-      getBusyIds: () => new Set(),
     },
     teamShares: {
       getShare: (holder) => {
--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -30,8 +30,6 @@
   removePeer(peer: string): void;
   /** Load of an upstream by all gateways whose requests may still run. */
   getLoad(upstream: string, nowMs: number): UpstreamLoad;
-  /** Ids of the upstreams at which requests of any gateway may run. */
-  getBusyIds(nowMs: number): ReadonlySet<string>;
 }
 
 /**
@@ -39,7 +37,7 @@
  * then. Until then they keep running: if a peer's VM lost power or its network, nothing closes the
  * peer's connections to the upstreams.
  */
-const PEER_TIMEOUT_MS = { online: 1500, batch: 5000 } as const;
+export const PEER_LOAD_TIMEOUT_MS = { online: 1500, batch: 5000 } as const;
 
 const NO_LOAD: UpstreamLoad = { online: 0, batch: 0 };
 
@@ -50,8 +48,6 @@
   remove(peer: string): void;
   /** Number of requests at an upstream by the peers that reported recently. */
   get(upstream: string, nowMs: number): number;
-  /** Upstreams at which such requests run. */
-  getIds(nowMs: number): Iterable<string>;
 }
 
 /** Loads that a peer reported. */
@@ -65,7 +61,7 @@
  * peer: there are far more lookups than reports, one for each upstream and placement.
  */
 const newPeerTotals = (serviceClass: ServiceClass): PeerTotals => {
-  const timeoutMs = PEER_TIMEOUT_MS[serviceClass];
+  const timeoutMs = PEER_LOAD_TIMEOUT_MS[serviceClass];
   /** Reports by peer, in the order in which they arrived. */
   const reports = new Map<string, PeerLoads>();
   const totals = new Map<string, number>();
@@ -103,10 +99,6 @@
       removeTimedOut(nowMs);
       return totals.get(upstream) ?? 0;
     },
-    getIds: (nowMs) => {
-      removeTimedOut(nowMs);
-      return totals.keys();
-    },
   };
 };
 
@@ -142,7 +134,5 @@
         batch: batch + peers.batch.get(upstream, nowMs),
       };
     },
-    getBusyIds: (nowMs) =>
-      new Set([...own.keys(), ...peers.online.getIds(nowMs), ...peers.batch.getIds(nowMs)]),
   };
 };
--- a/packages/decisions/scheduling/teamSlots.ts
+++ b/packages/decisions/scheduling/teamSlots.ts
@@ -1,6 +1,5 @@
 /** Slots that the online requests of each team hold, over all gateways. */
-import { SERVICE_CLASS } from '@anvilpaddle/common';
-import { newLoadTracker } from '../placement/loadTracker';
+import { PEER_LOAD_TIMEOUT_MS } from '../placement/loadTracker';
 
 /** Requests of one team for one service with one priority, which share one count. */
 export interface SlotHolder {
@@ -43,28 +42,77 @@
 /** Bound of one sample, so that a peer that was away has little effect; idle peers report each 250 ms. */
 const MAX_INTERVAL_SAMPLE_MS = 250;
 
-const KEY_SEPARATOR = '\n';
+/** Requests of one holder. */
+interface Count extends SlotHolder {
+  own: number;
+  peers: number;
+}
+
+/** Slots that a peer reported. */
+interface Report {
+  readonly held: readonly { readonly count: Count; readonly slots: number }[];
+  readonly receivedMs: number;
+}
 
 const getKey = ({ service, team, priority }: SlotHolder): string =>
-  `${service}${KEY_SEPARATOR}${priority}${KEY_SEPARATOR}${team}`;
+  `${service}\n${priority}\n${team}`;
 
-const parseKey = (key: string): SlotHolder => {
-  const [service = '', priority = '', ...team] = key.split(KEY_SEPARATOR);
-  return { service, priority: Number(priority), team: team.join(KEY_SEPARATOR) };
-};
+const getHeldSlots = (count: Count, slots: number): HeldSlots => ({
+  service: count.service,
+  team: count.team,
+  priority: count.priority,
+  slots,
+});
 
-/** Creates counts of no requests. */
+/** Creates counts of no requests; sums are kept up to date, as reports are far more frequent than lookups. */
 export const newTeamSlots = (): TeamSlots => {
-  const tracker = newLoadTracker();
-  /** Peers with slots in the tracker, so that datagrams without any cost little. */
-  const holding = new Set<string>();
+  const counts = new Map<string, Count>();
+  /** Counts with requests of this gateway. */
+  const ownCounts = new Set<Count>();
+  /** Reports by peer, in the order in which they arrived; none for a peer without slots. */
+  const reports = new Map<string, Report>();
   /** Time of each peer's last report. */
   const reportedMs = new Map<string, number>();
   let lastReportMs = -Infinity;
   let reportIntervalMs: number | undefined;
 
-  const clearPeer = (peer: string): void => {
-    if (holding.delete(peer)) tracker.removePeer(peer);
+  const getCount = ({ service, team, priority }: SlotHolder): Count => {
+    const key = getKey({ service, team, priority });
+    const known = counts.get(key);
+    if (known !== undefined) return known;
+    const count = { service, team, priority, own: 0, peers: 0 };
+    counts.set(key, count);
+    return count;
+  };
+
+  const removeIfUnused = (count: Count): void => {
+    if (count.own === 0 && count.peers === 0) counts.delete(getKey(count));
+  };
+
+  const changeOwn = (holder: SlotHolder, delta: 1 | -1): void => {
+    const count = getCount(holder);
+    count.own += delta;
+    if (count.own === 0) ownCounts.delete(count);
+    else ownCounts.add(count);
+    removeIfUnused(count);
+  };
+
+  const removeReport = (peer: string): Report | undefined => {
+    const report = reports.get(peer);
+    if (report === undefined) return undefined;
+    reports.delete(peer);
+    for (const { count, slots } of report.held) count.peers -= slots;
+    return report;
+  };
+
+  const clearPeer = (peer: string): void =>
+    removeReport(peer)?.held.forEach(({ count }) => removeIfUnused(count));
+
+  const removeTimedOut = (nowMs: number): void => {
+    for (const [peer, { receivedMs }] of reports) {
+      if (nowMs - receivedMs <= PEER_LOAD_TIMEOUT_MS.online) return;
+      clearPeer(peer);
+    }
   };
 
   const learnInterval = (peer: string, nowMs: number): void => {
@@ -77,31 +125,33 @@
   };
 
   return {
-    begin: (holder) => tracker.begin(getKey(holder), SERVICE_CLASS.online),
-    end: (holder) => tracker.end(getKey(holder), SERVICE_CLASS.online),
-    getOwn: () =>
-      [...tracker.getOwn()].map(([key, { online }]) => ({ ...parseKey(key), slots: online })),
+    begin: (holder) => changeOwn(holder, 1),
+    end: (holder) => changeOwn(holder, -1),
+    getOwn: () => [...ownCounts].map((count) => getHeldSlots(count, count.own)),
     updatePeer: (peer, held, nowMs) => {
       lastReportMs = nowMs;
       learnInterval(peer, nowMs);
-      if (held.length === 0) {
-        clearPeer(peer);
-        return;
+      const previous = removeReport(peer);
+      if (held.length > 0) {
+        const reported = held.map((entry) => {
+          const count = getCount(entry);
+          count.peers += entry.slots;
+          return { count, slots: entry.slots };
+        });
+        reports.set(peer, { held: reported, receivedMs: nowMs });
       }
-      holding.add(peer);
-      const loads = new Map(
-        held.map((entry) => [getKey(entry), { online: entry.slots, batch: 0 }] as const),
-      );
-      tracker.updatePeer(peer, loads, nowMs);
+      previous?.held.forEach(({ count }) => removeIfUnused(count));
     },
     removePeer: (peer) => {
       clearPeer(peer);
       reportedMs.delete(peer);
     },
-    getHeld: (service, nowMs) =>
-      [...tracker.getBusyIds(nowMs)]
-        .filter((key) => key.startsWith(service + KEY_SEPARATOR))
-        .map((key) => ({ ...parseKey(key), slots: tracker.getLoad(key, nowMs).online })),
+    getHeld: (service, nowMs) => {
+      removeTimedOut(nowMs);
+      return [...counts.values()]
+        .filter((count) => count.service === service)
+        .map((count) => getHeldSlots(count, count.own + count.peers));
+    },
     getSilenceMs: (nowMs) => nowMs - lastReportMs,
     getReportIntervalMs: () => reportIntervalMs ?? 0,
   };
--- a/packages/decisions/scheduling/tests/teamShares.test.ts
+++ b/packages/decisions/scheduling/tests/teamShares.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { newSeededRandom } from '@anvilpaddle/common';
 import { getPlacement, type Candidate, type Placement } from '../../placement/placement';
 import { newTeamSlots, type HeldSlots, type TeamSlots } from '../teamSlots';
 import {
@@ -350,3 +351,53 @@
     expect(getRetryAfterMs(40, 0)).toBeLessThanOrEqual(1500);
   });
 });
+
+// Guards against sums, kept up to date report by report, that drift from what the peers reported.
+describe('slots of teams', () => {
+  it('are the sums of the own requests and of the latest reports of all peers', () => {
+    const random = newSeededRandom(4);
+    const getInt = (limit: number): number => Math.floor(random() * limit);
+    const teamSlots = newTeamSlots();
+    const reports = new Map<string, { held: readonly HeldSlots[]; receivedMs: number }>();
+    const own = new Map<string, number>();
+    let nowMs = 0;
+    const isCounted = ({ receivedMs }: { readonly receivedMs: number }): boolean =>
+      nowMs - receivedMs <= 1500;
+    for (let step = 0; step < 2000; step += 1) {
+      nowMs += getInt(400);
+      const peer = `p${getInt(6)}`;
+      const team = `t${getInt(4)}`;
+      const running = own.get(team) ?? 0;
+      if (random() < 0.2) {
+        teamSlots.removePeer(peer);
+        reports.delete(peer);
+      } else {
+        const held = [0, 1, 2]
+          .filter(() => random() < 0.5)
+          .map((t) => newHeld(`t${t}`, 1 + getInt(3)));
+        teamSlots.updatePeer(peer, held, nowMs);
+        reports.set(peer, { held, receivedMs: nowMs });
+      }
+      if (running > 0 && random() < 0.5) {
+        teamSlots.end(newHeld(team, 1));
+        own.set(team, running - 1);
+      } else {
+        teamSlots.begin(newHeld(team, 1));
+        own.set(team, running + 1);
+      }
+      const expected = new Map(own);
+      [...reports.values()]
+        .filter(isCounted)
+        .flatMap(({ held }) => held)
+        .forEach((held) => expected.set(held.team, (expected.get(held.team) ?? 0) + held.slots));
+      const actual = teamSlots
+        .getHeld(SERVICE, nowMs)
+        .map((held) => [held.team, held.slots] as const);
+
+      expect(new Map([...actual].sort())).toEqual(
+        new Map([...expected].filter(([, slots]) => slots > 0).sort()),
+      );
+    }
+    expect(teamSlots.getHeld('another', nowMs)).toEqual([]);
+  });
+});
