--- a/anvilpaddle-app/gateway/datagram.ts
+++ b/anvilpaddle-app/gateway/datagram.ts
@@ -9,6 +9,7 @@
   type PartReport,
 } from '@anvilpaddle/decisions';
 import type { EncodedLimitReport } from './limitReport';
+import type { EncodedHeldSlots } from './teamReport';
 
 /**
  * Batch item: its due time on the store's clock and its remaining run time, in milliseconds, and 1 if
@@ -62,6 +63,8 @@
   readonly requests?: readonly PartReport[] | undefined;
   /** Limits that upstreams named; missing if there are none. */
   readonly limits?: readonly EncodedLimitReport[] | undefined;
+  /** Slots of teams; missing where they share no scarce capacity. */
+  readonly teams?: readonly EncodedHeldSlots[] | undefined;
 }
 
 /** A datagram that is being checked. */
@@ -184,7 +187,8 @@
     }),
   ]);
 
-const decodeItems = (encoded: EncodedItems): ItemGroups =>
+/** Decodes the items of a datagram. */
+export const decodeItems = (encoded: EncodedItems): ItemGroups =>
   new Map(
     encoded.map(([name, items]) => [
       name,
--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -10,7 +10,14 @@
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
-import { newHedging, newItemTracker, newRetryAfterSchedule } from '@anvilpaddle/decisions';
+import {
+  newHedging,
+  newItemTracker,
+  newRetryAfterSchedule,
+  newTeamShares,
+  newTeamSlots,
+  URGENCY,
+} from '@anvilpaddle/decisions';
 import type { HttpClient, ObjectStore, RecordStore } from '@anvilpaddle/platform';
 import type { Program } from '../process/program';
 import { newCallerConnections } from './callerConnections';
@@ -28,7 +35,7 @@
 import { newJobService } from './jobs/jobService';
 import { newJobStore } from './jobs/jobStore';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
-import type { GatewaySettings } from './types';
+import type { GatewaySettings, Team } from './types';
 import { newTeamAdmissions } from './teamAdmissions';
 import { newUpstreamClient } from './upstreamClient';
 import { newUpstreamFleet, type UpstreamFleet } from './upstreamFleet';
@@ -40,6 +47,9 @@
  */
 const CONFIG_READ_INTERVAL_MS = 1000;
 
+/** Teams of a configuration without any. */
+const NO_TEAMS: readonly Team[] = [];
+
 /** Services and formats of the platform on which a gateway runs. */
 export interface GatewayPlatform {
   /** Store client over this VM's direct path. */
@@ -151,6 +161,15 @@
     clock,
     log,
   );
+  const teamSlots = newTeamSlots();
+  const teamShares = newTeamShares(
+    {
+      teamSlots,
+      getTeams: () => configWatch.current()?.teams ?? NO_TEAMS,
+      getCandidates: (service) => fleetView.getCandidates(service, () => true, URGENCY.online),
+    },
+    clock.monotonic(),
+  );
   const self = {
     vm: settings.vm,
     incarnation,
@@ -190,6 +209,7 @@
       return taken === 0 ? 0 : sent / taken;
     },
     getEvacuatedFailureDomains: () => evacuations.getCount(),
+    getTeamsOverShare: () => teamShares.countOver(clock.monotonic()),
     getHeldBytes: byteBudget.getHeldBytes,
   });
   metricsRef.metrics = metrics;
@@ -207,7 +227,15 @@
   const gossip = newGossip(
     self,
     gatewayList,
-    { upstreamLoads, items: itemTracker, limit: limiter, quarantine, upstreamLimits },
+    {
+      upstreamLoads,
+      items: itemTracker,
+      limit: limiter,
+      quarantine,
+      upstreamLimits,
+      teamSlots,
+      teamShares,
+    },
     { getState, onPeerUpdate, metrics },
     clock,
     log,
@@ -288,6 +316,8 @@
       view: fleetView,
       upstreamClient,
       upstreamLoads,
+      teamSlots,
+      teamShares,
       health,
       crashDetector,
       quarantine,
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -14,6 +14,11 @@
 import type { Route } from './types';
 import type { UpstreamMetrics } from './upstreamClient';
 
+/** Largest number of teams with a label value of their own, in the order in which they come. */
+const MAX_TEAM_LABELS = 20;
+/** Label value of the other teams. */
+const OTHER_TEAMS = 'other';
+
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
 /** Metrics of one gateway. */
@@ -41,6 +46,7 @@
   readonly getColdUpstreams: () => number;
   readonly getColdRateUsed: () => number;
   readonly getEvacuatedFailureDomains: () => number;
+  readonly getTeamsOverShare: () => number;
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
 }
@@ -61,6 +67,17 @@
     labelNames: ['status'],
     registers,
   });
+  const shareRefusals = new Counter({
+    name: 'anvilpaddle_share_refusals_total',
+    help: 'Requests refused because their team was over its share of scarce capacity, by team',
+    labelNames: ['team'],
+    registers,
+  });
+  const labelledTeams = new Set<string>();
+  const getTeamLabel = (team: string): string => {
+    if (labelledTeams.size < MAX_TEAM_LABELS) labelledTeams.add(team);
+    return labelledTeams.has(team) ? team : OTHER_TEAMS;
+  };
   const responseEnds = new Counter({
     name: 'anvilpaddle_response_ends_total',
     help: 'Bodies of upstreams’ responses by delimiter, end and whether a stream stopped inside an event',
@@ -167,6 +184,11 @@
     'Failure domains whose upstreams the operators want to get nothing more',
     gauges.getEvacuatedFailureDomains,
   );
+  addGauge(
+    'anvilpaddle_teams_over_share',
+    'Teams that hold more slots than their share of scarce capacity',
+    gauges.getTeamsOverShare,
+  );
   addGauge(
     'anvilpaddle_view_age_ms',
     'Mean time since the last datagrams of the gateways that were seen recently',
@@ -183,6 +205,7 @@
       responseEnds.inc({ delimiter, end: bodyEnd, inside_event: String(unfinishedBytes > 0) }),
     countSilence: () => silences.inc(),
     countHedge: (end) => hedges.inc({ end }),
+    countShareRefusal: (team) => shareRefusals.inc({ team: getTeamLabel(team) }),
     countUpstreamCrash: () => upstreamCrashes.inc(),
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
     countLeaving: () => leavingResponses.inc(),
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -6,7 +6,7 @@
   PART_STATE,
   type AttemptOutcome,
   type InputAssessment,
-  type Shortage,
+  type TeamShare,
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
 import { CLOSURE, type Closure } from '../fleetView';
@@ -16,7 +16,7 @@
 import { ROUTE_KIND, type Upstream } from '../types';
 import { SEND_REASON, type SendReason } from '../upstreamClient';
 import { getHedgingKind, openAttempt, type OnlineAttempt } from './onlineAttempt';
-import { newRequestPlacement, REJECTED, type SendStep } from './requestPlacement';
+import { newRequestPlacement, REJECTED, type RefuseStep, type SendStep } from './requestPlacement';
 import { runWithSuccessor, type SuccessorSource } from './successorSearch';
 import { HEDGE_END } from './types';
 import type { OnlineDependencies, OnlineOutcome, OnlineRequest, PlacementChoice } from './types';
@@ -25,6 +25,8 @@
 const MAX_REJECTIONS = 3;
 /** Reason of a refusal where each upstream has a limit that allows no request now. */
 const LIMITS_REACHED = 'the upstreams have reached their limits';
+/** Reason of a refusal where the team of the request holds more slots than its share. */
+const OVER_SHARE = 'the team is over its share';
 /** Retry delay for a caller whose route has no service. */
 const NO_SERVICE_RETRY_MS = 1000;
 
@@ -48,6 +50,12 @@
   }
 };
 
+/** Why no upstream gets a request. */
+const getShortageReason = ({ limitWaitMs, isOverShare }: RefuseStep): string => {
+  if (isOverShare === true) return OVER_SHARE;
+  return limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
+};
+
 /** Attempt under way, with the knowledge on which its upstream was chosen. */
 interface OpenRequest {
   readonly attempt: OnlineAttempt;
@@ -60,7 +68,7 @@
   request: OnlineRequest,
   dependencies: OnlineDependencies,
 ): Promise<OnlineOutcome> => {
-  const { head, digest, route, response, startedMs, signal } = request;
+  const { head, digest, route, team, priority, response, startedMs, signal } = request;
   const { protocol, view, quarantine, byteBudget, hedging, metrics, clock, random, log } =
     dependencies;
   const timeoutMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
@@ -74,6 +82,7 @@
   let rejectionCount = 0;
   let firstByteMs: number | undefined;
   let lastChoice: PlacementChoice | undefined;
+  let lastShare: TeamShare | undefined;
   let lastResponseEnd: ResponseEnd | undefined;
   /** Attempt that has the request. */
   let current: OpenRequest | undefined;
@@ -81,7 +90,7 @@
   let hedge: OpenRequest | undefined;
 
   const { getNextStep, getHedgeStep, getRetryAfterMs } = newRequestPlacement(
-    { route, getElapsedMs, getTimeLeftMs, budget },
+    { route, team, priority, getElapsedMs, getTimeLeftMs, budget },
     dependencies,
   );
   const callerResponse = newCallerResponse(head, route, response, protocol, byteBudget, () => {
@@ -99,6 +108,7 @@
       durationMs,
       ...lastChoice,
       ...lastResponseEnd,
+      ...lastShare,
     };
   };
 
@@ -141,14 +151,14 @@
   const assess = (): InputAssessment =>
     quarantine.assess({ promptParts: head.promptParts, digest }, clock.monotonic());
 
-  const refuseFor = (service: string, shortage: Shortage): OnlineOutcome => {
+  const refuseFor = (service: string, step: RefuseStep): OnlineOutcome => {
     const closure = view.getClosure(service);
     if (closure !== undefined) {
       const { reason, retryAfterMs } = CLOSURE_REFUSALS[closure];
       return refuse(reason, retryAfterMs);
     }
-    const reason = shortage.limitWaitMs === undefined ? 'no upstream has room' : LIMITS_REACHED;
-    return refuse(reason, getRetryAfterMs(service, shortage));
+    if (step.isOverShare === true && team !== undefined) metrics.countShareRefusal(team);
+    return refuse(getShortageReason(step), getRetryAfterMs(service, step));
   };
 
   /** Takes a trial of a quarantined request, if an upstream has a free slot for it. */
@@ -269,6 +279,7 @@
     if (current === undefined) {
       const assessment = assess();
       let step = getNextStep(service, assessment);
+      lastShare = step.share;
       if (step.kind === 'refuse') return refuseFor(service, step);
       if (assessment.state === PART_STATE.quarantined) {
         if (!(await takeTrial(assessment, step))) {
--- a/anvilpaddle-app/gateway/upstreamWatch.ts
+++ b/anvilpaddle-app/gateway/upstreamWatch.ts
@@ -67,6 +67,8 @@
 ): UpstreamWatch => {
   const upstreams = new Map<string, Upstream>();
   let byService = new Map<string, Upstream[]>();
+  /** Failure domains of the upstreams in `byService`. */
+  let failureDomains: ReadonlySet<string> = new Set();
   /** Monotonic time until which an incarnation that was reported as replaced gets no work. */
   const excludedUntilMs = new Map<string, number>();
   /** Monotonic time at which each incarnation last said that it leaves. */
@@ -80,6 +82,7 @@
       serviceUpstreams.push(upstream);
       byService.set(upstream.service, serviceUpstreams);
     });
+    failureDomains = new Set([...upstreams.values()].map(({ failureDomain }) => failureDomain));
   };
 
   const applyRecord = ({ key, value, revision }: StoredRecord): void => {
@@ -155,9 +158,13 @@
 
   return {
     getUsable: (service) => {
-      const usable = (byService.get(service) ?? []).filter(
-        ({ failureDomain }) => !isClosed(failureDomain),
-      );
+      const listed = byService.get(service) ?? [];
+      // Asked once for each domain: the upstreams are looked up far more often than domains close.
+      const closed = new Set([...failureDomains].filter(isClosed));
+      const usable =
+        closed.size === 0
+          ? listed
+          : listed.filter(({ failureDomain }) => !closed.has(failureDomain));
       return excludedUntilMs.size === 0 && leavingMs.size === 0
         ? usable
         : usable.filter((item) => !isExcluded(item));
--- a/measurements/kit/gossipFleet.ts
+++ b/measurements/kit/gossipFleet.ts
@@ -5,6 +5,7 @@
   newItemTracker,
   newLoadTracker,
   newSlidingWindowLimiter,
+  newTeamSlots,
   newUpstreamLimits,
 } from '@anvilpaddle/decisions';
 import type { Gateway, GatewayList } from 'anvilpaddle-app/gateway/gatewayList';
@@ -83,6 +84,8 @@
     getVisibility: () => ({ members: 1, recentlySeen: 1 }),
     random,
   }),
+  teamSlots: newTeamSlots(),
+  teamShares: { getReport: () => [] },
 });
 
 /** Starts a fleet; `extra` are gateways outside of it that get its datagrams too. */
--- a/packages/decisions/placement/hedgePlacement.ts
+++ b/packages/decisions/placement/hedgePlacement.ts
@@ -7,8 +7,8 @@
 const MIN_SPARE_FRACTION = 0.2;
 
 /** Whether an upstream starts a hedge at once, without a preemption and at no cost to a limit. */
-const isIdle = ({ load, slots, weight, limitWaitMs }: Candidate): boolean =>
-  weight === 1 && limitWaitMs === undefined && getTotalLoad(load) < slots;
+const isIdle = ({ load, slots, weight, limitWaitMs, isCold }: Candidate): boolean =>
+  weight === 1 && limitWaitMs === undefined && !isCold && getTotalLoad(load) < slots;
 
 const getSum = (candidates: readonly Candidate[], getValue: (item: Candidate) => number): number =>
   candidates.reduce((sum, candidate) => sum + getValue(candidate), 0);
--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -40,7 +40,7 @@
  * then. Until then they keep running: if a peer's VM lost power or its network, nothing closes the
  * peer's connections to the upstreams.
  */
-const PEER_TIMEOUT_MS = { online: 1500, batch: 5000 } as const;
+export const PEER_LOAD_TIMEOUT_MS = { online: 1500, batch: 5000 } as const;
 
 const NO_LOAD: UpstreamLoad = { online: 0, batch: 0 };
 
@@ -64,7 +64,7 @@
  * peer: there are far more lookups than reports, one for each upstream and placement.
  */
 const newPeerTotals = (serviceClass: ServiceClass): PeerTotals => {
-  const timeoutMs = PEER_TIMEOUT_MS[serviceClass];
+  const timeoutMs = PEER_LOAD_TIMEOUT_MS[serviceClass];
   /** Reports by peer, in the order in which they arrived. */
   const reports = new Map<string, PeerLoads>();
   const totals = new Map<string, number>();
--- a/packages/decisions/placement/tests/batchReplay.ts
+++ b/packages/decisions/placement/tests/batchReplay.ts
@@ -195,6 +195,7 @@
         upstreamMeanMs: ONLINE_MS * MEAN_SLOWNESS,
         serviceMeanMs: ONLINE_MS * MEAN_SLOWNESS,
         limitWaitMs: undefined,
+        isCold: false,
       }));
 
   const getSlowness = (upstream: number): number =>
@@ -342,7 +343,14 @@
     groupByUpstream(getRunning(gateway)).forEach((own, id) => {
       const known = gateway.loads.getLoad(id, nowMs);
       if (getTotalLoad(known) <= SLOTS) return;
-      const candidate = { id, slots: SLOTS, load: known, weight: 1, spareTokens: Infinity };
+      const candidate = {
+        id,
+        slots: SLOTS,
+        load: known,
+        weight: 1,
+        spareTokens: Infinity,
+        isCold: false,
+      };
       const peers = gateway.tracker.getRunning(id, nowMs);
       getItemsToPreempt({ own, peers }, candidate, nowMs).forEach(({ item }) => {
         cutRuns += 1;
--- a/packages/decisions/placement/tests/hedgePlacement.test.ts
+++ b/packages/decisions/placement/tests/hedgePlacement.test.ts
@@ -10,6 +10,7 @@
   upstreamMeanMs: 100,
   serviceMeanMs: 100,
   limitWaitMs: undefined,
+  isCold: false,
   ...fields,
 });
 
@@ -27,6 +28,7 @@
   it('preempts no item, and uses up no limit, of an upstream that recovers or has one', () => {
     expect(choose(newCandidate('batch', { load: { online: 2, batch: 6 } }))).toBeUndefined();
     expect(choose(newCandidate('limited', { limitWaitMs: 0 }))).toBeUndefined();
+    expect(choose(newCandidate('cold', { isCold: true }))).toBeUndefined();
     expect(choose(newCandidate('recovering', { weight: 0.5 }))).toBeUndefined();
   });
 
