Cold upstreams get nothing before the list of gateways is read

Cause: a gateway that has not read the list takes itself for the only one, and its part of a cold upstream's window for the whole. Several that start together would each send as much as all may.

Change: until the first read of the list, the visibility says that it is incomplete, and the bucket of a cold upstream allows nothing. Limits go by the same numbers as before.

Tested: coldUpstreams of the decisions and with processes pass (16 tests; one new); types and lint pass.

--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -115,7 +115,8 @@
         runnerRef.runner?.onLoadChange();
       },
       onLimitChange: () => peersRef.gossip?.scheduleSend(),
-      getVisibility: () => peersRef.gossip?.getVisibility(),
+      getVisibility: () =>
+        (peersRef.list?.getReadRevision() ?? 0) > 0 ? peersRef.gossip?.getVisibility() : undefined,
     },
     clock,
     random,
--- a/anvilpaddle-app/gateway/upstreamFleet.ts
+++ b/anvilpaddle-app/gateway/upstreamFleet.ts
@@ -42,7 +42,7 @@
   onLoadChange(): void;
   /** Called when the limit of an upstream has begun, changed or ended. */
   onLimitChange(): void;
-  /** Undefined until the gossip has started. */
+  /** Undefined until the gossip has started and the list of gateways has been read. */
   getVisibility(): BucketVisibility | undefined;
 }
 
--- a/packages/decisions/limits/coldBucket.ts
+++ b/packages/decisions/limits/coldBucket.ts
@@ -14,6 +14,9 @@
  */
 const MAX_ARRIVAL_SPREAD_MS = 250;
 
+/** Time after which a gateway that doesn't know the others yet asks again; it reads them at its start. */
+const UNKNOWN_MEMBERS_WAIT_MS = 100;
+
 /** Bucket of a cold upstream. */
 export interface ColdBucket extends SharedBucket {
   /** Requests of all gateways in the last window, as far as this one knows. */
@@ -68,6 +71,7 @@
 
   /** Time until this gateway's part allows a request. */
   const getOwnWaitMs = (nowMs: number): number => {
+    if (getVisibility().isIncomplete === true) return UNKNOWN_MEMBERS_WAIT_MS;
     const { count, spanMs } = getOwnPart();
     ownMs = ownMs.slice(-Math.max(count, startPart.count));
     const oldestMs = ownMs.at(-count);
--- a/packages/decisions/limits/sharedBucket.ts
+++ b/packages/decisions/limits/sharedBucket.ts
@@ -14,7 +14,10 @@
 export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
 
 /** Which gateways share a bucket, and how many of them this gateway sees. */
-export type BucketVisibility = Pick<GatewayVisibility, 'members' | 'recentlySeen'>;
+export type BucketVisibility = Pick<GatewayVisibility, 'members' | 'recentlySeen'> & {
+  /** Whether the list of gateways has not been read yet, so that others may be at work. */
+  readonly isIncomplete?: boolean;
+};
 
 /** Rule by which the requests to an upstream are judged: how far they may exceed the rate in any window. */
 export interface RateBound {
--- a/packages/decisions/limits/tests/coldUpstreams.test.ts
+++ b/packages/decisions/limits/tests/coldUpstreams.test.ts
@@ -347,6 +347,23 @@
     expect(limits.getRequestsPerSecond('u0/1', 5000)).toBe(2);
   });
 
+  // Guards against gateways that start together, each of which takes itself for the only one.
+  it('that is cold gets nothing from a gateway that has not read the list of gateways', () => {
+    let isIncomplete = true;
+    const limits = newUpstreamLimits({
+      getVisibility: () => ({ members: 1, recentlySeen: 1, isIncomplete }),
+      random: () => 0,
+    });
+    limits.setColdRate('u0/1', { requestsPerSecond: RATE, untilMs: 9000 }, 0);
+    const isAllowed = (nowMs: number): boolean =>
+      limits.getWaitMs('u0/1', URGENCY.underWay, nowMs) === 0;
+    const before = [isAllowed(5000), limits.getSpareTokens('u0/1', 5000) > 0];
+    isIncomplete = false;
+
+    expect(before).toEqual([false, false]);
+    expect([isAllowed(5000), limits.getSpareTokens('u0/1', 5000) > 0]).toEqual([true, true]);
+  });
+
   // A report of what was sent to a cold upstream names no limit, which must not end one.
   it('that is cold loses no limit by the reports of what it gets', () => {
     const limits = newUpstreamLimits({
