Slow runs of batch items move, and time left follows a run's own pace

Cause: 15% of responses take 2.5 times as long, so that a seventh of the runs hold a third of the slot time that items get, and the time left of such an item was estimated at the mean of its route. A resumed run costs some 50 ms.

Change: the remaining run time of a running item follows the run's own pace once it has given ten events after its first, so that at a load rise slow runs yield first. A run with more than 1.6 times the mean time per event of its route is ended once per item, and the item goes on with a new run, if that is expected to save 500 ms, unless the upstream names a limit. Gateways learn by route whether runs after slow ones are faster, and move none where fewer than half are (slowness that belongs to the item). Log line `item moves`, counter anvilpaddle_item_yields_total by reason (online, slow).

Passed: batch, batchPlan, batchReplay, datagram, gossip, ownedJob and job* tests (72), types, lint. No test starts a gateway that moves a run.

--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -16,6 +16,16 @@
 
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
+/** Why a run of a batch item was ended so that another one goes on with the item. */
+export const YIELD_REASON = {
+  /** An online request needed the slot. */
+  online: 'online',
+  /** The run was slow. */
+  slow: 'slow',
+} as const;
+/** One of the reasons. */
+export type YieldReason = (typeof YIELD_REASON)[keyof typeof YIELD_REASON];
+
 /** Metrics of one gateway. */
 export interface GatewayMetrics extends AttemptMetrics, UpstreamMetrics, GossipMetrics {
   /** Counts an online request that has ended. */
@@ -26,6 +36,8 @@
   countUpstreamCrash(): void;
   /** Counts a response by which its upstream says that it leaves. */
   countLeaving(): void;
+  /** Counts a run of a batch item that was ended so that another one goes on with the item. */
+  countItemYield(reason: YieldReason): void;
   /** All metrics in Prometheus's text format. */
   text(): Promise<string>;
 }
@@ -90,6 +102,12 @@
     help: 'Responses whose statement about their upstream makes no sense or is of another process',
     registers,
   });
+  const itemYields = new Counter({
+    name: 'anvilpaddle_item_yields_total',
+    help: 'Runs of batch items that were ended for another run of the item, by reason',
+    labelNames: ['reason'],
+    registers,
+  });
   const datagrams = new Counter({
     name: 'anvilpaddle_gossip_datagrams_total',
     help: 'Datagrams sent to gateways, by purpose and whether they leave the failure domain',
@@ -160,6 +178,7 @@
     countSilence: () => silences.inc(),
     countUpstreamCrash: () => upstreamCrashes.inc(),
     countSend: (reason, isLimited) => sends.inc({ reason, limited: String(isLimited) }),
+    countItemYield: (reason) => itemYields.inc({ reason }),
     countLeaving: () => leavingResponses.inc(),
     countUnusableStatus: () => unusableStatuses.inc(),
     countDatagram: (purpose, leavesFailureDomain, bytes) => {
--- a/anvilpaddle-app/gateway/jobs/itemExecution.ts
+++ b/anvilpaddle-app/gateway/jobs/itemExecution.ts
@@ -1,6 +1,6 @@
 /** Runs batch items at upstreams, and adds their results to their jobs. */
 import type { Logger, Random } from '@anvilpaddle/common';
-import type { RunTimeEstimator } from '@anvilpaddle/decisions';
+import { newRunPace, type RunTimeEstimator } from '@anvilpaddle/decisions';
 import type { Route, Upstream } from '../types';
 import type { ItemRuns, Run } from './itemRuns';
 import type { ReadyItem } from './itemSelection';
@@ -66,7 +66,7 @@
 
   return async ({ job, pending, dueMs }: ReadyItem, upstream: Upstream): Promise<void> => {
     const abort = new AbortController();
-    const run: Run = { job, pending, upstream, dueMs, abort };
+    const run: Run = { job, pending, upstream, dueMs, abort, pace: newRunPace(pending.events) };
     const observer = runs.add(run);
     const target = { upstream, host: job.getRecord().host, team: job.team };
     const before = { events: pending.events, startedMs: clock.monotonic() };
--- a/anvilpaddle-app/gateway/jobs/itemRuns.ts
+++ b/anvilpaddle-app/gateway/jobs/itemRuns.ts
@@ -1,5 +1,5 @@
 /** Runs of items at upstreams; an item whose upstream falls silent may run at another one as well. */
-import { ATTEMPT_RESULT, type Health } from '@anvilpaddle/decisions';
+import { ATTEMPT_RESULT, type Health, type RunPace } from '@anvilpaddle/decisions';
 import type { Clock } from '@anvilpaddle/common';
 import type { Upstream } from '../types';
 import type { OwnedJob, PendingItem } from './ownedJob';
@@ -15,6 +15,7 @@
   readonly upstream: Upstream;
   readonly dueMs: number;
   readonly abort: AbortController;
+  readonly pace: RunPace;
 }
 
 /** The runs of a gateway; each item has at most one run whose upstream is not silent. */
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -8,12 +8,15 @@
   isLimited,
   isOverloaded,
   newRunTimeEstimator,
+  newSlowRunMoves,
   type BatchCandidate,
   type Health,
   type ItemTracker,
   type ItemTiming,
+  type PacedRun,
 } from '@anvilpaddle/decisions';
 import { sleep } from '../../process/program';
+import { YIELD_REASON, type GatewayMetrics } from '../gatewayMetrics';
 import { newItemExecution, type ItemExecutionDependencies } from './itemExecution';
 import { newItemRuns, type Run } from './itemRuns';
 import { newItemSelection, type ItemSelectionDependencies, type ReadyItem } from './itemSelection';
@@ -38,6 +41,7 @@
   extends JobClaimerDependencies, ItemSelectionDependencies, ItemExecutionDependencies {
   readonly items: ItemTracker;
   readonly health: Health;
+  readonly metrics: Pick<GatewayMetrics, 'countResponseEnd' | 'countItemYield'>;
 }
 
 /** An item that is running, with the time that it still needs. */
@@ -69,7 +73,7 @@
 
 /** Starts claiming jobs and running their items. */
 export const newJobRunner = (dependencies: JobRunnerDependencies): JobRunner => {
-  const { jobs: jobCache, view, health, items: itemTracker, clock, log } = dependencies;
+  const { jobs: jobCache, view, health, items: itemTracker, clock, log, metrics } = dependencies;
   const runs = newItemRuns(health, clock);
   let isStopped = false;
   let timer: Timer | undefined;
@@ -83,10 +87,11 @@
       }),
   });
   const runTimeEstimator = newRunTimeEstimator();
+  const slowRunMoves = newSlowRunMoves();
 
   /** Estimated time that an item still needs at an upstream. */
-  const getRemainingMs = (job: OwnedJob, { events }: PendingItem): number =>
-    runTimeEstimator.getRemainingMs(job.getRecord().route, events);
+  const getRemainingMs = (job: OwnedJob, { events }: PendingItem, runMsPerEvent?: number): number =>
+    runTimeEstimator.getRemainingMs(job.getRecord().route, events, runMsPerEvent);
 
   const { getReadyItems, pickUpstream, getJobRoute } = newItemSelection(
     { getOwnedJobs: () => claimer.getOwnedJobs(), runs, getRemainingMs },
@@ -95,17 +100,26 @@
   const executeItem = newItemExecution({ runs, runTimeEstimator, getJobRoute }, dependencies);
 
   /** Items whose runs have not been aborted. */
-  const getRunningItems = (): RunningItem[] =>
+  const getRunningItems = (nowMs = clock.monotonic()): RunningItem[] =>
     runs
       .getAll()
       .filter(({ abort }) => !abort.signal.aborted)
       .map((run) => ({
         run,
         dueMs: run.dueMs,
-        remainingMs: getRemainingMs(run.job, run.pending),
+        remainingMs: getRemainingMs(run.job, run.pending, run.pace.getMsPerEvent(nowMs)),
         hasBegun: run.pending.events > 0,
       }));
 
+  /** Pace of a run beside the mean of its route; undefined until it is known. */
+  const getPacedRun = ({ job, pace }: Run): PacedRun | undefined => {
+    const msPerEvent = pace.getMsPerEvent(clock.monotonic());
+    const { route } = job.getRecord();
+    return msPerEvent === undefined
+      ? undefined
+      : { route, msPerEvent, meanMsPerEvent: runTimeEstimator.getMsPerEvent(route) };
+  };
+
   /** Aborts this gateway's runs among the least urgent at an upstream with more work than slots. */
   const preemptItems = (candidate: BatchCandidate, own: readonly RunningItem[]): void => {
     const peers = itemTracker.getRunning(candidate.id, clock.monotonic());
@@ -113,13 +127,37 @@
     getItemsToPreempt({ own, peers }, candidate, storeMs).forEach(({ run }) => {
       const { job, pending, upstream } = run;
       const { load, slots } = candidate;
+      const pacedRun = getPacedRun(run);
       const details = { upstream: upstream.id, events: pending.events, ...load, slots };
       log.info({ job: job.id, item: pending.item.id, ...details }, 'item yields');
+      metrics.countItemYield(YIELD_REASON.online);
       pending.yieldedAt = upstream.id;
+      pending.isAfterSlowRun = pacedRun !== undefined && slowRunMoves.isSlow(pacedRun);
       run.abort.abort();
     });
   };
 
+  /** Aborts a slow run whose item is better resumed by a new one, at any upstream. */
+  const moveIfSlow = ({ run, remainingMs }: RunningItem, nowMs: number): void => {
+    const { job, pending, upstream, pace } = run;
+    pace.observe(pending.events, nowMs);
+    const pacedRun = getPacedRun(run);
+    if (pacedRun === undefined) return;
+    if (pending.isAfterSlowRun) slowRunMoves.learnNextRun(pacedRun);
+    pending.isAfterSlowRun = false;
+    // A new run costs an upstream with a limit one more request.
+    const candidate = view.getBatchCandidate(upstream.id);
+    if (pending.hasMoved || candidate === undefined || isLimited(candidate)) return;
+    if (!slowRunMoves.shouldMove(pacedRun, remainingMs)) return;
+    const { msPerEvent, meanMsPerEvent } = pacedRun;
+    const details = { upstream: upstream.id, events: pending.events, msPerEvent, meanMsPerEvent };
+    log.info({ job: job.id, item: pending.item.id, ...details }, 'item moves');
+    metrics.countItemYield(YIELD_REASON.slow);
+    pending.hasMoved = true;
+    pending.isAfterSlowRun = true;
+    run.abort.abort();
+  };
+
   /** Aborts the runs at upstreams that are no longer registered or have restarted. */
   const abortRunsAtRemovedUpstreams = (): void => {
     runs.getAll().forEach(({ upstream, abort }) => {
@@ -194,6 +232,8 @@
 
   const tick = (): void => {
     preemptForOnlineRequests(getRunningItems());
+    const nowMs = clock.monotonic();
+    getRunningItems(nowMs).forEach((running) => moveIfSlow(running, nowMs));
     abortRunsAtRemovedUpstreams();
     const ready = groupBy(getReadyItems(), ({ service }) => service);
     ready.forEach((own, service) => startItems(service, own));
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -26,6 +26,10 @@
   isRunning: boolean;
   /** Upstream at which the item last made way for online requests. */
   yieldedAt: string | undefined;
+  /** Whether a slow run of the item was moved. */
+  hasMoved: boolean;
+  /** Whether the item's previous run was slow, until the pace of this one is known. */
+  isAfterSlowRun: boolean;
   /** Id of the last event in the item's stored checkpoint. */
   lastStoredEventId: string | undefined;
 }
@@ -81,6 +85,8 @@
   notBeforeMs: 0,
   isRunning: false,
   yieldedAt: undefined,
+  hasMoved: false,
+  isAfterSlowRun: false,
 });
 
 /**
--- a/packages/decisions/batch/itemOrder.ts
+++ b/packages/decisions/batch/itemOrder.ts
@@ -12,19 +12,26 @@
 /** Order of items at a time; negative if the first one is more urgent. */
 export type UrgencyOrder = (a: ItemTiming, b: ItemTiming, nowMs: number) => number;
 
-/**
- * Elapsed time that an item takes, interruptions included, as a multiple of its run time. An item
- * that has begun is interrupted less, since it goes before those that have not.
- */
-const INTERRUPTION_FACTOR = { begun: 1.2, fresh: 2, unknown: 1.5 } as const;
+/** Elapsed time that an item takes, interruptions included, as a multiple of its run time. */
+const INTERRUPTION_FACTOR = 1.5;
+/** The same for an item that has begun: it is interrupted less, as it goes before fresh ones. */
+const BEGUN_INTERRUPTION_FACTOR = 1.2;
 
 /** Whether an item that is started now can finish by its due time. */
 const canFinishInTime = (
-  { dueMs, remainingMs, hasBegun }: ItemTiming,
+  { dueMs, remainingMs }: ItemTiming,
   nowMs: number,
-  factor: number = hasBegun === true ? INTERRUPTION_FACTOR.begun : INTERRUPTION_FACTOR.fresh,
+  factor = INTERRUPTION_FACTOR,
 ): boolean => nowMs + remainingMs * factor <= dueMs;
 
+/** The same by whether the item has begun. */
+const canFinishByProgress = (item: ItemTiming, nowMs: number): boolean =>
+  canFinishInTime(
+    item,
+    nowMs,
+    item.hasBegun === true ? BEGUN_INTERRUPTION_FACTOR : INTERRUPTION_FACTOR,
+  );
+
 /**
  * Compares two items by urgency. Items that can still finish in time go before those that can't,
  * then those that are due earlier go first. Of items due at the same time, such as those of one
@@ -32,8 +39,7 @@
  * before others start.
  */
 const compareByDueTime: UrgencyOrder = (a, b, nowMs) =>
-  Number(canFinishInTime(b, nowMs, INTERRUPTION_FACTOR.unknown)) -
-    Number(canFinishInTime(a, nowMs, INTERRUPTION_FACTOR.unknown)) ||
+  Number(canFinishInTime(b, nowMs)) - Number(canFinishInTime(a, nowMs)) ||
   a.dueMs - b.dueMs ||
   a.remainingMs - b.remainingMs;
 
@@ -45,7 +51,7 @@
  * the remaining run times of gateways differ by chance.
  */
 const compareByProgress: UrgencyOrder = (a, b, nowMs) =>
-  Number(canFinishInTime(b, nowMs)) - Number(canFinishInTime(a, nowMs)) ||
+  Number(canFinishByProgress(b, nowMs)) - Number(canFinishByProgress(a, nowMs)) ||
   Number(b.hasBegun) - Number(a.hasBegun) ||
   (a.hasBegun === true ? a.remainingMs - b.remainingMs : 0) ||
   a.dueMs - b.dueMs ||
@@ -68,8 +74,13 @@
   learnRun(route: string, events: number, runMs: number): void;
   /** Records the total number of events of an item that has finished. */
   learnCompletion(route: string, events: number): void;
-  /** Expected remaining run time of an item that has given a number of events, in milliseconds. */
-  getRemainingMs(route: string, events: number): number;
+  /**
+   * Expected remaining run time of an item that has given a number of events, in milliseconds; at the
+   * pace of its run if that is known.
+   */
+  getRemainingMs(route: string, events: number, runMsPerEvent?: number): number;
+  /** Mean time per event of a route, in milliseconds. */
+  getMsPerEvent(route: string): number;
 }
 
 /** Weight of a new sample in the moving averages. */
@@ -93,6 +104,7 @@
 export const newRunTimeEstimator = (): RunTimeEstimator => {
   const eventsPerItem = new Map<string, number>();
   const msPerEvent = new Map<string, number>();
+  const getMsPerEvent = (route: string): number => msPerEvent.get(route) ?? INITIAL_MS_PER_EVENT;
   return {
     learnRun: (route, events, runMs) => {
       if (events < MIN_EVENTS_OF_SAMPLE) return;
@@ -102,10 +114,11 @@
     learnCompletion: (route, events) => {
       eventsPerItem.set(route, getSmoothed(eventsPerItem.get(route) ?? events, events));
     },
-    getRemainingMs: (route, events) => {
+    getMsPerEvent,
+    getRemainingMs: (route, events, runMsPerEvent = getMsPerEvent(route)) => {
       const mean = eventsPerItem.get(route) ?? INITIAL_EVENTS_PER_ITEM;
       const remainingEvents = Math.max(mean * MIN_REMAINING_FRACTION, mean - events);
-      return remainingEvents * (msPerEvent.get(route) ?? INITIAL_MS_PER_EVENT);
+      return remainingEvents * runMsPerEvent;
     },
   };
 };
--- a/packages/decisions/index.ts
+++ b/packages/decisions/index.ts
@@ -8,6 +8,7 @@
 export * from './batch/missingModels';
 export * from './batch/ownership';
 export * from './batch/progress';
+export * from './batch/runPace';
 export * from './batch/takeover';
 export * from './batch/jobOrder';
 export * from './batch/waitingTokens';
