A slow caller's stream is read ahead, and never held against its upstream

Cause: as soon as a caller's buffers were full, the gateway stopped reading from the upstream. An upstream that cuts off a response which stays unread then failed the stream, the failure counted in its health, and a whole response taught the time of the caller as the upstream's speed. What waited for callers after a stream had ended was not counted as held, and had no end.

Change: such a stream is read ahead, within an eighth of the free bytes and, for all of them together, half of the part of the responses; the upstream waits only beyond that. A response that has waited and is cut off counts neither in health nor as a loss of its input, and its time is not learned. If the memory for responses is used up, the slow stream is broken off in place of new requests being refused.

The tests of the gateway, slowCallers, receivedBytes and byteBudget pass: 138 in 23 suites.

--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -7,6 +7,7 @@
 import { sendRefusal, STATUS, type Refusal } from './refusal';
 import { getResponseEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 import { ROUTE_KIND, type Route } from './types';
+import { holdUntilRead } from './unreadResponse';
 import { readResponseBody } from './upstreamCall';
 
 const UNKNOWN: AttemptOutcome = { run: 'unknown', answered: false };
@@ -104,8 +105,6 @@
       return { ...RAN, responseEnd };
     }
     onFirstByte();
-    if (response.closed) holder.release();
-    else response.once('close', holder.release);
     const headers = getCallerHeaders(message);
     const length = hasContentLength(headers)
       ? []
@@ -113,6 +112,7 @@
     response.writeHead(status, [...headers, ...length]);
     blocks.slice(0, -1).forEach((block) => response.write(block));
     response.end(blocks.at(-1));
+    holdUntilRead(response, holder);
     return { ...ANSWERED, responseEnd };
   };
 
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -10,6 +10,7 @@
   type ByteBudget,
 } from '@anvilpaddle/common';
 import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
+import { holdUntilRead } from './unreadResponse';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 import { MAX_EVENT_BYTES } from './upstreamCall';
 
@@ -81,17 +82,29 @@
   ): Promise<ResponseEnd> => {
     const splitter = newEventSplitter();
     const holder = byteBudget.newHolder(HELD_FOR.response);
+    let hasWaited = false;
     message.on('data', (chunk: Buffer) => {
       const events = splitter.feed(chunk);
       if (events.length > 0) hooks.onContent();
       if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
         message.destroy(new ResponseTooLargeError());
-      } else if (!holder.hold(splitter.getCapacity())) {
+      } else if (!holder.canHold(splitter.getCapacity())) {
         message.destroy(new NoMemoryForResponseError());
       }
-      if (relayEvents(message, events)) return;
-      // What waits for a slow caller is no fault of the upstream, and ends with its connection.
-      holder.force(splitter.getCapacity() + response.writableLength);
+      if (relayEvents(message, events)) {
+        holder.force(splitter.getCapacity());
+        return;
+      }
+      // The upstream may cut off a response that stays unread, so that a slow caller's is read ahead.
+      const heldBytes = splitter.getCapacity() + response.writableLength;
+      if (holder.holdWaiting(heldBytes)) return;
+      hasWaited = true;
+      holder.force(heldBytes);
+      if (byteBudget.isUsedUp(HELD_FOR.response)) {
+        // New requests would be refused for the sake of this caller.
+        message.destroy(new NoMemoryForResponseError());
+        return;
+      }
       message.pause();
       hooks.onBlocked();
       once(response, 'drain', { signal }).then(
@@ -108,9 +121,11 @@
     if (isResponseComplete(end)) {
       write(message, splitter.rest());
       response.end();
+      holdUntilRead(response, holder);
+    } else {
+      holder.release();
     }
-    holder.release();
-    return end;
+    return hasWaited ? { ...end, waitedForCaller: true } : end;
   };
 
   return {
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -7,7 +7,7 @@
   type AttemptResult,
 } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
-import { isOutOfMemory, isResponseComplete } from '../responseEnd';
+import { isEndBlameless, isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
 import type { Upstream } from '../types';
 import type { SendReason } from '../upstreamClient';
@@ -62,7 +62,7 @@
 /** Whether the upstream broke the attempt off, before or during its response. */
 const isLost = (callResult: HttpCallResult, { responseEnd }: AttemptReport): boolean => {
   if (callResult.kind !== 'answered') return callResult.kind === 'lost';
-  if (responseEnd === undefined || isOutOfMemory(responseEnd)) return false;
+  if (responseEnd === undefined || isEndBlameless(responseEnd)) return false;
   return !isResponseComplete(responseEnd);
 };
 
@@ -159,12 +159,13 @@
     const result = getHealthResult(callResult, outcome);
     // With a silence, the time would measure that rather than the upstream.
     const usualFirstByteMs = hasBeenSilent ? undefined : firstByteMs;
-    if (!isOutOfMemory(outcome.responseEnd)) {
+    if (!isEndBlameless(outcome.responseEnd)) {
       health.record(upstream.id, result, usualFirstByteMs, clock.monotonic());
     }
     if (result === ATTEMPT_RESULT.ok) {
-      // With a wait or a silence, the time would measure that rather than the upstream.
-      if (expectedWaitMs === 0 && !hasBeenSilent) {
+      // With a wait, a silence or a slow caller, the time would measure that rather than the upstream.
+      const isDelayed = hasBeenSilent || outcome.responseEnd?.waitedForCaller === true;
+      if (expectedWaitMs === 0 && !isDelayed) {
         serviceTimes.learn(upstream.service, upstream.id, clock.monotonic() - sentMs);
       }
       return;
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -27,6 +27,7 @@
 
 /** Why there is no whole response, for the caller and the log. */
 const getLossReason = ({ responseEnd }: AttemptReport): string => {
+  if (responseEnd?.waitedForCaller === true) return 'the caller reads too slowly';
   switch (responseEnd?.bodyEnd) {
     case BODY_END.tooLarge:
       return 'the answer was too large';
--- a/anvilpaddle-app/gateway/responseEnd.ts
+++ b/anvilpaddle-app/gateway/responseEnd.ts
@@ -15,6 +15,8 @@
   readonly bodyEnd: BodyEnd;
   /** Bytes of an event that a stream did not finish; 0 for other responses. */
   readonly unfinishedBytes: number;
+  /** Whether the upstream had to wait for a caller that reads slowly. */
+  readonly waitedForCaller?: true;
 }
 
 /** Whether nothing of the response is missing. */
@@ -25,6 +27,13 @@
 export const isOutOfMemory = (end: ResponseEnd | undefined): boolean =>
   end?.bodyEnd === BODY_END.noMemory;
 
+/**
+ * Whether the response is incomplete for the sake of this gateway or its caller, which says nothing of
+ * the upstream: one cuts off a response that stays unread.
+ */
+export const isEndBlameless = (end: ResponseEnd | undefined): boolean =>
+  isOutOfMemory(end) || (end?.waitedForCaller === true && !isResponseComplete(end));
+
 /** End of a response that is not a stream. */
 export const getResponseEnd = ({ headers }: IncomingMessage, bodyEnd: BodyEnd): ResponseEnd => ({
   delimiter: getBodyDelimiter(headers),
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -8,6 +8,10 @@
 
 /** Bytes that a message may hold for each byte that is left free. */
 const SHARE_OF_FREE_BYTES = 2;
+/** The same for bytes that wait for a slow reader. */
+const WAITING_SHARE_OF_FREE_BYTES = 1 / 8;
+/** Fraction of the bytes of a kind that may wait for slow readers, so that other messages have the rest. */
+const MAX_WAITING_FRACTION = 1 / 2;
 /** Bytes that a message may hold in any case; the number of connections bounds their sum. */
 const MIN_SHARE_BYTES = 8192;
 
@@ -43,6 +47,8 @@
 export interface ByteHolder {
   /** Sets how many bytes are held, if they are within the share; returns whether they are. */
   hold(bytes: number): boolean;
+  /** The same for bytes that wait for a slow reader, whose share is smaller. */
+  holdWaiting(bytes: number): boolean;
   /** Whether that many bytes would be within the share. */
   canHold(bytes: number): boolean;
   /** Sets how many bytes are held although they are not within the share. */
@@ -62,6 +68,7 @@
 /** Holder for bytes that are bounded in another way. */
 export const UNBOUNDED_HOLDER: ByteHolder = {
   hold: () => true,
+  holdWaiting: () => true,
   canHold: () => true,
   force: () => undefined,
   release: () => undefined,
@@ -70,20 +77,29 @@
 /** Creates a budget for requests and responses together. */
 export const newByteBudget = (maxBytes: number): ByteBudget => {
   const held: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
+  /** Bytes among the held ones that wait for slow readers. */
+  const waiting: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
   const getMaxBytes = (heldFor: HeldFor): number => maxBytes * BUDGET_FRACTIONS[heldFor];
 
   const newHolder = (heldFor: HeldFor): ByteHolder => {
     let own = 0;
+    let ownWaiting = 0;
     let isReleased = false;
-    const canHold = (bytes: number): boolean => {
-      const freeBytes = getMaxBytes(heldFor) - (held[heldFor] - own) - bytes;
-      return bytes <= Math.max(own, MIN_SHARE_BYTES, SHARE_OF_FREE_BYTES * freeBytes);
-    };
-    const force = (bytes: number): void => {
+    const getFreeBytes = (bytes: number): number =>
+      getMaxBytes(heldFor) - (held[heldFor] - own) - bytes;
+    const canHold = (bytes: number): boolean =>
+      bytes <= Math.max(own, MIN_SHARE_BYTES, SHARE_OF_FREE_BYTES * getFreeBytes(bytes));
+    const canWait = (bytes: number): boolean =>
+      bytes <= WAITING_SHARE_OF_FREE_BYTES * getFreeBytes(bytes) &&
+      waiting[heldFor] - ownWaiting + bytes <= MAX_WAITING_FRACTION * getMaxBytes(heldFor);
+    const set = (bytes: number, waitingBytes: number): void => {
       if (isReleased) return;
       held[heldFor] += bytes - own;
+      waiting[heldFor] += waitingBytes - ownWaiting;
       own = bytes;
+      ownWaiting = waitingBytes;
     };
+    const force = (bytes: number): void => set(bytes, 0);
     return {
       canHold,
       force,
@@ -92,6 +108,11 @@
         if (isWithinShare) force(bytes);
         return isWithinShare;
       },
+      holdWaiting: (bytes) => {
+        const isWithinShare = canWait(bytes);
+        if (isWithinShare) set(bytes, bytes);
+        return isWithinShare;
+      },
       release: () => {
         force(0);
         isReleased = true;
--- a/packages/common/tests/byteBudget.test.ts
+++ b/packages/common/tests/byteBudget.test.ts
@@ -27,6 +27,16 @@
     expect(budget.newHolder(HELD_FOR.request).hold(LARGEST_MESSAGE)).toBe(true);
   });
 
+  it('leaves room for whole messages beside bytes that wait for slow readers', () => {
+    const budget = newByteBudget(MAX_BYTES);
+    Array.from({ length: 48 }, () => budget.newHolder(HELD_FOR.response)).forEach((holder) => {
+      let bytes = 0;
+      while (holder.holdWaiting(bytes + STEP)) bytes += STEP;
+    });
+    expect(budget.newHolder(HELD_FOR.response).hold(LARGEST_MESSAGE)).toBe(true);
+    expect(budget.newHolder(HELD_FOR.response).holdWaiting(LARGEST_MESSAGE / 2)).toBe(false);
+  });
+
   it('has the room again that was released, and keeps nothing for a released holder', () => {
     const budget = newByteBudget(MAX_BYTES);
     const holder = budget.newHolder(HELD_FOR.request);
