--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -7,7 +7,7 @@
   type AttemptResult,
 } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
-import { isOutOfMemory, isResponseComplete } from '../responseEnd';
+import { isEndBlameless, isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
 import type { Route, Upstream } from '../types';
 import { SEND_REASON, type SendReason } from '../upstreamClient';
@@ -67,7 +67,7 @@
 /** Whether the upstream broke the attempt off, before or during its response. */
 const isLost = (callResult: HttpCallResult, { responseEnd }: AttemptReport): boolean => {
   if (callResult.kind !== 'answered') return callResult.kind === 'lost';
-  if (responseEnd === undefined || isOutOfMemory(responseEnd)) return false;
+  if (responseEnd === undefined || isEndBlameless(responseEnd)) return false;
   return !isResponseComplete(responseEnd);
 };
 
@@ -183,12 +183,13 @@
     // With a silence, or a cold upstream, the time would measure that rather than the upstream.
     const isUsual = !hasBeenSilent && !isSlowAsCold();
     const usualFirstByteMs = isUsual ? firstByteMs : undefined;
-    if (!isOutOfMemory(outcome.responseEnd)) {
+    if (!isEndBlameless(outcome.responseEnd)) {
       health.record(upstream.id, result, usualFirstByteMs, clock.monotonic());
     }
     if (result === ATTEMPT_RESULT.ok) {
-      // The same holds for a request that waited.
-      if (expectedWaitMs === 0 && isUsual) {
+      // The same holds for a request that waited, and for a caller that reads slowly.
+      const hasWaited = expectedWaitMs > 0 || outcome.responseEnd?.waitedForCaller === true;
+      if (isUsual && !hasWaited) {
         serviceTimes.learn(upstream.service, upstream.id, clock.monotonic() - sentMs);
       }
       return;
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -40,6 +40,7 @@
 
 /** Why there is no whole response, for the caller and the log. */
 const getLossReason = ({ responseEnd }: AttemptReport): string => {
+  if (responseEnd?.waitedForCaller === true) return 'the caller reads too slowly';
   switch (responseEnd?.bodyEnd) {
     case BODY_END.tooLarge:
       return 'the answer was too large';
