--- a/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
@@ -74,6 +74,7 @@
     load: upstreamLoads.getLoad(upstream.id, clock.monotonic()),
     weight: 1,
     spareTokens,
+    isCold: false,
   });
   const route = {
     name: 'route',
