Slow runs move only once the pace of their route has been measured

Cause: before any run of a route was measured, runs were compared with the assumed 20 ms per event, so that a gateway that had just started moved runs of a route whose events come more slowly. platform/tests/gatewayProcess.test.ts failed for it ("runs its items to completion when it is stopped while the store is unavailable": the first run was aborted).

Passed: gatewayProcess, jobRunner*, batch tests (52), types, lint.

--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -111,13 +111,14 @@
         hasBegun: run.pending.events > 0,
       }));
 
-  /** Pace of a run beside the mean of its route; undefined until it is known. */
+  /** Pace of a run beside the mean of its route; undefined until both are known. */
   const getPacedRun = ({ job, pace }: Run): PacedRun | undefined => {
     const msPerEvent = pace.getMsPerEvent(clock.monotonic());
     const { route } = job.getRecord();
-    return msPerEvent === undefined
+    const meanMsPerEvent = runTimeEstimator.getMsPerEvent(route);
+    return msPerEvent === undefined || meanMsPerEvent === undefined
       ? undefined
-      : { route, msPerEvent, meanMsPerEvent: runTimeEstimator.getMsPerEvent(route) };
+      : { route, msPerEvent, meanMsPerEvent };
   };
 
   /** Aborts this gateway's runs among the least urgent at an upstream with more work than slots. */
--- a/packages/decisions/batch/itemOrder.ts
+++ b/packages/decisions/batch/itemOrder.ts
@@ -79,8 +79,8 @@
    * pace of its run if that is known.
    */
   getRemainingMs(route: string, events: number, runMsPerEvent?: number): number;
-  /** Mean time per event of a route, in milliseconds. */
-  getMsPerEvent(route: string): number;
+  /** Mean time per event of a route, in milliseconds; undefined before a run was measured. */
+  getMsPerEvent(route: string): number | undefined;
 }
 
 /** Weight of a new sample in the moving averages. */
@@ -104,7 +104,6 @@
 export const newRunTimeEstimator = (): RunTimeEstimator => {
   const eventsPerItem = new Map<string, number>();
   const msPerEvent = new Map<string, number>();
-  const getMsPerEvent = (route: string): number => msPerEvent.get(route) ?? INITIAL_MS_PER_EVENT;
   return {
     learnRun: (route, events, runMs) => {
       if (events < MIN_EVENTS_OF_SAMPLE) return;
@@ -114,8 +113,12 @@
     learnCompletion: (route, events) => {
       eventsPerItem.set(route, getSmoothed(eventsPerItem.get(route) ?? events, events));
     },
-    getMsPerEvent,
-    getRemainingMs: (route, events, runMsPerEvent = getMsPerEvent(route)) => {
+    getMsPerEvent: (route) => msPerEvent.get(route),
+    getRemainingMs: (
+      route,
+      events,
+      runMsPerEvent = msPerEvent.get(route) ?? INITIAL_MS_PER_EVENT,
+    ) => {
       const mean = eventsPerItem.get(route) ?? INITIAL_EVENTS_PER_ITEM;
       const remainingEvents = Math.max(mean * MIN_REMAINING_FRACTION, mean - events);
       return remainingEvents * runMsPerEvent;
