The load tracker changes a peer's report in place

Cause: each report was removed from a map and added again, once for each class, to keep the map in the order of arrival for time-outs. Such a map is copied every few dozen reports.

Change: a report is changed in place, and the oldest time of any report tells whether a scan for those that timed out is due; without silent peers, there is one every 1.5 s. Lookups and time-outs are as before.

--- a/packages/decisions/placement/loadTracker.ts
+++ b/packages/decisions/placement/loadTracker.ts
@@ -53,10 +53,10 @@
   get(upstream: string, nowMs: number): number;
 }
 
-/** Loads that a peer reported. */
+/** Loads that a peer reported last. */
 interface PeerLoads {
-  readonly loads: Loads;
-  readonly receivedMs: number;
+  loads: Loads;
+  receivedMs: number;
 }
 
 /**
@@ -65,8 +65,10 @@
  */
 const newPeerTotals = (serviceClass: ServiceClass): PeerTotals => {
   const timeoutMs = PEER_TIMEOUT_MS[serviceClass];
-  /** Reports by peer, in the order in which they arrived. */
+  /** Reports by peer, changed in place: a report of unchanged loads allocates nothing. */
   const reports = new Map<string, PeerLoads>();
+  /** No report is older. */
+  let oldestMs = Infinity;
   const totals = new Map<string, number>();
 
   const add = (loads: Loads, sign: 1 | -1): void =>
@@ -85,21 +87,27 @@
   };
 
   const removeTimedOut = (nowMs: number): void => {
-    for (const [peer, { receivedMs }] of reports) {
-      if (nowMs - receivedMs <= timeoutMs) return;
-      remove(peer);
-    }
+    if (nowMs - oldestMs <= timeoutMs) return;
+    oldestMs = Infinity;
+    reports.forEach(({ receivedMs }, peer) => {
+      if (nowMs - receivedMs > timeoutMs) remove(peer);
+      else oldestMs = Math.min(oldestMs, receivedMs);
+    });
   };
 
   return {
     update: (peer, loads, nowMs) => {
-      if (reports.get(peer)?.loads === loads) {
-        reports.delete(peer);
+      oldestMs = Math.min(oldestMs, nowMs);
+      const report = reports.get(peer);
+      if (report === undefined) {
         reports.set(peer, { loads, receivedMs: nowMs });
+        add(loads, 1);
         return;
       }
-      remove(peer);
-      reports.set(peer, { loads, receivedMs: nowMs });
+      report.receivedMs = nowMs;
+      if (report.loads === loads) return;
+      add(report.loads, -1);
+      report.loads = loads;
       add(loads, 1);
     },
     remove,
