Places of items are found without a list of all free slots

Cause: each choice of an upstream for an item sorted a list of all free slots, and each comparison of two items built a list of them; gateways with jobs do both at each tick. Change: the slot at a place is found level by level; two items are compared directly. The order is the same.

--- a/packages/decisions/batch/itemOrder.ts
+++ b/packages/decisions/batch/itemOrder.ts
@@ -66,7 +66,10 @@
   items.every(({ hasBegun }) => hasBegun !== undefined) ? compareByProgress : compareByDueTime;
 
 /** Compares two items by the order in which they compete with each other. */
-export const compareUrgency: UrgencyOrder = (a, b, nowMs) => getUrgencyOrder([a, b])(a, b, nowMs);
+export const compareUrgency: UrgencyOrder = (a, b, nowMs) =>
+  a.hasBegun === undefined || b.hasBegun === undefined
+    ? compareByDueTime(a, b, nowMs)
+    : compareByProgress(a, b, nowMs);
 
 /** Estimates the run time that items need, learned from earlier runs of their route. */
 export interface RunTimeEstimator {
--- a/packages/decisions/placement/batchPlan.ts
+++ b/packages/decisions/placement/batchPlan.ts
@@ -59,15 +59,23 @@
   return Math.round(Math.sqrt(TURNOVER_FRACTION * online));
 };
 
-/** Free slots of upstreams in the order in which items take them: one each of the emptiest first. */
-const getSlotOrder = (candidates: readonly BatchCandidate[]): string[] =>
-  candidates
-    .flatMap((candidate) => {
-      const free = getFreeSlots(candidate);
-      return Array.from({ length: free }, (_, taken) => ({ id: candidate.id, free: free - taken }));
-    })
-    .sort((a, b) => b.free - a.free || (a.id < b.id ? -1 : 1))
-    .map(({ id }) => id);
+/**
+ * Upstream whose free slot is the one at a place, from 0, in the order in which items take them: one
+ * each of the emptiest upstreams first, by id. A place beyond the last slot stands for the last one.
+ */
+const getUpstreamAtPlace = (
+  candidates: readonly BatchCandidate[],
+  place: number,
+): string | undefined => {
+  let placeLeft = place;
+  let ids: string[] = [];
+  for (let level = Math.max(0, ...candidates.map(getFreeSlots)); level >= 1; level -= 1) {
+    ids = candidates.filter((candidate) => getFreeSlots(candidate) >= level).map(({ id }) => id);
+    if (placeLeft < ids.length) return ids.sort()[placeLeft];
+    placeLeft -= ids.length;
+  }
+  return ids.sort().at(-1);
+};
 
 /**
  * Upstream for an item; undefined if none can take it. Upstreams with limits go first: online requests
@@ -85,8 +93,7 @@
   const warm = spare.filter(({ isCold }) => !isCold);
   const limited = getRandomElement(warm.filter(isLimited), random);
   if (limited !== undefined) return limited.id;
-  const slots = getSlotOrder(warm);
-  return slots[Math.min(place, slots.length - 1)] ?? getRandomElement(spare, random)?.id;
+  return getUpstreamAtPlace(warm, place) ?? getRandomElement(spare, random)?.id;
 };
 
 /** An item of this gateway with its place among the items of all gateways, from 0. */
