--- a/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
@@ -102,6 +102,8 @@
       getBatchCandidates: () => [getCandidate()],
       getBatchCandidate: getCandidate,
       getUpstream: () => upstream,
+      isCold: () => false,
+      isEvacuated: () => false,
     },
     protocol: {
       getItemPromptParts: () => [],
