--- a/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
@@ -45,7 +45,7 @@
 const startUpstream = async () => {
   const resumedAfter: number[] = [];
   const server = createServer((request, response) => {
-    let id = Number(request.headers['last-event-id'] ?? 0);
+    let id = Number(request.headers['resume-after'] ?? 0);
     resumedAfter.push(id);
     const timer = setInterval(
       () => {
@@ -109,7 +109,7 @@
       getItemPromptParts: () => [],
       getItemHeaders: () => [],
       getUpstreamHeaders: (_: unknown, { resumeAfterId }: { resumeAfterId?: string }) =>
-        resumeAfterId === undefined ? {} : { 'last-event-id': resumeAfterId },
+        resumeAfterId === undefined ? {} : { 'resume-after': resumeAfterId },
       isMisdirected: () => false,
       isResponseTo: () => true,
     },
