Review: reads of items' bodies exceed a gateway's memory (case 10)

Each read of one body parses the object with all items of the job, outside the budget of held bytes.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec node case.mjs
