--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -212,6 +212,7 @@
     getEvacuatedFailureDomains: () => evacuations.getCount(),
     getTeamsOverShare: () => teamShares.countOver(clock.monotonic()),
     getHeldBytes: byteBudget.getHeldBytes,
+    getMaxHeldBytes: byteBudget.getMaxBytes,
   });
   metricsRef.metrics = metrics;
   const isServing = (): boolean =>
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -11,6 +11,7 @@
 } from '@anvilpaddle/common';
 import type { GossipMetrics } from './gossipSocket';
 import type { AttemptMetrics, OnlineOutcome } from './online/types';
+import { readProcessMemory, type ProcessMemory } from './processMemory';
 import type { Route } from './types';
 import type { UpstreamMetrics } from './upstreamClient';
 
@@ -21,6 +22,25 @@
 
 const LATENCY_BUCKETS_MS = [10, 25, 50, 75, 100, 150, 200, 300, 500, 1000, 2000, 5000];
 
+const MEMORY_GAUGES: Readonly<Record<keyof ProcessMemory, { name: string; help: string }>> = {
+  ownBytes: {
+    name: 'anvilpaddle_own_memory_bytes',
+    help: 'Resident memory of the process without mapped files',
+  },
+  peakResidentBytes: {
+    name: 'anvilpaddle_peak_resident_bytes',
+    help: 'Largest resident memory of the process so far, with mapped files',
+  },
+  heapBytes: {
+    name: 'anvilpaddle_heap_bytes',
+    help: 'Objects of the heap, with garbage that is not collected yet',
+  },
+  bufferBytes: {
+    name: 'anvilpaddle_buffer_bytes',
+    help: 'Buffers outside the heap, with garbage that is not collected yet',
+  },
+};
+
 /** Why a run of a batch item was ended so that another one goes on with the item. */
 export const YIELD_REASON = {
   /** An online request needed the slot. */
@@ -61,6 +81,7 @@
   readonly getTeamsOverShare: () => number;
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
+  readonly getMaxHeldBytes: (heldFor: HeldFor) => number;
 }
 
 /** Creates the metrics in a registry of their own. */
@@ -153,21 +174,29 @@
     buckets: LATENCY_BUCKETS_MS,
     registers,
   });
-  const addGauge = (name: string, help: string, getValue: () => number): Gauge =>
+  const addGauge = (name: string, help: string, getValue: () => number | Promise<number>): Gauge =>
     new Gauge({
       name,
       help,
       registers,
-      collect() {
-        this.set(getValue());
+      async collect() {
+        this.set(await getValue());
       },
     });
-  Object.values(HELD_FOR).forEach((heldFor) =>
+  Object.values(HELD_FOR).forEach((heldFor) => {
     addGauge(
       `anvilpaddle_held_${heldFor}_bytes`,
       `Received bytes of ${heldFor}s that are held`,
       () => gauges.getHeldBytes(heldFor),
-    ),
+    );
+    addGauge(
+      `anvilpaddle_max_held_${heldFor}_bytes`,
+      `Received bytes of ${heldFor}s that may be held`,
+      () => gauges.getMaxHeldBytes(heldFor),
+    );
+  });
+  Object.entries(MEMORY_GAUGES).forEach(([field, { name, help }]) =>
+    addGauge(name, help, async () => (await readProcessMemory())[field as keyof ProcessMemory]),
   );
   addGauge('anvilpaddle_active_requests', 'Requests being served', gauges.getActive);
   addGauge('anvilpaddle_owned_jobs', 'Open jobs that this gateway runs', gauges.getJobs);
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -63,6 +63,8 @@
   /** Whether no bytes are left free; new messages should yield then. */
   isUsedUp(heldFor: HeldFor): boolean;
   getHeldBytes(heldFor: HeldFor): number;
+  /** Bytes that may be held. */
+  getMaxBytes(heldFor: HeldFor): number;
 }
 
 /** Holder for bytes that are bounded in another way. */
@@ -124,5 +126,6 @@
     newHolder,
     isUsedUp: (heldFor) => held[heldFor] >= getMaxBytes(heldFor),
     getHeldBytes: (heldFor) => held[heldFor],
+    getMaxBytes,
   };
 };
