--- a/anvilpaddle-app/gateway/gateway.ts
+++ b/anvilpaddle-app/gateway/gateway.ts
@@ -7,6 +7,7 @@
   loadHashing,
   newByteBudget,
   newId,
+  newStoredRooms,
   type Clock,
   type Logger,
 } from '@anvilpaddle/common';
@@ -34,6 +35,7 @@
 import { newJobRunner, type JobRunner } from './jobs/jobRunner';
 import { newJobService } from './jobs/jobService';
 import { newJobStore } from './jobs/jobStore';
+import { newSegmentCache } from './jobs/segmentCache';
 import { newRelayedClient, serveStoreRelay } from './storeRelay';
 import type { GatewaySettings, Team } from './types';
 import { newTeamAdmissions } from './teamAdmissions';
@@ -143,6 +145,7 @@
     fleetView,
   } = fleet;
   const byteBudget = newByteBudget(settings.maxHeldBytes);
+  const storedRooms = newStoredRooms(byteBudget, clock);
   const itemTracker = newItemTracker();
   const callerServer: Server = createServer({ requestTimeout: 0 });
   const callerConnections = newCallerConnections(callerServer, clock);
@@ -213,6 +216,7 @@
     getTeamsOverShare: () => teamShares.countOver(clock.monotonic()),
     getHeldBytes: byteBudget.getHeldBytes,
     getMaxHeldBytes: byteBudget.getMaxBytes,
+    getWaitingForRoom: storedRooms.getWaitingCount,
   });
   metricsRef.metrics = metrics;
   const isServing = (): boolean =>
@@ -244,7 +248,11 @@
   );
   peersRef.list = gatewayList;
   peersRef.gossip = gossip;
-  const jobStore = newJobStore(recordStore, objectStore);
+  const jobStore = newJobStore(recordStore, objectStore, {
+    rooms: storedRooms,
+    cache: newSegmentCache(byteBudget),
+    getPromptParts: protocol.getItemPromptParts,
+  });
   const jobCache = newJobCache(
     recordStore,
     (job) => runnerRef.runner?.onJobChange(job),
@@ -342,6 +350,7 @@
       isStoreUnavailable: () => !storeClient.isStoreAnswering(),
       // A reachable peer that reaches the store would have relayed this gateway's calls.
       canOthersServe: isPartitioned,
+      isRoomWanted: () => storedRooms.getWaitingCount() > 0,
       isAcceptingJobs: () => !isStopping,
       clock,
       log,
@@ -364,7 +373,7 @@
   });
 
   if (settings.metrics !== undefined) await serveMetrics(settings.metrics, metrics, log);
-  await serveStoreRelay(settings.peers, platform.storeClient, log);
+  await serveStoreRelay(settings.peers, platform.storeClient, storedRooms, log);
   await listen(callerServer, settings.callers);
   await listen(readinessServer, settings.readiness);
   log.info({ vm: settings.vm, incarnation }, 'gateway started');
--- a/anvilpaddle-app/gateway/gatewayMetrics.ts
+++ b/anvilpaddle-app/gateway/gatewayMetrics.ts
@@ -82,6 +82,7 @@
   readonly getViewAgeMs: () => number;
   readonly getHeldBytes: (heldFor: HeldFor) => number;
   readonly getMaxHeldBytes: (heldFor: HeldFor) => number;
+  readonly getWaitingForRoom: () => number;
 }
 
 /** Creates the metrics in a registry of their own. */
@@ -184,20 +185,23 @@
       },
     });
   Object.values(HELD_FOR).forEach((heldFor) => {
-    addGauge(
-      `anvilpaddle_held_${heldFor}_bytes`,
-      `Received bytes of ${heldFor}s that are held`,
-      () => gauges.getHeldBytes(heldFor),
+    addGauge(`anvilpaddle_held_${heldFor}_bytes`, `Bytes that are held for: ${heldFor}`, () =>
+      gauges.getHeldBytes(heldFor),
     );
     addGauge(
       `anvilpaddle_max_held_${heldFor}_bytes`,
-      `Received bytes of ${heldFor}s that may be held`,
+      `Bytes that may be held for: ${heldFor}`,
       () => gauges.getMaxHeldBytes(heldFor),
     );
   });
   Object.entries(MEMORY_GAUGES).forEach(([field, { name, help }]) =>
     addGauge(name, help, async () => (await readProcessMemory())[field as keyof ProcessMemory]),
   );
+  addGauge(
+    'anvilpaddle_waiting_for_room',
+    'Reads of stored bytes that wait for memory',
+    gauges.getWaitingForRoom,
+  );
   addGauge('anvilpaddle_active_requests', 'Requests being served', gauges.getActive);
   addGauge('anvilpaddle_owned_jobs', 'Open jobs that this gateway runs', gauges.getJobs);
   addGauge('anvilpaddle_peers', 'Other gateways that may be at work', gauges.getPeers);
--- a/anvilpaddle-app/gateway/jobs/itemExecution.ts
+++ b/anvilpaddle-app/gateway/jobs/itemExecution.ts
@@ -1,11 +1,19 @@
 /** Runs batch items at upstreams, and adds their results to their jobs. */
-import type { Logger, Random } from '@anvilpaddle/common';
+import { HELD_FOR, type Logger, type Random } from '@anvilpaddle/common';
 import { newRunPace, type RunTimeEstimator } from '@anvilpaddle/decisions';
 import type { Route, Upstream } from '../types';
 import type { ItemRuns, Run } from './itemRuns';
 import type { ReadyItem } from './itemSelection';
 import type { OwnedJob, PendingItem } from './ownedJob';
-import { runItem, SUPERSEDED, type RunItemDependencies, type RunOutcome } from './runItem';
+import type { JobStore } from './jobStoreTypes';
+import {
+  BREAK_CAUSE,
+  runItem,
+  SUPERSEDED,
+  type RunItemDependencies,
+  type RunObserver,
+  type RunOutcome,
+} from './runItem';
 import type { ItemResult } from './types';
 
 /** Minimum pause of an item after a run that broke, failed or was refused; jitter can double it. */
@@ -13,6 +21,7 @@
 
 /** Dependencies of the execution. */
 export interface ItemExecutionDependencies extends RunItemDependencies {
+  readonly store: JobStore;
   readonly random: Random;
   readonly log: Logger;
 }
@@ -32,7 +41,7 @@
   { runs, runTimeEstimator, getJobRoute }: ItemExecutionState,
   dependencies: ItemExecutionDependencies,
 ): ExecuteItem => {
-  const { protocol, view, clock, random, log } = dependencies;
+  const { store, view, byteBudget, clock, random, log } = dependencies;
 
   /** Adds an item's result and aborts the runs of the item that are left. */
   const addResult = (job: OwnedJob, pending: PendingItem, result: ItemResult): void => {
@@ -64,22 +73,30 @@
     if (route !== undefined && failures >= route.maxAttempts) addErroredResult();
   };
 
+  /** Runs an item that is in memory, whose bytes are held meanwhile. */
+  const runHeldItem = async (
+    { job, pending, upstream, abort }: Run,
+    observer: RunObserver,
+  ): Promise<RunOutcome> => {
+    const item = store.getItemInMemory(pending.item);
+    const holder = byteBudget.newHolder(HELD_FOR.item);
+    if (item === undefined || !holder.hold(item.body.length)) {
+      return { kind: 'broken', detail: 'no memory for the item', cause: BREAK_CAUSE.notSent };
+    }
+    const target = { upstream, host: job.getRecord().host, team: job.team };
+    return runItem(item, target, pending, abort.signal, dependencies, observer).finally(
+      holder.release,
+    );
+  };
+
   return async ({ job, pending, dueMs }: ReadyItem, upstream: Upstream): Promise<void> => {
     const abort = new AbortController();
     const run: Run = { job, pending, upstream, dueMs, abort, pace: newRunPace(pending.events) };
     const observer = runs.add(run);
-    const target = { upstream, host: job.getRecord().host, team: job.team };
     const before = { events: pending.events, startedMs: clock.monotonic() };
     const wasCold = view.isCold(upstream);
-    const outcome = await runItem(
-      pending.item,
-      target,
-      pending,
-      abort.signal,
-      dependencies,
-      observer,
-      // A run that throws must not keep the item's place.
-    ).finally(() => runs.remove(run));
+    // A run that throws must not keep the item's place.
+    const outcome = await runHeldItem(run, observer).finally(() => runs.remove(run));
     if (abort.signal.reason === SUPERSEDED) return;
     const events = pending.events - before.events;
     const runMs = clock.monotonic() - before.startedMs;
@@ -94,7 +111,7 @@
           upstream: upstream.id,
           detail: outcome.detail,
           hasContent: events > 0,
-          promptParts: protocol.getItemPromptParts(pending.item),
+          promptParts: pending.item.promptParts,
           ...outcome.responseEnd,
         },
         'run broken',
--- a/anvilpaddle-app/gateway/jobs/itemSelection.ts
+++ b/anvilpaddle-app/gateway/jobs/itemSelection.ts
@@ -9,7 +9,6 @@
   type InputQuarantine,
 } from '@anvilpaddle/decisions';
 import type { Clock, Logger, Random } from '@anvilpaddle/common';
-import type { CallerProtocol } from '../callerProtocol';
 import type { ConfigWatch } from '../configWatch';
 import type { FleetView } from '../fleetView';
 import { pickService } from '../routeTable';
@@ -30,7 +29,6 @@
   readonly jobs: JobCache;
   readonly configWatch: ConfigWatch;
   readonly view: FleetView;
-  readonly protocol: CallerProtocol;
   readonly quarantine: InputQuarantine;
   readonly clock: Clock;
   readonly random: Random;
@@ -67,16 +65,7 @@
 /** Creates the selection. */
 export const newItemSelection = (
   { getOwnedJobs, runs, getRemainingMs }: ItemState,
-  {
-    jobs: jobCache,
-    configWatch,
-    view,
-    protocol,
-    quarantine,
-    clock,
-    random,
-    log,
-  }: ItemSelectionDependencies,
+  { jobs: jobCache, configWatch, view, quarantine, clock, random, log }: ItemSelectionDependencies,
 ): ItemSelection => {
   /** Items that were logged as held in quarantine. */
   const heldItems = new WeakSet<PendingItem>();
@@ -92,7 +81,7 @@
   };
 
   const assess = ({ item }: PendingItem): InputAssessment =>
-    quarantine.assess({ promptParts: protocol.getItemPromptParts(item) }, clock.monotonic());
+    quarantine.assess({ promptParts: item.promptParts }, clock.monotonic());
 
   /** Whether an item must wait because a part of its prompt crashes upstreams. */
   const isHeld = (pending: PendingItem): boolean => {
--- a/anvilpaddle-app/gateway/jobs/jobClaimer.ts
+++ b/anvilpaddle-app/gateway/jobs/jobClaimer.ts
@@ -1,5 +1,12 @@
 /** Manages the jobs that this gateway owns: claims those without a live owner, hands jobs over. */
-import { getErrorMessage, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  getErrorMessage,
+  MS_PER_SECOND,
+  newRoomQueue,
+  UNBOUNDED_HOLDER,
+  type Clock,
+  type Logger,
+} from '@anvilpaddle/common';
 import { shouldClaimJob } from '@anvilpaddle/decisions';
 import { getPlatformErrorMessage } from '@anvilpaddle/platform';
 import { isUnfinished, type JobCache } from './jobCache';
@@ -14,6 +21,11 @@
 /** Time beyond its retention for which a finished job is kept. */
 const RETENTION_SLACK_MS = 30 * MS_PER_SECOND;
 
+/** Number of jobs that are started at a time; each brings its checkpoints and an index of its items. */
+const MAX_LOADS = 4;
+/** Longest wait for room for what starting a job reads; it is tried again. */
+const ROOM_TIMEOUT_MS = 5 * MS_PER_SECOND;
+
 /** Dependencies of the claimer. */
 export interface JobClaimerDependencies {
   /** Incarnation of this gateway. */
@@ -63,6 +75,8 @@
   const owned = new Map<string, OwnedJob>();
   /** Keys of the jobs whose items are being read. */
   const loading = new Set<string>();
+  const loads = newRoomQueue(MAX_LOADS, UNBOUNDED_HOLDER, clock);
+  const roomWait = { timeoutMs: ROOM_TIMEOUT_MS };
   let isStopped = false;
 
   const getJobKey = ({ team, id }: { readonly team: string; readonly id: string }): string =>
@@ -74,6 +88,10 @@
     if (job !== undefined) onReleased(job);
   };
 
+  const logErrors = (work: Promise<void>, message: string): void => {
+    work.catch((error: unknown) => log.error({ reason: getErrorMessage(error) }, message));
+  };
+
   /** Clears the owner of a job that this gateway no longer starts, so that another one claims it. */
   const giveBack = async (stored: StoredJob): Promise<void> => {
     const next = { ...stored.record, owner: undefined };
@@ -88,16 +106,26 @@
     jobCache.put({ record: next, revision: commit.value.revision });
   };
 
+  /** Reads what is stored of a job beside its record, a few jobs at a time. */
+  const readContent = async ({ record }: StoredJob) => {
+    const turn = await loads.take(1, roomWait);
+    try {
+      return await Promise.all([
+        store.readItemSummaries(record, roomWait),
+        store.readCheckpoints(record.team, record.id),
+      ]);
+    } finally {
+      turn.release();
+    }
+  };
+
   /** Reads the items of a job whose record names this gateway as owner, and starts the job. */
   const load = async (stored: StoredJob): Promise<void> => {
     const { team, id } = stored.record;
     const jobKey = getJobKey(stored.record);
     if (isStopped || owned.has(jobKey) || loading.has(jobKey)) return;
     loading.add(jobKey);
-    const [items, checkpoints] = await Promise.all([
-      store.readItems(team, id),
-      store.readCheckpoints(team, id),
-    ]).finally(() => loading.delete(jobKey));
+    const [items, checkpoints] = await readContent(stored).finally(() => loading.delete(jobKey));
     if (!items.ok || items.value === undefined || !checkpoints.ok) {
       log.warn({ job: id }, 'job not started: its items could not be read');
       return;
@@ -109,12 +137,15 @@
       return;
     }
     const jobDependencies = { store, jobCache, self, clock, log };
-    const content = { items: items.value, checkpoints: checkpoints.value };
-    owned.set(
-      jobKey,
-      newOwnedJob(newest, content, () => release(jobKey), jobDependencies),
-    );
+    const summaries = items.value;
+    const content = { items: summaries, checkpoints: checkpoints.value };
+    const onJobReleased = (): void => {
+      store.forgetItems(summaries);
+      release(jobKey);
+    };
+    owned.set(jobKey, newOwnedJob(newest, content, onJobReleased, jobDependencies));
     onOwned();
+    logErrors(store.prefetchItems(summaries, roomWait), 'items not read ahead');
   };
 
   /** Makes this gateway the owner of a job, unless another change of the job wins. */
@@ -148,10 +179,6 @@
     }
   };
 
-  const logErrors = (work: Promise<void>, message: string): void => {
-    work.catch((error: unknown) => log.error({ reason: getErrorMessage(error) }, message));
-  };
-
   /**
    * Whether the list of gateways is newer than the job's record. A gateway that has just started may
    * have accepted the job before its peers know that it is there.
--- /dev/null
+++ b/anvilpaddle-app/gateway/jobs/jobItemStore.ts
@@ -0,0 +1,350 @@
+/**
+ * Stores the items of jobs in segments: objects of bounded size with successive items, and one record with the
+ * index of all. A segment is read when one of its items runs or is asked for, so that no gateway needs to hold
+ * the items of a whole job.
+ */
+import {
+  BYTES_PER_KIB,
+  BYTES_PER_MIB,
+  newFailure,
+  newOk,
+  type Result,
+  type Room,
+  type RoomWait,
+  type StoredRooms,
+} from '@anvilpaddle/common';
+import type { ObjectStore, PlatformError, RecordStore, RecordWrite } from '@anvilpaddle/platform';
+import {
+  getItemIndexName,
+  getItemIndexObjectName,
+  getItemsObjectName,
+  getSegmentObjectName,
+  ITEM_TABLE,
+  parseItemIndex,
+  parseItems,
+  serializeItemIndex,
+  serializeItems,
+  serializeJson,
+} from './jobRecords';
+import type { SegmentCache } from './segmentCache';
+import type { ItemSegment, ItemSummary, JobItem, JobRecord } from './types';
+
+/** Size up to which successive items share a segment. */
+const MAX_SEGMENT_BYTES = 256 * BYTES_PER_KIB;
+/** Number of objects of a job that are stored at a time. */
+const MAX_PARALLEL_PUTS = 4;
+/** Size limit of an index that is stored in its record. */
+const MAX_INLINE_INDEX_BYTES = 40_000;
+/** Bytes that reading an object holds for each of its own: the object, its text, the JSON and the bodies. */
+const COPIES = 4;
+/** Size that is assumed for the object in which earlier releases stored all items of a job. */
+const UNKNOWN_BYTES = 8 * BYTES_PER_MIB;
+
+/** An item with the room that it holds until its reader releases it. */
+export interface HeldItem {
+  readonly item: JobItem;
+  readonly room: Room;
+}
+
+/** Access to the stored items of jobs. */
+export interface JobItemStore {
+  /** Stores the items; returns their summaries and the write that makes them those of the job. */
+  put(
+    record: JobRecord,
+    items: readonly JobItem[],
+  ): Promise<
+    Result<
+      { readonly summaries: readonly ItemSummary[]; readonly index: RecordWrite },
+      PlatformError
+    >
+  >;
+  /** Keeps submitted items in memory, as far as there is room, for this gateway to run them. */
+  keep(summaries: readonly ItemSummary[], items: readonly JobItem[]): void;
+  /** Summaries of a job's items; undefined if there are none. Rejects with `NoRoomError`. */
+  readSummaries(
+    record: JobRecord,
+    wait: RoomWait,
+  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>>;
+  /** One item. Rejects with `NoRoomError`. */
+  readItem(summary: ItemSummary, wait: RoomWait): Promise<Result<HeldItem, PlatformError>>;
+  /** One item, if it is in memory. */
+  getInMemory(summary: ItemSummary): JobItem | undefined;
+  isInMemory(summary: ItemSummary): boolean;
+  /** Reads an item and its neighbours into memory, in place of others. Rejects with `NoRoomError`. */
+  fetch(summary: ItemSummary, wait: RoomWait): Promise<Result<void, PlatformError>>;
+  /** Reads segments into memory as far as there is room for them. */
+  prefetch(summaries: readonly ItemSummary[], wait: RoomWait): Promise<void>;
+  /** Keeps the items of a job no longer in memory. */
+  forget(summaries: readonly ItemSummary[]): void;
+  /** Removes the objects with a job's items and their index. */
+  removeObjects(record: JobRecord): Promise<Result<void, PlatformError>>;
+}
+
+/** What the store of items works on. */
+export interface JobItemStoreDependencies {
+  readonly records: RecordStore;
+  readonly objects: ObjectStore;
+  readonly rooms: StoredRooms;
+  readonly cache: SegmentCache;
+  readonly getPromptParts: (item: JobItem) => readonly string[];
+}
+
+/** Approximate size of a stored item. */
+const getStoredBytes = ({ id, path, headers, body }: JobItem): number =>
+  id.length + path.length + headers.join().length + (body.length * 4) / 3;
+
+/** Successive items in groups of bounded size; one that is larger has a group of its own. */
+const splitItems = (items: readonly JobItem[]): JobItem[][] => {
+  const groups: JobItem[][] = [];
+  let bytes = Infinity;
+  items.forEach((item) => {
+    const itemBytes = getStoredBytes(item);
+    if (bytes + itemBytes > MAX_SEGMENT_BYTES) {
+      groups.push([]);
+      bytes = 0;
+    }
+    bytes += itemBytes;
+    groups.at(-1)?.push(item);
+  });
+  return groups;
+};
+
+/** The different segments of items, in order. */
+const getSegments = (summaries: readonly ItemSummary[]): ItemSegment[] => [
+  ...new Map(summaries.map(({ segment }) => [segment.object, segment])).values(),
+];
+
+const newInvalidError = (detail: string): { readonly ok: false; readonly error: PlatformError } =>
+  newFailure({ kind: 'invalid_answer', detail });
+
+/** Creates the store of items. */
+export const newJobItemStore = ({
+  records,
+  objects,
+  rooms,
+  cache,
+  getPromptParts,
+}: JobItemStoreDependencies): JobItemStore => {
+  /** Reads of segments that are under way, by object. */
+  const loading = new Map<string, Promise<Result<readonly JobItem[], PlatformError>>>();
+
+  const putSegment = async (
+    object: string,
+    items: readonly JobItem[],
+  ): Promise<Result<ItemSegment, PlatformError>> => {
+    const content = serializeItems(items);
+    const stored = await objects.put(object, content);
+    return stored.ok ? newOk({ object, bytes: content.length }) : stored;
+  };
+
+  const newIndexWrite = async (
+    { team, id }: JobRecord,
+    summaries: readonly ItemSummary[],
+  ): Promise<Result<RecordWrite, PlatformError>> => {
+    const name = getItemIndexName(team, id);
+    const content = serializeItemIndex(summaries);
+    if (content.length <= MAX_INLINE_INDEX_BYTES) return newOk({ ...name, value: content });
+    const object = getItemIndexObjectName(team, id);
+    const stored = await objects.put(object, content);
+    return stored.ok ? newOk({ ...name, value: serializeJson({ object }) }) : stored;
+  };
+
+  const put: JobItemStore['put'] = async (record, items) => {
+    const groups = splitItems(items);
+    const summaries: ItemSummary[] = [];
+    for (let start = 0; start < groups.length; start += MAX_PARALLEL_PUTS) {
+      const batch = groups.slice(start, start + MAX_PARALLEL_PUTS);
+      const segments = await Promise.all(
+        batch.map((group, index) =>
+          putSegment(getSegmentObjectName(record.team, record.id, start + index), group),
+        ),
+      );
+      for (const [index, segment] of segments.entries()) {
+        if (!segment.ok) return segment;
+        batch[index]?.forEach((item, offset) =>
+          summaries.push({
+            id: item.id,
+            promptParts: getPromptParts(item),
+            segment: segment.value,
+            offset,
+          }),
+        );
+      }
+    }
+    const index = await newIndexWrite(record, summaries);
+    return index.ok ? newOk({ summaries, index: index.value }) : index;
+  };
+
+  /** Reads a segment; the caller holds the room for it. */
+  const load = async (segment: ItemSegment): Promise<Result<readonly JobItem[], PlatformError>> => {
+    const { object, bytes } = segment;
+    const content = await objects.get(object, { expectedBytes: bytes });
+    if (!content.ok) return content;
+    if (content.value === undefined) return newInvalidError(`object ${object} is missing`);
+    const items = parseItems(content.value);
+    if (items === undefined) return newInvalidError(`${object} can not be parsed`);
+    // What callers read must not displace what runs next.
+    if (cache.hasRoomFor(segment)) cache.put(segment, items);
+    return newOk(items);
+  };
+
+  /** Items of a segment: those in memory, of a read that is under way, or of a new one. */
+  const getItems = (
+    segment: ItemSegment,
+    room: Room,
+  ): Promise<Result<readonly JobItem[], PlatformError>> => {
+    const cached = cache.get(segment);
+    if (cached !== undefined) return Promise.resolve(newOk(cached));
+    const started = loading.get(segment.object);
+    if (started !== undefined) {
+      room.shrinkTo(segment.bytes);
+      return started;
+    }
+    const read = load(segment).finally(() => loading.delete(segment.object));
+    loading.set(segment.object, read);
+    return read;
+  };
+
+  const isAtHand = (segment: ItemSegment): boolean =>
+    cache.has(segment) || loading.has(segment.object);
+
+  /** Runs a reader on the items of a segment, and keeps the room for what the reader says. */
+  const readSegment = async <T>(
+    segment: ItemSegment,
+    wait: RoomWait,
+    use: (items: readonly JobItem[], room: Room) => Result<T, PlatformError>,
+  ): Promise<Result<T, PlatformError>> => {
+    const room = await rooms.take(segment.bytes * (isAtHand(segment) ? 1 : COPIES), wait);
+    try {
+      const items = await getItems(segment, room);
+      const used = items.ok ? use(items.value, room) : items;
+      if (!used.ok) room.release();
+      return used;
+    } catch (error) {
+      room.release();
+      throw error;
+    }
+  };
+
+  const readItem: JobItemStore['readItem'] = (summary, wait) =>
+    readSegment(summary.segment, wait, (items, room) => {
+      const item = items[summary.offset];
+      if (item?.id !== summary.id) {
+        return newInvalidError(`${summary.segment.object} does not have item ${summary.id}`);
+      }
+      room.shrinkTo(item.body.length);
+      return newOk({ item, room });
+    });
+
+  /** Summaries of a job whose items an earlier release stored in one object. */
+  const readUnindexed = (
+    { team, id, tokens }: JobRecord,
+    wait: RoomWait,
+  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>> => {
+    const segment = { object: getItemsObjectName(team, id), bytes: UNKNOWN_BYTES };
+    return readSegment(segment, wait, (items, room) => {
+      room.release();
+      const isOfJob =
+        items.length === tokens.length &&
+        items.every((item, index) => item.tokens === tokens[index]);
+      if (!isOfJob) return newInvalidError(`${segment.object} has the items of another job`);
+      return newOk(
+        items.map((item, offset) => ({
+          id: item.id,
+          promptParts: getPromptParts(item),
+          segment,
+          offset,
+        })),
+      );
+    });
+  };
+
+  const readIndexValue = async (
+    team: string,
+    id: string,
+  ): Promise<Result<Buffer | undefined, PlatformError>> => {
+    const { key } = getItemIndexName(team, id);
+    const page = await records.read(ITEM_TABLE, team, { from: key, to: `${key}\u0000` });
+    return page.ok ? newOk(page.value.records.find((found) => found.key === key)?.value) : page;
+  };
+
+  const readSummaries: JobItemStore['readSummaries'] = async (record, wait) => {
+    const value = await readIndexValue(record.team, record.id);
+    if (!value.ok) return value;
+    if (value.value === undefined) return readUnindexed(record, wait);
+    const parsed = parseItemIndex(value.value);
+    const content =
+      parsed !== undefined && 'object' in parsed ? await objects.get(parsed.object) : undefined;
+    if (content?.ok === false) return content;
+    const index = content?.value === undefined ? parsed : parseItemIndex(content.value);
+    if (index === undefined || 'object' in index || index.length !== record.tokens.length) {
+      return newInvalidError(`the index of the items of job ${record.id} makes no sense`);
+    }
+    return newOk(index);
+  };
+
+  const fetch: JobItemStore['fetch'] = ({ segment }, wait) =>
+    readSegment(segment, wait, (items, room) => {
+      cache.put(segment, items);
+      room.release();
+      return newOk(undefined);
+    });
+
+  const prefetch: JobItemStore['prefetch'] = async (summaries, wait) => {
+    for (const segment of getSegments(summaries)) {
+      if (!cache.hasRoomFor(segment)) return;
+      if (isAtHand(segment)) continue;
+      const read = await readSegment(segment, wait, (_, room) => {
+        room.release();
+        return newOk(undefined);
+      });
+      if (!read.ok) return;
+    }
+  };
+
+  /** Names of all objects with items of a job, and of one with their index. */
+  const getObjectNames = async (record: JobRecord): Promise<Result<string[], PlatformError>> => {
+    const value = await readIndexValue(record.team, record.id);
+    if (!value.ok) return value;
+    if (value.value === undefined) return newOk([getItemsObjectName(record.team, record.id)]);
+    const parsed = parseItemIndex(value.value);
+    const summaries = await readSummaries(record, { timeoutMs: 0 });
+    return newOk([
+      ...(summaries.ok ? getSegments(summaries.value ?? []).map(({ object }) => object) : []),
+      ...(parsed !== undefined && 'object' in parsed ? [parsed.object] : []),
+    ]);
+  };
+
+  const removeObjects: JobItemStore['removeObjects'] = async (record) => {
+    const names = await getObjectNames(record);
+    if (!names.ok) return names;
+    for (const name of names.value) {
+      const removed = await objects.remove(name);
+      if (!removed.ok) return removed;
+    }
+    return newOk(undefined);
+  };
+
+  return {
+    put,
+    keep: (summaries, items) =>
+      getSegments(summaries).forEach((segment) => {
+        if (!cache.hasRoomFor(segment)) return;
+        cache.put(
+          segment,
+          items.filter((_, index) => summaries[index]?.segment.object === segment.object),
+        );
+      }),
+    readSummaries,
+    readItem,
+    getInMemory: ({ segment, offset, id }) => {
+      const item = cache.get(segment)?.[offset];
+      return item?.id === id ? item : undefined;
+    },
+    isInMemory: ({ segment }) => cache.has(segment),
+    fetch,
+    prefetch,
+    forget: (summaries) => getSegments(summaries).forEach(cache.forget),
+    removeObjects,
+  };
+};
--- a/anvilpaddle-app/gateway/jobs/jobRecords.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRecords.ts
@@ -1,7 +1,7 @@
 /** Storage layout of batch jobs: names and contents of their records and objects. */
 import { z } from 'zod';
 import type { KeyRange, RecordName, StoredRecord } from '@anvilpaddle/platform';
-import type { ItemCheckpoint, ItemResult, JobItem, JobRecord } from './types';
+import type { ItemCheckpoint, ItemResult, ItemSummary, JobItem, JobRecord } from './types';
 
 /** Table of the job records and submission guards, partitioned by team. */
 export const JOB_TABLE = 'jobs';
@@ -9,6 +9,8 @@
 export const RESULT_TABLE = 'results';
 /** Table of the items' checkpoints, partitioned by team. */
 export const CHECKPOINT_TABLE = 'checkpoints';
+/** Table of the indexes of jobs' items, partitioned by team. */
+export const ITEM_TABLE = 'items';
 /** Prefix of the keys of submission guards in the job table. */
 const SUBMISSION_GUARD_PREFIX = '!';
 const POSITION_DIGITS = 6;
@@ -57,9 +59,24 @@
   to: `${id}/:`,
 });
 
-/** Name of the object with a job's items. */
+/** Name of the record with the index of a job's items. */
+export const getItemIndexName = (team: string, id: string): RecordName => ({
+  table: ITEM_TABLE,
+  partition: team,
+  key: id,
+});
+
+/** Name of the object in which earlier releases stored all items of a job. */
 export const getItemsObjectName = (team: string, id: string): string => `job-${team}-${id}`;
 
+/** Name of the object with a segment of a job's items. */
+export const getSegmentObjectName = (team: string, id: string, index: number): string =>
+  `${getItemsObjectName(team, id)}-items-${index}`;
+
+/** Name of the object with an index of a job's items that is too large for its record. */
+export const getItemIndexObjectName = (team: string, id: string): string =>
+  `${getItemsObjectName(team, id)}-index`;
+
 /**
  * Name of the object of a result that is too large for its record. The name includes the owner,
  * because a run of one owner must not overwrite the object of another owner's run.
@@ -85,6 +102,7 @@
   owner: z.string().optional(),
   listed: z.array(indexSchema),
   failures: z.record(z.string(), indexSchema),
+  resultBytes: z.number().optional(),
   isEnded: z.boolean(),
 });
 
@@ -114,8 +132,8 @@
   if (isSubmissionGuard({ key }) || value === undefined) return undefined;
   const job = parseJson(jobSchema, value);
   if (job === undefined || job.id !== key || job.team !== partition) return undefined;
-  const { configVersion, owner, ...record } = job;
-  return { record: { ...record, configVersion, owner }, revision };
+  const { configVersion, owner, resultBytes, ...record } = job;
+  return { record: { ...record, configVersion, owner, resultBytes }, revision };
 };
 
 const itemsSchema = z.array(
@@ -147,6 +165,46 @@
     body: Buffer.from(item.body, 'base64'),
   }));
 
+/** Content of the record with an index of a job's items. */
+const itemIndexSchema = z.object({
+  segments: z.array(
+    z.object({
+      object: z.string(),
+      bytes: indexSchema,
+      items: z.array(z.object({ id: z.string(), promptParts: z.array(z.string()).optional() })),
+    }),
+  ),
+});
+type StoredItemIndex = z.output<typeof itemIndexSchema>;
+
+/** Content of an index of items. */
+export const serializeItemIndex = (items: readonly ItemSummary[]): Buffer => {
+  const segments = new Map(
+    items.map(({ segment }) => [
+      segment,
+      { ...segment, items: [] as StoredItemIndex['segments'][0]['items'] },
+    ]),
+  );
+  items.forEach(({ id, promptParts, segment }) =>
+    segments
+      .get(segment)
+      ?.items.push({ id, ...(promptParts.length === 0 ? {} : { promptParts: [...promptParts] }) }),
+  );
+  return serializeJson({ segments: [...segments.values()] });
+};
+
+/** An index of items, or the name of the object that holds it; undefined if it makes no sense. */
+export const parseItemIndex = (
+  content: Buffer,
+): readonly ItemSummary[] | { readonly object: string } | undefined => {
+  const parsed = parseJson(z.union([itemIndexSchema, z.object({ object: z.string() })]), content);
+  if (parsed === undefined || 'object' in parsed) return parsed;
+  return parsed.segments.flatMap(({ object, bytes, items }) => {
+    const segment = { object, bytes };
+    return items.map(({ id, promptParts = [] }, offset) => ({ id, promptParts, segment, offset }));
+  });
+};
+
 const resultSchema = z.object({
   id: z.string(),
   state: z.enum(['succeeded', 'errored']),
@@ -157,12 +215,22 @@
 export const parseItemResult = (content: Buffer): ItemResult | undefined =>
   parseJson(resultSchema, content);
 
-/** Content of a result's record: the result itself, or the name of the object that holds it. */
-export type StoredResult = ItemResult | { readonly object: string };
+/** Where a result is that is too large for its record. */
+export interface ResultPointer {
+  readonly object: string;
+  /** Size of the object; earlier releases did not store it. */
+  readonly bytes?: number | undefined;
+}
+
+/** Content of a result's record: the result itself, or the object that holds it. */
+export type StoredResult = ItemResult | ResultPointer;
 
 /** Content of a result's record, parsed; undefined if it makes no sense. */
 export const parseStoredResult = (value: Buffer): StoredResult | undefined =>
-  parseJson(z.union([z.object({ object: z.string() }), resultSchema]), value);
+  parseJson(
+    z.union([z.object({ object: z.string(), bytes: indexSchema.optional() }), resultSchema]),
+    value,
+  );
 
 const checkpointSchema = z.object({
   index: indexSchema,
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -18,6 +18,7 @@
 import { sleep } from '../../process/program';
 import { YIELD_REASON, type GatewayMetrics } from '../gatewayMetrics';
 import { newItemExecution, type ItemExecutionDependencies } from './itemExecution';
+import { newItemFetcher } from './itemFetcher';
 import { newItemRuns, type Run } from './itemRuns';
 import { newItemSelection, type ItemSelectionDependencies, type ReadyItem } from './itemSelection';
 import { newJobClaimer, type JobClaimerDependencies } from './jobClaimer';
@@ -97,6 +98,7 @@
     { getOwnedJobs: () => claimer.getOwnedJobs(), runs, getRemainingMs },
     dependencies,
   );
+  const fetcher = newItemFetcher(dependencies.store, clock, log);
   const executeItem = newItemExecution({ runs, runTimeEstimator, getJobRoute }, dependencies);
 
   /** Items whose runs have not been aborted. */
@@ -180,26 +182,28 @@
       });
 
   /** Starts the most urgent items of a service, as far as the other gateways' items allow. */
-  const startItems = (service: string, own: readonly ReadyItem[]): void => {
+  const startItems = (service: string, ready: readonly ReadyItem[]): void => {
     const nowMs = clock.monotonic();
     const peers = itemTracker.getWaiting(service, nowMs);
     const candidates = view.getBatchCandidates(service);
     const storeMs = jobCache.getStoreMs() ?? 0;
+    fetcher.fetchNext(ready, storeMs);
+    const own = ready.filter(fetcher.isInMemory);
     // What limits leave goes to the most urgent items of all gateways, which would else all take it.
     const itemsForLimits = new Set(
       getItemsToStart({ own, peers }, candidates.filter(isLimited), storeMs),
     );
     getPlacedItemsToStart({ own, peers }, candidates, storeMs)
       .slice(0, MAX_STARTS_PER_TICK)
-      .forEach(({ item: ready, place }, started) => {
-        const mayUseLimits = itemsForLimits.has(ready);
+      .forEach(({ item: next, place }, started) => {
+        const mayUseLimits = itemsForLimits.has(next);
         // The slots of the items started before it are no longer free.
-        const upstream = pickUpstream(service, ready.pending, mayUseLimits, place - started);
+        const upstream = pickUpstream(service, next.pending, mayUseLimits, place - started);
         if (upstream === undefined) return;
-        const { job, pending, dueMs, remainingMs } = ready;
+        const { job, pending, dueMs, remainingMs } = next;
         const details = { upstream: upstream.id, events: pending.events, dueMs, remainingMs };
         log.info({ job: job.id, item: pending.item.id, ...details }, 'item starts');
-        executeItem(ready, upstream).catch((error: unknown) =>
+        executeItem(next, upstream).catch((error: unknown) =>
           log.error({ reason: getErrorMessage(error) }, 'item run failed'),
         );
       });
--- a/anvilpaddle-app/gateway/jobs/jobService.ts
+++ b/anvilpaddle-app/gateway/jobs/jobService.ts
@@ -1,15 +1,24 @@
 /** Serves callers' requests about batch jobs: submit, read results, read an item, end. */
 import type { ServerResponse } from 'node:http';
-import { sendJson, type Clock, type Logger } from '@anvilpaddle/common';
+import {
+  NoRoomError,
+  MS_PER_SECOND,
+  sendJson,
+  type Clock,
+  type Logger,
+  type Room,
+  type RoomWait,
+} from '@anvilpaddle/common';
 import { getOutageRetryAfterMs, OUTAGE } from '@anvilpaddle/decisions';
 import { getPlatformErrorMessage, type PlatformError } from '@anvilpaddle/platform';
 import type { CallerProtocol, JobAction, RequestHead } from '../callerProtocol';
 import { sendRefusal, STATUS, type Refusal } from '../refusal';
+import { holdRoomUntilRead } from '../unreadResponse';
 import type { Route } from '../types';
 import { isUnfinished, type JobCache } from './jobCache';
 import type { StoredJob } from './jobRecords';
 import type { JobStore } from './jobStoreTypes';
-import type { JobRecord, NewJob } from './types';
+import type { ItemResult, JobRecord, NewJob } from './types';
 
 const ACCEPTED = 202;
 /** Size limit of the results in one response. */
@@ -23,6 +32,10 @@
 /** Longest time that a read of results waits for a new one. */
 const MAX_RESULT_WAIT_MS = 1000;
 const MAX_END_ATTEMPTS = 10;
+/** Longest wait for room for what a caller asks for. */
+const ROOM_TIMEOUT_MS = 4 * MS_PER_SECOND;
+/** Retry-after for a caller for whose answer there was no room. */
+const ROOM_RETRY_AFTER_MS = MS_PER_SECOND;
 
 /** One request about jobs. */
 export interface JobRequest {
@@ -63,6 +76,8 @@
   readonly isStoreUnavailable: () => boolean;
   /** Whether other gateways may be able to serve what this one can't. */
   readonly canOthersServe: () => boolean;
+  /** Whether others wait for the room that answers take until their callers have read them. */
+  readonly isRoomWanted: () => boolean;
   /** Whether this gateway may become the owner of new jobs; false once it is stopping. */
   readonly isAcceptingJobs: () => boolean;
   readonly clock: Clock;
@@ -102,6 +117,7 @@
     owner: dependencies.isAcceptingJobs() ? dependencies.self : undefined,
     listed: [],
     failures: {},
+    resultBytes: 0,
     isEnded: false,
   });
 
@@ -171,6 +187,15 @@
     return undefined;
   };
 
+  const getRoomWait = ({ head, signal }: JobRequest): RoomWait => ({
+    timeoutMs: Math.min(ROOM_TIMEOUT_MS, head.budgetMs ?? Infinity),
+    signal,
+  });
+
+  /** Keeps what was read held until the caller has read the answer. */
+  const holdUntilRead = ({ response }: JobRequest, room: Room): void =>
+    holdRoomUntilRead(response, room, dependencies.isRoomWanted);
+
   const readResults = async (
     request: JobRequest,
     id: string,
@@ -178,6 +203,10 @@
     waitMs: number,
   ): Promise<void> => {
     const { team, response } = request;
+    const sendPage = (total: number, results: readonly ItemResult[]): void => {
+      const next = from + results.length;
+      sendJson(response, 200, protocol.getResultPage({ total, next, results }));
+    };
     const deadlineMs = clock.monotonic() + Math.min(waitMs, MAX_RESULT_WAIT_MS);
     let job = await findJob(request, id);
     if (job === undefined) return;
@@ -188,36 +217,45 @@
       job = jobCache.get(team, id) ?? job;
     }
     const total = job.record.tokens.length;
-    const results =
-      job.record.listed.length > from
-        ? await store.readResults(team, id, from, MAX_PAGE_BYTES)
-        : { ok: true as const, value: [] };
-    if (!results.ok) {
-      refuseUnavailable(request, results.error);
+    if (job.record.listed.length <= from) {
+      sendPage(total, []);
       return;
     }
-    const next = from + results.value.length;
-    sendJson(response, 200, protocol.getResultPage({ total, next, results: results.value }));
+    const page = await store.readResults(job.record, from, MAX_PAGE_BYTES, getRoomWait(request));
+    if (!page.ok) {
+      refuseUnavailable(request, page.error);
+      return;
+    }
+    sendPage(total, page.value.results);
+    holdUntilRead(request, page.value.room);
   };
 
   const readItem = async (request: JobRequest, id: string, itemId: string): Promise<void> => {
     const job = await findJob(request, id);
     if (job === undefined) return;
-    const items = await store.readItems(request.team, id);
-    if (!items.ok) {
-      refuseUnavailable(request, items.error);
+    const wait = getRoomWait(request);
+    const summaries = await store.readItemSummaries(job.record, wait);
+    if (!summaries.ok) {
+      refuseUnavailable(request, summaries.error);
       return;
     }
-    const item = items.value?.find((candidate) => candidate.id === itemId);
-    if (item === undefined || job.record.isEnded) {
+    const summary = summaries.value?.find((candidate) => candidate.id === itemId);
+    if (summary === undefined || job.record.isEnded) {
       refuse(request, { status: STATUS.notFound, reason: 'no such item' });
       return;
     }
+    const read = await store.readItem(summary, wait);
+    if (!read.ok) {
+      refuseUnavailable(request, read.error);
+      return;
+    }
+    const { item, room } = read.value;
     request.response.writeHead(200, {
       'content-type': 'application/octet-stream',
       'content-length': String(item.body.length),
     });
     request.response.end(item.body);
+    holdUntilRead(request, room);
   };
 
   const endJob = async (request: JobRequest, id: string): Promise<void> => {
@@ -248,19 +286,29 @@
     });
   };
 
+  const act = async (call: JobCall): Promise<void> => {
+    const { action } = call;
+    switch (action.kind) {
+      case 'readResults':
+        await readResults(call, action.jobId, action.from, action.waitMs);
+        break;
+      case 'readItem':
+        await readItem(call, action.jobId, action.itemId);
+        break;
+      default:
+        await endJob(call, action.jobId);
+    }
+  };
+
   return {
     submit,
     serve: async (call) => {
-      const { action } = call;
-      switch (action.kind) {
-        case 'readResults':
-          await readResults(call, action.jobId, action.from, action.waitMs);
-          break;
-        case 'readItem':
-          await readItem(call, action.jobId, action.itemId);
-          break;
-        default:
-          await endJob(call, action.jobId);
+      try {
+        await act(call);
+      } catch (error) {
+        if (!(error instanceof NoRoomError)) throw error;
+        const retryAfterMs = ROOM_RETRY_AFTER_MS;
+        refuse(call, { status: STATUS.unavailable, reason: error.message, retryAfterMs });
       }
     },
   };
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -1,42 +1,37 @@
-/** Stores batch jobs: one record per job, one record per result, one object with a job's items. */
-import { newFailure, newOk, type Result } from '@anvilpaddle/common';
+/** Stores batch jobs: one record per job, beside its items and its results. */
+import {
+  newByteBudget,
+  newOk,
+  newStoredRooms,
+  SystemClock,
+  type StoredRooms,
+} from '@anvilpaddle/common';
 import { getWaitingTokens } from '@anvilpaddle/decisions';
-import type {
-  ObjectStore,
-  PlatformError,
-  RecordCheck,
-  RecordStore,
-  RecordWrite,
-} from '@anvilpaddle/platform';
+import type { ObjectStore, RecordCheck, RecordStore, RecordWrite } from '@anvilpaddle/platform';
+import { newJobItemStore, type JobItemStore } from './jobItemStore';
 import {
   CHECKPOINT_TABLE,
   getCheckpointName,
-  getSubmissionGuardName,
-  serializeItems,
-  getItemsObjectName,
+  getItemIndexName,
   getJobName,
-  serializeJson,
-  getLargeResultObjectName,
-  getResultName,
   getPositionRange,
+  getResultName,
+  getSubmissionGuardName,
   JOB_TABLE,
   parseCheckpoint,
-  parseItemResult,
-  parseItems,
-  parseStoredResult,
   parseStoredJob,
-  RESULT_TABLE,
+  serializeJson,
 } from './jobRecords';
+import { newJobResultStore } from './jobResultStore';
 import type {
-  SubmissionResult,
+  JobStore,
   SubmissionLimits,
   SubmissionProgress,
-  JobStore,
+  SubmissionResult,
 } from './jobStoreTypes';
-import type { ItemResult, JobRecord, NewJob } from './types';
+import { newSegmentCache, type SegmentCache } from './segmentCache';
+import type { JobItem, JobRecord } from './types';
 
-/** Size limit of results that are stored in their record; larger ones go into an object. */
-const MAX_INLINE_RESULT_BYTES = 40_000;
 const MAX_SUBMIT_ATTEMPTS = 5;
 /** Maximum number of records that one commit removes. */
 const MAX_REMOVALS_PER_COMMIT = 90;
@@ -46,14 +41,35 @@
   error: { kind: 'unavailable', detail: 'submission cancelled before the commit' },
 };
 
-/** A parsed value, or an error if the named content was truncated on its way or makes no sense. */
-const getParsed = <T>(value: T | undefined, name: string): Result<T, PlatformError> =>
-  value === undefined
-    ? newFailure({ kind: 'invalid_answer', detail: `${name} can not be parsed` })
-    : newOk(value);
+/** What bounds the memory of stored bytes, and how items are read. */
+export interface JobStoreOptions {
+  readonly rooms: StoredRooms;
+  readonly cache: SegmentCache;
+  readonly getPromptParts: (item: JobItem) => readonly string[];
+}
+
+/** Options without a bound, for items without parts of prompts. */
+const getDefaultOptions = (): JobStoreOptions => {
+  const byteBudget = newByteBudget(Infinity);
+  return {
+    rooms: newStoredRooms(byteBudget, new SystemClock()),
+    cache: newSegmentCache(byteBudget),
+    getPromptParts: () => [],
+  };
+};
+
+/** Items that a submission has stored, for its further attempts. */
+type StoredItems = Awaited<ReturnType<JobItemStore['put']>>;
 
 /** Job store on top of a record store and an object store. */
-export const newJobStore = (records: RecordStore, objects: ObjectStore): JobStore => {
+export const newJobStore = (
+  records: RecordStore,
+  objects: ObjectStore,
+  options = getDefaultOptions(),
+): JobStore => {
+  const items = newJobItemStore({ records, objects, ...options });
+  const results = newJobResultStore(records, objects, options.rooms);
+
   const read: JobStore['read'] = async (team, id) => {
     const page = await records.read(JOB_TABLE, team, { from: id, to: `${id}\u0000` });
     if (!page.ok) return page;
@@ -64,9 +80,9 @@
   /** Makes one attempt; `again` means that a concurrent submission to the route won the commit. */
   const trySubmit = async (
     record: JobRecord,
-    job: NewJob,
     { maxWaitingTokens }: SubmissionLimits,
     progress: SubmissionProgress,
+    putItems: () => Promise<StoredItems>,
   ): Promise<SubmissionResult | 'again'> => {
     const { team, id, route } = record;
     const page = await records.read(JOB_TABLE, team);
@@ -79,7 +95,7 @@
     if (maxWaitingTokens > 0 && waitingTokens > maxWaitingTokens) {
       return { kind: 'no_room', waitingTokens };
     }
-    const stored = await objects.put(getItemsObjectName(team, id), serializeItems(job.items));
+    const stored = await putItems();
     if (!stored.ok) return { kind: 'unavailable', error: stored.error };
     if (progress.isCancelled) return CANCELLED;
     progress.isCommitting = true;
@@ -94,6 +110,7 @@
       writes: [
         { ...guard, value: serializeJson({ newest: id }) },
         { ...getJobName(team, id), value: serializeJson(stampedRecord) },
+        stored.value.index,
       ],
     });
     if (!commit.ok) {
@@ -111,9 +128,19 @@
     limits,
     progress = { isCancelled: false, isCommitting: false },
   ) => {
+    let stored: Promise<StoredItems> | undefined;
+    const putItems = (): Promise<StoredItems> => {
+      stored ??= items.put(record, job.items);
+      return stored;
+    };
     for (let attempt = 0; attempt < MAX_SUBMIT_ATTEMPTS; attempt += 1) {
-      const submission = await trySubmit(record, job, limits, progress);
-      if (submission !== 'again') return submission;
+      const submission = await trySubmit(record, limits, progress, putItems);
+      if (submission === 'again') continue;
+      const put = await stored;
+      if (submission.kind === 'accepted' && put?.ok === true) {
+        items.keep(put.value.summaries, job.items);
+      }
+      return submission;
     }
     return {
       kind: 'unavailable',
@@ -121,32 +148,17 @@
     };
   };
 
-  /** Prepares the write of a result's record; stores a large result in an object first. */
-  const prepareResultWrite = async (
-    record: JobRecord,
-    result: ItemResult,
-    position: number,
-  ): Promise<Result<RecordWrite, PlatformError>> => {
-    const name = getResultName(record.team, record.id, position);
-    const content = serializeJson(result);
-    if (content.length <= MAX_INLINE_RESULT_BYTES) return newOk({ ...name, value: content });
-    const object = getLargeResultObjectName(record, position);
-    const stored = await objects.put(object, content);
-    if (!stored.ok) return stored;
-    return newOk({ ...name, value: serializeJson({ object }) });
-  };
-
   const update: JobStore['update'] = async ({ record, revision }, change) => {
     const { team, id } = record;
-    const { record: next, results = [], checkpoints = [] } = change;
+    const { record: next, results: added = [], checkpoints = [] } = change;
     const writes: RecordWrite[] = checkpoints.map((checkpoint) => ({
       ...getCheckpointName(team, id, checkpoint.index),
       value: serializeJson(checkpoint),
     }));
     if (next !== undefined) writes.push({ ...getJobName(team, id), value: serializeJson(next) });
-    const firstPosition = (next ?? record).listed.length - results.length;
-    for (const [offset, result] of results.entries()) {
-      const write = await prepareResultWrite(next ?? record, result, firstPosition + offset);
+    const firstPosition = (next ?? record).listed.length - added.length;
+    for (const [offset, result] of added.entries()) {
+      const write = await results.prepareWrite(next ?? record, result, firstPosition + offset);
       if (!write.ok) return write;
       writes.push(write.value);
     }
@@ -164,67 +176,14 @@
     );
   };
 
-  /** Loads a result from a record's value, or from the object that the value names. */
-  const loadResult = async (value: Buffer): Promise<Result<ItemResult, PlatformError>> => {
-    const parsed = parseStoredResult(value);
-    if (parsed === undefined || !('object' in parsed)) return getParsed(parsed, 'a result');
-    const content = await objects.get(parsed.object);
-    if (!content.ok) return content;
-    if (content.value === undefined) {
-      return newFailure({ kind: 'invalid_answer', detail: `object ${parsed.object} is missing` });
-    }
-    return getParsed(parseItemResult(content.value), parsed.object);
-  };
-
-  const readResultRecords = (team: string, id: string, from: number) =>
-    records.read(RESULT_TABLE, team, getPositionRange(id, from));
-
-  const readResults: JobStore['readResults'] = async (team, id, from, maxBytes) => {
-    const page = await readResultRecords(team, id, from);
-    if (!page.ok) return page;
-    const results: ItemResult[] = [];
-    let bytes = 0;
-    for (const { value } of page.value.records) {
-      if (value === undefined) continue;
-      const result = await loadResult(value);
-      if (!result.ok) return result;
-      bytes += Buffer.byteLength(JSON.stringify(result.value));
-      if (results.length > 0 && bytes > maxBytes) break;
-      results.push(result.value);
-    }
-    return newOk(results);
-  };
-
-  const readItems: JobStore['readItems'] = async (team, id) => {
-    const object = getItemsObjectName(team, id);
-    const content = await objects.get(object);
-    if (!content.ok) return content;
-    if (content.value === undefined) return newOk(undefined);
-    return getParsed(parseItems(content.value), object);
-  };
-
-  /** Removes the objects of all results that are too large for their records. */
-  const removeLargeResults = async (
-    team: string,
-    id: string,
-  ): Promise<Result<void, PlatformError>> => {
-    const page = await readResultRecords(team, id, 0);
-    if (!page.ok) return page;
-    for (const { value } of page.value.records) {
-      const result = value && parseStoredResult(value);
-      if (result !== undefined && 'object' in result) {
-        const removed = await objects.remove(result.object);
-        if (!removed.ok) return removed;
-      }
-    }
-    return newOk(undefined);
-  };
-
   const remove: JobStore['remove'] = async ({ record, revision }) => {
     const { team, id } = record;
     const name = getJobName(team, id);
-    const removedObjects = await removeLargeResults(team, id);
-    if (!removedObjects.ok) return removedObjects;
+    // The objects go before the record that tells of them, and before the same job can be submitted again.
+    const removedResults = await results.removeObjects(team, id);
+    if (!removedResults.ok) return removedResults;
+    const removedItems = await items.removeObjects(record);
+    if (!removedItems.ok) return removedItems;
     const dependentRecords = record.tokens.flatMap((_, index) => [
       getCheckpointName(team, id, index),
       getResultName(team, id, index),
@@ -234,15 +193,26 @@
       const cleared = await records.commit({ checks: [], writes: [], removals });
       if (!cleared.ok) return cleared;
     }
-    const commit = await records.commit({
+    return records.commit({
       checks: [{ ...name, revision }],
       writes: [],
-      removals: [name],
+      removals: [name, getItemIndexName(team, id)],
     });
-    if (!commit.ok || !commit.value.committed) return commit;
-    const removedItems = await objects.remove(getItemsObjectName(team, id));
-    return removedItems.ok ? commit : removedItems;
   };
 
-  return { submit, read, update, readResults, readCheckpoints, readItems, remove };
+  return {
+    submit,
+    read,
+    update,
+    readResults: results.read,
+    readCheckpoints,
+    readItemSummaries: items.readSummaries,
+    readItem: items.readItem,
+    getItemInMemory: items.getInMemory,
+    isItemInMemory: items.isInMemory,
+    fetchItem: items.fetch,
+    prefetchItems: items.prefetch,
+    forgetItems: items.forget,
+    remove,
+  };
 };
--- a/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
@@ -1,8 +1,10 @@
 /** Interface of the stored batch jobs. */
-import type { Result } from '@anvilpaddle/common';
+import type { Result, RoomWait } from '@anvilpaddle/common';
 import type { PlatformError, RecordCommitOutcome } from '@anvilpaddle/platform';
+import type { HeldItem } from './jobItemStore';
 import type { StoredJob } from './jobRecords';
-import type { ItemCheckpoint, ItemResult, JobItem, JobRecord, NewJob } from './types';
+import type { HeldResults } from './jobResultStore';
+import type { ItemCheckpoint, ItemResult, ItemSummary, JobItem, JobRecord, NewJob } from './types';
 
 /** Outcome of a submission. */
 export type SubmissionResult =
@@ -54,17 +56,32 @@
     team: string,
     id: string,
   ): Promise<Result<readonly ItemCheckpoint[], PlatformError>>;
-  /** Results from a position on, up to `maxBytes`; the first one is included whatever its size. */
+  /**
+   * Results from a position on, up to `maxBytes` and to what one response of the store has; the first one is
+   * included whatever its size. Rejects with `NoRoomError`.
+   */
   readResults(
-    team: string,
-    id: string,
+    record: JobRecord,
     from: number,
     maxBytes: number,
-  ): Promise<Result<readonly ItemResult[], PlatformError>>;
-  readItems(
-    team: string,
-    id: string,
-  ): Promise<Result<readonly JobItem[] | undefined, PlatformError>>;
+    wait: RoomWait,
+  ): Promise<Result<HeldResults, PlatformError>>;
+  /** Summaries of a job's items; undefined if there are none. Rejects with `NoRoomError`. */
+  readItemSummaries(
+    record: JobRecord,
+    wait: RoomWait,
+  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>>;
+  /** One item. Rejects with `NoRoomError`. */
+  readItem(summary: ItemSummary, wait: RoomWait): Promise<Result<HeldItem, PlatformError>>;
+  /** One item, if it is in memory. */
+  getItemInMemory(summary: ItemSummary): JobItem | undefined;
+  isItemInMemory(summary: ItemSummary): boolean;
+  /** Reads an item and its neighbours into memory, in place of others. Rejects with `NoRoomError`. */
+  fetchItem(summary: ItemSummary, wait: RoomWait): Promise<Result<void, PlatformError>>;
+  /** Reads items into memory as far as there is room for them. */
+  prefetchItems(summaries: readonly ItemSummary[], wait: RoomWait): Promise<void>;
+  /** Keeps the items of a job no longer in memory. */
+  forgetItems(summaries: readonly ItemSummary[]): void;
   /** Removes a job with its items, results and checkpoints. */
   remove(job: StoredJob): Promise<Result<RecordCommitOutcome, PlatformError>>;
 }
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -4,9 +4,9 @@
 import { sleep, waitUntil } from '../../process/program';
 import type { JobCache } from './jobCache';
 import type { ItemProgress } from './runItem';
-import type { StoredJob } from './jobRecords';
+import { serializeJson, type StoredJob } from './jobRecords';
 import type { JobStore } from './jobStoreTypes';
-import type { ItemCheckpoint, ItemResult, JobItem, JobRecord } from './types';
+import type { ItemCheckpoint, ItemResult, ItemSummary, JobRecord } from './types';
 
 /** Delay before a commit that failed is retried. */
 const COMMIT_RETRY_MS = 200;
@@ -19,7 +19,7 @@
 /** An item without a result. */
 export interface PendingItem extends ItemProgress {
   readonly index: number;
-  readonly item: JobItem;
+  readonly item: ItemSummary;
   /** Monotonic time before which the item must not start again. */
   notBeforeMs: number;
   /** Whether the item runs at an upstream that is not silent. */
@@ -64,14 +64,20 @@
   readonly log: Logger;
 }
 
+/** A result with its item's index. */
+type FinishedItem = readonly [number, ItemResult];
+
+const getBytes = (finished: readonly FinishedItem[]): number =>
+  finished.reduce((sum, [, result]) => sum + serializeJson(result).length, 0);
+
 /** A job's items and their stored checkpoints. */
 export interface JobContent {
-  readonly items: readonly JobItem[];
+  readonly items: readonly ItemSummary[];
   readonly checkpoints: readonly ItemCheckpoint[];
 }
 
 const newPendingItem = (
-  item: JobItem,
+  item: ItemSummary,
   index: number,
   checkpoint: ItemCheckpoint | undefined,
 ): PendingItem => ({
@@ -165,12 +171,14 @@
     );
 
   /** Record with the given items listed; undefined when nothing in the record would change. */
-  const getNextRecord = (finished: readonly number[]): JobRecord | undefined => {
+  const getNextRecord = (finished: readonly FinishedItem[]): JobRecord | undefined => {
     if (finished.length === 0 && !hasNewFailures && !isHandingOver) return undefined;
+    const { resultBytes } = storedJob.record;
     return {
       ...storedJob.record,
+      resultBytes: resultBytes === undefined ? undefined : resultBytes + getBytes(finished),
       owner: isHandingOver ? undefined : storedJob.record.owner,
-      listed: [...storedJob.record.listed, ...finished],
+      listed: [...storedJob.record.listed, ...finished.map(([index]) => index)],
       failures: Object.fromEntries(failures),
     };
   };
@@ -184,7 +192,7 @@
   const commitBatch = async (): Promise<void> => {
     const batch = [...uncommittedResults.entries()].slice(0, MAX_ITEMS_PER_COMMIT);
     const dueCheckpoints = areCheckpointsDue ? getCheckpoints().slice(0, MAX_ITEMS_PER_COMMIT) : [];
-    const record = getNextRecord(batch.map(([index]) => index));
+    const record = getNextRecord(batch);
     hasNewFailures = false;
     areCheckpointsDue = false;
     if (record === undefined && dueCheckpoints.length === 0) return;
--- a/anvilpaddle-app/gateway/jobs/types.ts
+++ b/anvilpaddle-app/gateway/jobs/types.ts
@@ -11,6 +11,23 @@
   readonly tokens: number;
 }
 
+/** Object with some successive items of a job. */
+export interface ItemSegment {
+  readonly object: string;
+  /** Size of the object. */
+  readonly bytes: number;
+}
+
+/** What an owner keeps of an item that doesn't run. */
+export interface ItemSummary {
+  readonly id: string;
+  /** Ids of the prompt's parts that it may share with others. */
+  readonly promptParts: readonly string[];
+  readonly segment: ItemSegment;
+  /** Position in the segment. */
+  readonly offset: number;
+}
+
 /** A job as its caller submitted it. */
 export interface NewJob {
   readonly items: readonly JobItem[];
@@ -34,6 +51,8 @@
   readonly listed: readonly number[];
   /** Number of failed runs by item index. */
   readonly failures: Readonly<Record<string, number>>;
+  /** Size of all results; undefined if an earlier release has stored some of them. */
+  readonly resultBytes?: number | undefined;
   /** Whether the caller has ended the job. */
   readonly isEnded: boolean;
 }
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -8,12 +8,14 @@
 import {
   BODY_DELIMITER,
   formatAddress,
+  getAnnouncedBytes,
   getBodyDelimiter,
   getErrorMessage,
   getRandomElement,
   listen,
   newFailure,
   newOk,
+  NoRoomError,
   readBody,
   readStream,
   sendJson,
@@ -25,6 +27,8 @@
   type Logger,
   type Random,
   type Result,
+  type Room,
+  type StoredRooms,
 } from '@anvilpaddle/common';
 import {
   getPlatformErrorMessage,
@@ -35,6 +39,8 @@
 
 const STATUS_HEADER = 'x-store-status';
 const TIMEOUT_HEADER = 'x-store-timeout-ms';
+/** Bytes of a response that may be large, for which the peer takes room before it passes the call on. */
+const EXPECTED_BYTES_HEADER = 'x-store-expected-bytes';
 const STORE_UNREACHABLE_STATUS = 503;
 const MAX_BODY_BYTES = 16 * BYTES_PER_MIB;
 /** Time beyond a call's own timeout for the round trip to the peer. */
@@ -71,12 +77,46 @@
     : MS_PER_SECOND;
 };
 
+/** Bytes that a peer's call holds here: its body, and what it expects of the store. */
+const getCallBytes = (message: IncomingMessage): number => {
+  const expectedBytes = Number(getText(message.headers[EXPECTED_BYTES_HEADER]) ?? 0);
+  const bytes = getAnnouncedBytes(message) + (Number.isFinite(expectedBytes) ? expectedBytes : 0);
+  return Math.min(Math.max(0, bytes), MAX_BODY_BYTES);
+};
+
+/** Takes room for a peer's call until the peer has the answer; undefined if there is none in time. */
+const takeRoom = async (
+  rooms: StoredRooms,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<Room | undefined> => {
+  const timeoutMs = getTimeoutMs(getText(message.headers[TIMEOUT_HEADER]));
+  const left = new AbortController();
+  response.once('close', () => left.abort());
+  try {
+    const room = await rooms.take(getCallBytes(message), { timeoutMs, signal: left.signal });
+    response.once('close', room.release);
+    if (response.closed) room.release();
+    return room;
+  } catch (error) {
+    if (!(error instanceof NoRoomError)) throw error;
+    return undefined;
+  }
+};
+
 /** Forwards a peer's call to the store and returns the store's answer. */
 const relayPeerCall = async (
   client: HttpClient,
+  rooms: StoredRooms,
   message: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> => {
+  const room = await takeRoom(rooms, message, response);
+  if (room === undefined) {
+    const error: PlatformError = { kind: 'unavailable', detail: 'the relay has no room' };
+    sendJson(response, STORE_UNREACHABLE_STATUS, error, { connection: 'close' });
+    return;
+  }
   const body = await readBody(message, MAX_BODY_BYTES);
   if (!body.ok || !isMethod(message.method)) {
     response.destroy();
@@ -107,10 +147,11 @@
 export const serveStoreRelay = async (
   address: Address,
   client: HttpClient,
+  rooms: StoredRooms,
   log: Logger,
 ): Promise<Server> => {
   const server = createServer((message, response) => {
-    relayPeerCall(client, message, response).catch((error: unknown) => {
+    relayPeerCall(client, rooms, message, response).catch((error: unknown) => {
       log.warn({ reason: getErrorMessage(error) }, 'store relay failed');
       response.destroy();
     });
@@ -146,6 +187,9 @@
       body: body ?? null,
       headers: {
         [TIMEOUT_HEADER]: String(timeoutMs),
+        ...(options.expectedBytes === undefined
+          ? {}
+          : { [EXPECTED_BYTES_HEADER]: String(options.expectedBytes) }),
         ...(options.contentType === undefined ? {} : { 'content-type': options.contentType }),
       },
       signal: AbortSignal.timeout(timeoutMs + RELAY_OVERHEAD_MS),
--- a/anvilpaddle-app/gateway/tests/jobRunner.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunner.test.ts
@@ -112,8 +112,8 @@
       config = newConfig(version);
     },
     getResults: async () => {
-      const results = await store.readResults(TEAM, JOB_ID, 0, 1000);
-      return results.ok ? results.value : undefined;
+      const page = await store.readResults(RECORD, 0, 1000, { timeoutMs: 0 });
+      return page.ok ? page.value.results : undefined;
     },
     observe: () => sleep(clock, OBSERVED_MS),
     stop: () => runner.stop(),
--- a/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
@@ -150,8 +150,8 @@
   if (submission.kind !== 'accepted') throw new Error(submission.kind);
   runner.onJobChange(submission.job);
   const getResults = async () => {
-    const results = await store.readResults(TEAM, JOB_ID, 0, 1000);
-    return results.ok && results.value?.length === ITEMS.length && results.value;
+    const page = await store.readResults(RECORD, 0, 1000, { timeoutMs: 0 });
+    return page.ok && page.value.results.length === ITEMS.length && page.value.results;
   };
   return { yields, getResults, stop: () => runner.stop() };
 };
--- a/anvilpaddle-app/gateway/tests/jobRunnerTicks.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerTicks.test.ts
@@ -36,7 +36,9 @@
   const dependencies = {
     self: SELF,
     store: {
-      readItems: () => Promise.resolve(newOk([ITEM])),
+      readItemSummaries: () => Promise.resolve(newOk([ITEM])),
+      prefetchItems: () => Promise.resolve(),
+      forgetItems: () => undefined,
       readCheckpoints: () => Promise.resolve(newOk([])),
     },
     jobs: { get: () => undefined, getAll: () => [], getStoreMs: () => 0 },
--- a/anvilpaddle-app/gateway/tests/jobStore.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobStore.test.ts
@@ -1,6 +1,7 @@
 import { newOk } from '@anvilpaddle/common';
 import { newJobStore } from '../jobs/jobStore';
-import type { JobRecord, NewJob } from '../jobs/types';
+import type { JobStore } from '../jobs/jobStoreTypes';
+import type { JobItem, JobRecord, NewJob } from '../jobs/types';
 import { newMemoryStore } from './kit/memoryStore';
 
 const newTestStores = () => {
@@ -32,6 +33,27 @@
   isEnded: false,
 });
 
+const NO_WAIT = { timeoutMs: 0 };
+
+/** Results of a job from the first one on. */
+const readResults = async (store: JobStore, id: string) => {
+  const page = await store.readResults(newRecord(id), 0, 1000, NO_WAIT);
+  return page.ok ? newOk(page.value.results) : page;
+};
+
+/** All items of a job, read one after the other. */
+const readItems = async (store: JobStore, id: string) => {
+  const summaries = await store.readItemSummaries(newRecord(id), NO_WAIT);
+  if (!summaries.ok) return summaries;
+  const items: JobItem[] = [];
+  for (const summary of summaries.value ?? []) {
+    const read = await store.readItem(summary, NO_WAIT);
+    if (!read.ok) return read;
+    items.push(read.value.item);
+  }
+  return newOk(items);
+};
+
 const NO_LIMIT = { maxWaitingTokens: 0 };
 
 describe('jobs in the store', () => {
@@ -40,7 +62,7 @@
 
     expect((await store.submit(newRecord('a'), JOB, NO_LIMIT)).kind).toBe('accepted');
     expect((await store.submit(newRecord('a'), JOB, NO_LIMIT)).kind).toBe('known');
-    expect(await store.readItems('team', 'a')).toEqual(newOk(JOB.items));
+    expect(await readItems(store, 'a')).toEqual(newOk(JOB.items));
   });
 
   it('keeps concurrent submissions within the limit of waiting tokens', async () => {
@@ -80,7 +102,7 @@
 
     expect(first).toMatchObject({ ok: true, value: { committed: true } });
     expect(stale).toMatchObject({ ok: true, value: { committed: false } });
-    expect(await store.readResults('team', 'a', 0, 1000)).toEqual(newOk(results));
+    expect(await readResults(store, 'a')).toEqual(newOk(results));
   });
 
   it('stores a result that is too large for a record, and removes everything of a job', async () => {
@@ -91,7 +113,7 @@
     const output = 'x'.repeat(100_000);
     const results = [{ id: 'i1', state: 'succeeded' as const, output }];
     await store.update(job, { record: { ...job.record, listed: [0] }, results });
-    const listed = await store.readResults('team', 'a', 0, 1000);
+    const listed = await readResults(store, 'a');
     const stored = await store.read('team', 'a');
     if (!stored.ok || stored.value === undefined) throw new Error('the job is not stored');
     await store.remove(stored.value);
@@ -100,4 +122,41 @@
     expect([...rows.keys()]).toEqual(['jobs/team/!route']);
     expect([...objectContents.keys()]).toEqual([]);
   });
+
+  // Guards against review case 10: whoever needed one item read and held the items of the whole job.
+  it('stores the items of a large job in objects of bounded size, of which one item needs one', async () => {
+    const { store, objects, objectContents } = newTestStores();
+    const items = Array.from({ length: 200 }, (_, index) => ({
+      ...JOB.items[0]!,
+      id: `i${index}`,
+      body: Buffer.alloc(15_000, index),
+    }));
+    const record = { ...newRecord('a'), tokens: items.map(({ tokens }) => tokens) };
+    await store.submit(record, { items }, NO_LIMIT);
+    const sizes = [...objectContents.values()].map(({ length }) => length);
+    const reader = newJobStore(newTestStores().records, objects);
+    const summaries = await store.readItemSummaries(record, NO_WAIT);
+    const last = summaries.ok ? summaries.value?.at(-1) : undefined;
+    if (last === undefined) throw new Error('no items');
+    const read = await reader.readItem(last, NO_WAIT);
+
+    expect(sizes.length).toBeGreaterThan(10);
+    expect(Math.max(...sizes)).toBeLessThan(300_000);
+    expect(read.ok && read.value.item).toEqual(items[199]);
+  });
+
+  it('has the items of a job that an earlier release has stored, and not those of another job', async () => {
+    const { store, records, objectContents } = newTestStores();
+    const record = newRecord('a');
+    const value = Buffer.from(JSON.stringify(record));
+    const name = { table: 'jobs', partition: 'team', key: 'a' };
+    await records.commit({ checks: [], writes: [{ ...name, value }] });
+    const stored = JOB.items.map((item) => ({ ...item, body: item.body.toString('base64') }));
+    objectContents.set('job-team-a', Buffer.from(JSON.stringify(stored)));
+    const own = await readItems(store, 'a');
+    const foreign = await store.readItemSummaries({ ...record, tokens: [100] }, NO_WAIT);
+
+    expect(own).toEqual(newOk(JOB.items));
+    expect(foreign.ok).toBe(false);
+  });
 });
--- a/anvilpaddle-app/gateway/tests/ownedJob.test.ts
+++ b/anvilpaddle-app/gateway/tests/ownedJob.test.ts
@@ -5,7 +5,7 @@
 import { newJobStore } from '../jobs/jobStore';
 import type { JobStore } from '../jobs/jobStoreTypes';
 import { newOwnedJob, type OwnedJob } from '../jobs/ownedJob';
-import type { ItemResult, JobItem, JobRecord } from '../jobs/types';
+import type { ItemResult, ItemSummary, JobItem, JobRecord } from '../jobs/types';
 import { COMMIT_FAULT, newMemoryStore, type CommitFault } from './kit/memoryStore';
 
 const TEAM = 'team';
@@ -46,6 +46,15 @@
     tokens: 100,
   }));
 
+/** What an owner keeps of items. */
+const getSummaries = (items: readonly JobItem[]): ItemSummary[] =>
+  items.map(({ id }, offset) => ({
+    id,
+    promptParts: [],
+    segment: { object: 'items', bytes: 1 },
+    offset,
+  }));
+
 const newRecord = (items: readonly JobItem[]): JobRecord => ({
   id: JOB_ID,
   team: TEAM,
@@ -79,7 +88,7 @@
 };
 
 /** Result of an item as produced by one owner; the results of two owners differ. */
-const getResult = (owner: string, { id }: JobItem): ItemResult => ({
+const getResult = (owner: string, { id }: ItemSummary): ItemResult => ({
   id,
   state: 'succeeded',
   output: `${id} by ${owner}`,
@@ -133,7 +142,7 @@
           }
           const clock = newInstantClock();
           const newOwner = (self: string, stored: StoredJob): OwnedJob =>
-            newOwnedJob(stored, { items, checkpoints: [] }, () => undefined, {
+            newOwnedJob(stored, { items: getSummaries(items), checkpoints: [] }, () => undefined, {
               store,
               jobCache: EMPTY_CACHE,
               self,
@@ -154,11 +163,14 @@
           await waitUntilIdle();
 
           const last = await store.read(TEAM, JOB_ID);
-          const results = await store.readResults(TEAM, JOB_ID, 0, 1_000_000);
-          if (!last.ok || last.value === undefined || !results.ok) throw new Error('not readable');
+          if (!last.ok || last.value === undefined) throw new Error('not readable');
+          const page = await store.readResults(last.value.record, 0, 1_000_000, { timeoutMs: 0 });
+          if (!page.ok) throw new Error('not readable');
           const { listed } = last.value.record;
           expect([...listed].sort((a, b) => a - b)).toEqual(items.map((_, index) => index));
-          expect(results.value.map(({ id }) => id)).toEqual(listed.map((index) => `i${index}`));
+          expect(page.value.results.map(({ id }) => id)).toEqual(
+            listed.map((index) => `i${index}`),
+          );
           memory.history.forEach((values, name) => {
             if (name.startsWith('results/')) expect(new Set(values).size).toBe(1);
             if (name !== RECORD_NAME) return;
--- a/anvilpaddle-app/gateway/tests/storeRelay.test.ts
+++ b/anvilpaddle-app/gateway/tests/storeRelay.test.ts
@@ -1,15 +1,20 @@
 import {
+  BYTES_PER_MIB,
   formatAddress,
   listen,
   ManualClock,
+  newByteBudget,
   newFailure,
   newOk,
   newSilentLogger,
+  newStoredRooms,
+  SystemClock,
   type Address,
   type Result,
 } from '@anvilpaddle/common';
 import type { HttpResponse, HttpClient, PlatformError } from '@anvilpaddle/platform';
 import { createServer, type Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { newRelayedClient, serveStoreRelay } from '../storeRelay';
 
 type StoreResult = Result<HttpResponse, PlatformError>;
@@ -32,6 +37,10 @@
   return { client, calls };
 };
 
+/** Bytes for requests and responses, of which a part as large is for what is stored. */
+const MAX_HELD_BYTES = 24 * BYTES_PER_MIB;
+const ROOMS = newStoredRooms(newByteBudget(MAX_HELD_BYTES), new SystemClock());
+
 const relays: Server[] = [];
 
 afterEach(() => {
@@ -42,7 +51,7 @@
 });
 
 const serve = async (address: Address, client: HttpClient): Promise<void> => {
-  relays.push(await serveStoreRelay(address, client, newSilentLogger()));
+  relays.push(await serveStoreRelay(address, client, ROOMS, newSilentLogger()));
 };
 
 const getFreeAddress = async (): Promise<Address> => {
@@ -130,4 +139,29 @@
       await newRelayedTestClient(newClient(LIMITED).client, [address]).call('GET', '/rows'),
     ).toEqual(UNAVAILABLE);
   });
+
+  // Guards against what review case 10 stands for: the sum of all calls for peers was not bounded.
+  it('waits for room before it reads many large responses for peers', async () => {
+    const address = await getFreeAddress();
+    const expectedBytes = 4 * BYTES_PER_MIB;
+    let underWay = 0;
+    let most = 0;
+    await serve(address, {
+      call: async () => {
+        underWay += 1;
+        most = Math.max(most, underWay);
+        await sleep(20);
+        underWay -= 1;
+        return ANSWER;
+      },
+      close: () => Promise.resolve(),
+    });
+    const relayed = newRelayedTestClient(newClient(UNAVAILABLE).client, [address]);
+    const replies = await Promise.all(
+      Array.from({ length: 12 }, () => relayed.call('GET', '/rows', undefined, { expectedBytes })),
+    );
+
+    expect(replies).toEqual(replies.map(() => ANSWER));
+    expect(most).toBeLessThanOrEqual(MAX_HELD_BYTES / expectedBytes / 2);
+  });
 });
--- a/anvilpaddle-app/gateway/tests/unreadResponse.test.ts
+++ b/anvilpaddle-app/gateway/tests/unreadResponse.test.ts
@@ -1,8 +1,17 @@
 import { createServer } from 'node:http';
 import { connect } from 'node:net';
-import { BYTES_PER_MIB, closeServer, HELD_FOR, listen, newByteBudget } from '@anvilpaddle/common';
+import {
+  BYTES_PER_MIB,
+  closeServer,
+  HELD_FOR,
+  listen,
+  newByteBudget,
+  newRoomQueue,
+  SystemClock,
+  UNBOUNDED_HOLDER,
+} from '@anvilpaddle/common';
 import { waitFor } from '../../tests/kit/waitFor';
-import { holdUntilRead } from '../unreadResponse';
+import { holdRoomUntilRead, holdUntilRead } from '../unreadResponse';
 
 const TIMEOUT_MS = 300;
 const BODY = Buffer.alloc(16 * BYTES_PER_MIB);
@@ -51,4 +60,29 @@
     expect(received).toBeGreaterThan(BODY.length);
     expect(getHeldBytes()).toBe(0);
   }, 20_000);
+
+  it.each([true, false])(
+    'whose caller reads nothing gives way only if its room is wanted: %s',
+    async (isWanted) => {
+      const queue = newRoomQueue(BODY.length, UNBOUNDED_HOLDER, new SystemClock());
+      const room = await queue.take(BODY.length, { timeoutMs: 0 });
+      const server = createServer((_, response) => {
+        response.end(BODY);
+        holdRoomUntilRead(response, room, () => isWanted);
+      });
+      const { port } = await listen(server, { host: '127.0.0.1', port: 0 });
+      const socket = connect(port, '127.0.0.1');
+      socket.on('error', () => undefined);
+      socket.pause();
+      socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+      const next = queue.take(BODY.length, { timeoutMs: 5000 }).then(
+        () => true,
+        () => false,
+      );
+      expect(await next).toBe(isWanted);
+      socket.destroy();
+      await closeServer(server);
+    },
+    20_000,
+  );
 });
--- a/packages/common/byteBudget.ts
+++ b/packages/common/byteBudget.ts
@@ -30,17 +30,24 @@
   request: 'request',
   /** Responses until they are sent on, and what of them waits for callers that read slowly. */
   response: 'response',
+  /** What is read from the store for callers and peers, with its copies, until they have read their answers. */
+  stored: 'stored',
+  /** Items of jobs that run, or that are kept to be run soon. */
+  item: 'item',
 } as const;
 /** One of these. */
 export type HeldFor = (typeof HELD_FOR)[keyof typeof HELD_FOR];
 
 /**
- * Fraction of the budget of each, so that neither can displace the other. Responses get less: what was received
- * of one that is broken off stays in memory until the garbage collection.
+ * Fraction of the budget of each, so that none can displace another. Requests and responses share the whole;
+ * what the store holds comes in addition. Responses get less than requests: what was received of one that is
+ * broken off stays in memory until the garbage collection.
  */
 const BUDGET_FRACTIONS: Readonly<Record<HeldFor, number>> = {
   [HELD_FOR.request]: 0.6,
   [HELD_FOR.response]: 0.4,
+  [HELD_FOR.stored]: 0.75,
+  [HELD_FOR.item]: 0.75,
 };
 
 /** Bytes of one message. */
@@ -76,11 +83,19 @@
   release: () => undefined,
 };
 
-/** Creates a budget for requests and responses together. */
+/** No bytes of any kind. */
+const newCounts = (): Record<HeldFor, number> => ({
+  [HELD_FOR.request]: 0,
+  [HELD_FOR.response]: 0,
+  [HELD_FOR.stored]: 0,
+  [HELD_FOR.item]: 0,
+});
+
+/** Creates a budget whose requests and responses together have the given bytes. */
 export const newByteBudget = (maxBytes: number): ByteBudget => {
-  const held: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
+  const held = newCounts();
   /** Bytes among the held ones that wait for slow readers. */
-  const waiting: Record<HeldFor, number> = { [HELD_FOR.request]: 0, [HELD_FOR.response]: 0 };
+  const waiting = newCounts();
   const getMaxBytes = (heldFor: HeldFor): number => maxBytes * BUDGET_FRACTIONS[heldFor];
 
   const newHolder = (heldFor: HeldFor): ByteHolder => {
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -16,6 +16,7 @@
   type Result,
 } from '@anvilpaddle/common';
 import type { PlatformError } from './errors';
+import type { ReadOptions } from './types';
 
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
@@ -26,7 +27,7 @@
 }
 
 /** Options that override the client's defaults for one call. */
-export interface CallOptions {
+export interface CallOptions extends ReadOptions {
   /** Media type of the request body; `application/octet-stream` by default. */
   readonly contentType?: string;
   /** Time limit for the complete response, in milliseconds; the client's timeout by default. */
--- a/packages/platform/httpObjectStore.ts
+++ b/packages/platform/httpObjectStore.ts
@@ -2,7 +2,7 @@
 import { newFailure, newOk, type Result } from '@anvilpaddle/common';
 import type { PlatformError } from './errors';
 import type { HttpClient } from './httpClient';
-import type { ObjectStore } from './types';
+import type { ObjectStore, ReadOptions } from './types';
 
 const getPath = (key: string): string =>
   `/objects/${key.split('/').map(encodeURIComponent).join('/')}`;
@@ -24,9 +24,14 @@
       : newFailure(newStatusError(response.value.status));
   }
 
-  async get(key: string): Promise<Result<Buffer | undefined, PlatformError>> {
-    const options = { needsDelimiter: true };
-    const response = await this.client.call('GET', getPath(key), undefined, options);
+  async get(
+    key: string,
+    options: ReadOptions = {},
+  ): Promise<Result<Buffer | undefined, PlatformError>> {
+    const response = await this.client.call('GET', getPath(key), undefined, {
+      ...options,
+      needsDelimiter: true,
+    });
     if (!response.ok) return response;
     if (response.value.status === 404) return newOk(undefined);
     return response.value.status === 200
--- a/packages/platform/recordStore.ts
+++ b/packages/platform/recordStore.ts
@@ -1,6 +1,7 @@
 /** Interface to the platform's record store, which gateways keep their state in. */
 import type { Result } from '@anvilpaddle/common';
 import type { PlatformError } from './errors';
+import type { ReadOptions } from './types';
 
 /** Identity of a record: table, partition (may be empty) and key. */
 export interface RecordName {
@@ -32,6 +33,12 @@
   readonly limit?: number | undefined;
 }
 
+/** How to read records. */
+export interface RecordReadOptions extends ReadOptions {
+  /** Whether to read no more than one response of the store has; all records by default. */
+  readonly isOnePage?: boolean;
+}
+
 /** Precondition of a commit: the record has this revision; 0 means that it does not exist. */
 export interface RecordCheck extends RecordName {
   readonly revision: number;
@@ -66,6 +73,7 @@
     table: string,
     partition: string,
     range?: KeyRange,
+    options?: RecordReadOptions,
   ): Promise<Result<RecordPage, PlatformError>>;
   /** Lists the names of a table's partitions. */
   partitions(table: string): Promise<Result<readonly string[], PlatformError>>;
--- a/packages/platform/types.ts
+++ b/packages/platform/types.ts
@@ -49,10 +49,16 @@
   transact(transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>>;
 }
 
+/** What is known of a response before it comes. */
+export interface ReadOptions {
+  /** Bytes of a response that may be large, for which a peer that passes the call on needs room. */
+  readonly expectedBytes?: number | undefined;
+}
+
 /** The platform's object store; objects are bytes under a key and are never appended to. */
 export interface ObjectStore {
   put(key: string, body: Buffer): Promise<Result<void, PlatformError>>;
-  get(key: string): Promise<Result<Buffer | undefined, PlatformError>>;
+  get(key: string, options?: ReadOptions): Promise<Result<Buffer | undefined, PlatformError>>;
   remove(key: string): Promise<Result<void, PlatformError>>;
 }
 
