--- a/anvilpaddle-app/controllers/limitController.ts
+++ b/anvilpaddle-app/controllers/limitController.ts
@@ -3,6 +3,7 @@
  * view lists the member entries, among which are the holders of each team's tokens, and the entries
  * that are about to become members.
  */
+import { getCompositeKey } from '@anvilpaddle/common';
 import {
   BORROWED_TOKEN_LIFETIME_MS,
   LOAN_LIFETIME_MS,
@@ -140,7 +141,7 @@
 
   /** Borrows with a timeout; concurrent requests of a team share one message to a holder. */
   const borrowOnce = async (team: string, holder: string): Promise<void> => {
-    const key = `${team}\n${holder}`;
+    const key = getCompositeKey(team, holder);
     const running = runningBorrows.get(key);
     if (running !== undefined) {
       await running;
@@ -168,7 +169,7 @@
       checkForPause();
       const step = limiter.decide(team, tried, now());
       if (step.kind === 'decided') return step.admission;
-      const wasAlreadyRunning = runningBorrows.has(`${team}\n${step.holder}`);
+      const wasAlreadyRunning = runningBorrows.has(getCompositeKey(team, step.holder));
       await borrowOnce(team, step.holder);
       // A message that was already running may not have counted this request.
       if (!wasAlreadyRunning) tried.add(step.holder);
--- a/anvilpaddle-app/gateway/jobs/jobCache.ts
+++ b/anvilpaddle-app/gateway/jobs/jobCache.ts
@@ -1,8 +1,9 @@
 /** Caches the records of all jobs in the store, kept up to date by watching their table. */
-import type { Clock, Logger } from '@anvilpaddle/common';
+import { getCompositeKey, type Clock, type Logger } from '@anvilpaddle/common';
 import type { RecordStore, StoredRecord } from '@anvilpaddle/platform';
 import { newRecordWatch } from '../recordWatch';
-import { isSubmissionGuard, JOB_TABLE, parseStoredJob, type StoredJob } from './jobRecords';
+import { getJobName, JOB_TABLE } from './jobNames';
+import { isSubmissionGuard, parseStoredJob, type StoredJob } from './jobRecords';
 
 /** Interval of full reads of the table; changes in between arrive through the watch. */
 const FULL_READ_INTERVAL_MS = 5000;
@@ -41,7 +42,10 @@
   /** Monotonic time at which the last answered read or watch was requested. */
   let lastUpdateMs = -Infinity;
 
-  const getCacheKey = (team: string, id: string): string => `${team}\n${id}`;
+  const getCacheKey = (team: string, id: string): string => {
+    const { partition, key } = getJobName({ team, id });
+    return getCompositeKey(partition, key);
+  };
 
   const put = (job: StoredJob): void => {
     const cacheKey = getCacheKey(job.record.team, job.record.id);
@@ -54,7 +58,7 @@
 
   const applyRecord = (record: StoredRecord): void => {
     if (record.value === undefined) {
-      jobs.delete(getCacheKey(record.partition, record.key));
+      jobs.delete(getCompositeKey(record.partition, record.key));
       return;
     }
     if (isSubmissionGuard(record)) return;
--- a/anvilpaddle-app/gateway/jobs/jobClaimer.ts
+++ b/anvilpaddle-app/gateway/jobs/jobClaimer.ts
@@ -1,5 +1,6 @@
 /** Manages the jobs that this gateway owns: claims those without a live owner, hands jobs over. */
 import {
+  getCompositeKey,
   getErrorMessage,
   MS_PER_SECOND,
   newRoomQueue,
@@ -10,6 +11,7 @@
 import { shouldClaimJob } from '@anvilpaddle/decisions';
 import { getPlatformErrorMessage } from '@anvilpaddle/platform';
 import { isUnfinished, type JobCache } from './jobCache';
+import type { JobName } from './jobNames';
 import type { StoredJob } from './jobRecords';
 import type { JobStore } from './jobStoreTypes';
 import { newOwnedJob, type OwnedJob } from './ownedJob';
@@ -79,8 +81,7 @@
   const roomWait = { timeoutMs: ROOM_TIMEOUT_MS };
   let isStopped = false;
 
-  const getJobKey = ({ team, id }: { readonly team: string; readonly id: string }): string =>
-    `${team}\n${id}`;
+  const getJobKey = ({ team, id }: JobName): string => getCompositeKey(team, id);
 
   const release = (jobKey: string): void => {
     const job = owned.get(jobKey);
@@ -112,7 +113,7 @@
     try {
       return await Promise.all([
         store.readItemSummaries(record, roomWait),
-        store.readCheckpoints(record.team, record.id),
+        store.readCheckpoints(record),
       ]);
     } finally {
       turn.release();
@@ -126,7 +127,7 @@
     if (isStopped || owned.has(jobKey) || loading.has(jobKey)) return;
     loading.add(jobKey);
     const [items, checkpoints] = await readContent(stored).finally(() => loading.delete(jobKey));
-    if (!items.ok || items.value === undefined || !checkpoints.ok) {
+    if (!items.ok || !checkpoints.ok) {
       log.warn({ job: id }, 'job not started: its items could not be read');
       return;
     }
@@ -165,7 +166,7 @@
       jobCache.put({ record: next, revision: commit.value.revision });
       return;
     }
-    const newest = await store.read(record.team, record.id);
+    const newest = await store.read(record);
     if (newest.ok && newest.value !== undefined) jobCache.put(newest.value);
   };
 
--- a/anvilpaddle-app/gateway/jobs/jobItemStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobItemStore.ts
@@ -13,18 +13,22 @@
   type RoomWait,
   type StoredRooms,
 } from '@anvilpaddle/common';
-import type { ObjectStore, PlatformError, RecordStore, RecordWrite } from '@anvilpaddle/platform';
+import type { ObjectStore, PlatformError, RecordStore } from '@anvilpaddle/platform';
 import {
   getItemIndexName,
   getItemIndexObjectName,
-  getItemsObjectName,
+  getOldItemsObjectName,
   getSegmentObjectName,
-  ITEM_TABLE,
+} from './jobNames';
+import {
+  getIndexedItems,
+  newItemIndex,
   parseItemIndex,
+  parseItemIndexRecord,
   parseItems,
-  serializeItemIndex,
   serializeItems,
   serializeJson,
+  type StoredItemIndex,
 } from './jobRecords';
 import type { SegmentCache } from './segmentCache';
 import type { ItemSegment, ItemSummary, JobItem, JobRecord } from './types';
@@ -46,25 +50,23 @@
   readonly room: Room;
 }
 
+/** Items in the store. */
+export interface StoredItems {
+  readonly summaries: readonly ItemSummary[];
+  readonly index: StoredItemIndex;
+}
+
 /** Access to the stored items of jobs. */
 export interface JobItemStore {
-  /** Stores the items; returns their summaries and the write that makes them those of the job. */
-  put(
-    record: JobRecord,
-    items: readonly JobItem[],
-  ): Promise<
-    Result<
-      { readonly summaries: readonly ItemSummary[]; readonly index: RecordWrite },
-      PlatformError
-    >
-  >;
+  /** Stores the items; they become those of the job with the record of the index. */
+  put(record: JobRecord, items: readonly JobItem[]): Promise<Result<StoredItems, PlatformError>>;
   /** Keeps submitted items in memory, as far as there is room, for this gateway to run them. */
   keep(summaries: readonly ItemSummary[], items: readonly JobItem[]): void;
-  /** Summaries of a job's items; undefined if there are none. Rejects with `NoRoomError`. */
+  /** Summaries of a job's items. Rejects with `NoRoomError`. */
   readSummaries(
     record: JobRecord,
     wait: RoomWait,
-  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>>;
+  ): Promise<Result<readonly ItemSummary[], PlatformError>>;
   /** One item. Rejects with `NoRoomError`. */
   readItem(summary: ItemSummary, wait: RoomWait): Promise<Result<HeldItem, PlatformError>>;
   /** One item, if it is in memory. */
@@ -129,24 +131,36 @@
   const loading = new Map<string, Promise<Result<readonly JobItem[], PlatformError>>>();
 
   const putSegment = async (
-    object: string,
+    record: JobRecord,
+    index: number,
     items: readonly JobItem[],
-  ): Promise<Result<ItemSegment, PlatformError>> => {
+  ): Promise<Result<readonly ItemSummary[], PlatformError>> => {
     const content = serializeItems(items);
+    const object = getSegmentObjectName(record, index, content);
     const stored = await objects.put(object, content);
-    return stored.ok ? newOk({ object, bytes: content.length }) : stored;
+    if (!stored.ok) return stored;
+    const segment = { object, bytes: content.length };
+    return newOk(
+      items.map((item, offset) => ({
+        id: item.id,
+        promptParts: getPromptParts(item),
+        segment,
+        offset,
+      })),
+    );
   };
 
-  const newIndexWrite = async (
-    { team, id }: JobRecord,
+  /** Index of items; stores one that is too large for its record in an object. */
+  const putIndex = async (
+    record: JobRecord,
     summaries: readonly ItemSummary[],
-  ): Promise<Result<RecordWrite, PlatformError>> => {
-    const name = getItemIndexName(team, id);
-    const content = serializeItemIndex(summaries);
-    if (content.length <= MAX_INLINE_INDEX_BYTES) return newOk({ ...name, value: content });
-    const object = getItemIndexObjectName(team, id);
+  ): Promise<Result<StoredItemIndex, PlatformError>> => {
+    const index = newItemIndex(summaries);
+    const content = serializeJson(index);
+    if (content.length <= MAX_INLINE_INDEX_BYTES) return newOk(index);
+    const object = getItemIndexObjectName(record, content);
     const stored = await objects.put(object, content);
-    return stored.ok ? newOk({ ...name, value: serializeJson({ object }) }) : stored;
+    return stored.ok ? newOk({ object }) : stored;
   };
 
   const put: JobItemStore['put'] = async (record, items) => {
@@ -155,23 +169,14 @@
     for (let start = 0; start < groups.length; start += MAX_PARALLEL_PUTS) {
       const batch = groups.slice(start, start + MAX_PARALLEL_PUTS);
       const segments = await Promise.all(
-        batch.map((group, index) =>
-          putSegment(getSegmentObjectName(record.team, record.id, start + index), group),
-        ),
+        batch.map((group, offset) => putSegment(record, start + offset, group)),
       );
-      for (const [index, segment] of segments.entries()) {
+      for (const segment of segments) {
         if (!segment.ok) return segment;
-        batch[index]?.forEach((item, offset) =>
-          summaries.push({
-            id: item.id,
-            promptParts: getPromptParts(item),
-            segment: segment.value,
-            offset,
-          }),
-        );
+        summaries.push(...segment.value);
       }
     }
-    const index = await newIndexWrite(record, summaries);
+    const index = await putIndex(record, summaries);
     return index.ok ? newOk({ summaries, index: index.value }) : index;
   };
 
@@ -238,15 +243,15 @@
 
   /** Summaries of a job whose items an earlier release stored in one object. */
   const readUnindexed = (
-    { team, id, tokens }: JobRecord,
+    record: JobRecord,
     wait: RoomWait,
-  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>> => {
-    const segment = { object: getItemsObjectName(team, id), bytes: UNKNOWN_BYTES };
+  ): Promise<Result<readonly ItemSummary[], PlatformError>> => {
+    const segment = { object: getOldItemsObjectName(record), bytes: UNKNOWN_BYTES };
     return readSegment(segment, wait, (items, room) => {
       room.release();
       const isOfJob =
-        items.length === tokens.length &&
-        items.every((item, index) => item.tokens === tokens[index]);
+        items.length === record.tokens.length &&
+        items.every((item, index) => item.tokens === record.tokens[index]);
       if (!isOfJob) return newInvalidError(`${segment.object} has the items of another job`);
       return newOk(
         items.map((item, offset) => ({
@@ -259,28 +264,39 @@
     });
   };
 
-  const readIndexValue = async (
-    team: string,
-    id: string,
-  ): Promise<Result<Buffer | undefined, PlatformError>> => {
-    const { key } = getItemIndexName(team, id);
-    const page = await records.read(ITEM_TABLE, team, { from: key, to: `${key}\u0000` });
-    return page.ok ? newOk(page.value.records.find((found) => found.key === key)?.value) : page;
+  /** The index in a job's record of it; undefined if an earlier release has stored the job. */
+  const readIndex = async (
+    record: JobRecord,
+  ): Promise<Result<StoredItemIndex | undefined, PlatformError>> => {
+    const { table, partition, key } = getItemIndexName(record);
+    const page = await records.read(table, partition, { from: key, to: `${key}\u0000` });
+    if (!page.ok) return page;
+    const value = page.value.records.find((found) => found.key === key)?.value;
+    return newOk(value && parseItemIndexRecord(record, value));
+  };
+
+  const readIndexObject = async (
+    object: string,
+  ): Promise<Result<readonly ItemSummary[], PlatformError>> => {
+    const content = await objects.get(object);
+    if (!content.ok) return content;
+    const index = content.value && parseItemIndex(content.value);
+    return index === undefined
+      ? newInvalidError(`${object} is missing or can not be parsed`)
+      : newOk(getIndexedItems(index));
   };
 
   const readSummaries: JobItemStore['readSummaries'] = async (record, wait) => {
-    const value = await readIndexValue(record.team, record.id);
-    if (!value.ok) return value;
-    if (value.value === undefined) return readUnindexed(record, wait);
-    const parsed = parseItemIndex(value.value);
-    const content =
-      parsed !== undefined && 'object' in parsed ? await objects.get(parsed.object) : undefined;
-    if (content?.ok === false) return content;
-    const index = content?.value === undefined ? parsed : parseItemIndex(content.value);
-    if (index === undefined || 'object' in index || index.length !== record.tokens.length) {
-      return newInvalidError(`the index of the items of job ${record.id} makes no sense`);
-    }
-    return newOk(index);
+    const index = await readIndex(record);
+    if (!index.ok) return index;
+    if (index.value === undefined) return readUnindexed(record, wait);
+    const items =
+      'object' in index.value
+        ? await readIndexObject(index.value.object)
+        : newOk(getIndexedItems(index.value));
+    return items.ok && items.value.length !== record.tokens.length
+      ? newInvalidError(`the index of job ${record.id} has ${items.value.length} items`)
+      : items;
   };
 
   const fetch: JobItemStore['fetch'] = ({ segment }, wait) =>
@@ -304,15 +320,15 @@
 
   /** Names of all objects with items of a job, and of one with their index. */
   const getObjectNames = async (record: JobRecord): Promise<Result<string[], PlatformError>> => {
-    const value = await readIndexValue(record.team, record.id);
-    if (!value.ok) return value;
-    if (value.value === undefined) return newOk([getItemsObjectName(record.team, record.id)]);
-    const parsed = parseItemIndex(value.value);
-    const summaries = await readSummaries(record, { timeoutMs: 0 });
-    return newOk([
-      ...(summaries.ok ? getSegments(summaries.value ?? []).map(({ object }) => object) : []),
-      ...(parsed !== undefined && 'object' in parsed ? [parsed.object] : []),
-    ]);
+    const index = await readIndex(record);
+    if (!index.ok) return index;
+    if (index.value === undefined) return newOk([getOldItemsObjectName(record)]);
+    if (!('object' in index.value)) {
+      return newOk(index.value.segments.map(({ object }) => object));
+    }
+    const items = await readIndexObject(index.value.object);
+    if (!items.ok) return items;
+    return newOk([...getSegments(items.value).map(({ object }) => object), index.value.object]);
   };
 
   const removeObjects: JobItemStore['removeObjects'] = async (record) => {
--- a/anvilpaddle-app/gateway/jobs/jobRecords.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRecords.ts
@@ -1,19 +1,15 @@
-/** Storage layout of batch jobs: names and contents of their records and objects. */
+/** Contents of the records and objects of batch jobs. */
 import { z } from 'zod';
-import type { KeyRange, RecordName, StoredRecord } from '@anvilpaddle/platform';
-import type { ItemCheckpoint, ItemResult, ItemSummary, JobItem, JobRecord } from './types';
-
-/** Table of the job records and submission guards, partitioned by team. */
-export const JOB_TABLE = 'jobs';
-/** Table of the items' results, partitioned by team. */
-export const RESULT_TABLE = 'results';
-/** Table of the items' checkpoints, partitioned by team. */
-export const CHECKPOINT_TABLE = 'checkpoints';
-/** Table of the indexes of jobs' items, partitioned by team. */
-export const ITEM_TABLE = 'items';
-/** Prefix of the keys of submission guards in the job table. */
-const SUBMISSION_GUARD_PREFIX = '!';
-const POSITION_DIGITS = 6;
+import type { StoredRecord } from '@anvilpaddle/platform';
+import { getJobName, isSubmissionGuardKey } from './jobNames';
+import type {
+  ItemCheckpoint,
+  ItemResult,
+  ItemSegment,
+  ItemSummary,
+  JobItem,
+  JobRecord,
+} from './types';
 
 /** A job record with the revision that the next conditional commit must name. */
 export interface StoredJob {
@@ -21,71 +17,6 @@
   readonly revision: number;
 }
 
-/** Name of a job's record. */
-export const getJobName = (team: string, id: string): RecordName => ({
-  table: JOB_TABLE,
-  partition: team,
-  key: id,
-});
-
-/**
- * Name of the submission guard of a team's route. Each submission checks and changes this record, so
- * that concurrent submissions to the route conflict and are serialized.
- */
-export const getSubmissionGuardName = (team: string, route: string): RecordName =>
-  getJobName(team, `${SUBMISSION_GUARD_PREFIX}${route}`);
-
-const getPositionKey = (id: string, position: number): string =>
-  `${id}/${String(position).padStart(POSITION_DIGITS, '0')}`;
-
-/** Name of the record that holds a job's result at a position. */
-export const getResultName = (team: string, id: string, position: number): RecordName => ({
-  table: RESULT_TABLE,
-  partition: team,
-  key: getPositionKey(id, position),
-});
-
-/** Name of the record that holds an item's checkpoint. */
-export const getCheckpointName = (team: string, id: string, index: number): RecordName => ({
-  table: CHECKPOINT_TABLE,
-  partition: team,
-  key: getPositionKey(id, index),
-});
-
-/** Key range of a job's results or checkpoints, starting at a position. */
-export const getPositionRange = (id: string, from: number): KeyRange => ({
-  from: getPositionKey(id, from),
-  // ':' sorts right after the digits, so the exclusive end covers every position.
-  to: `${id}/:`,
-});
-
-/** Name of the record with the index of a job's items. */
-export const getItemIndexName = (team: string, id: string): RecordName => ({
-  table: ITEM_TABLE,
-  partition: team,
-  key: id,
-});
-
-/** Name of the object in which earlier releases stored all items of a job. */
-export const getItemsObjectName = (team: string, id: string): string => `job-${team}-${id}`;
-
-/** Name of the object with a segment of a job's items. */
-export const getSegmentObjectName = (team: string, id: string, index: number): string =>
-  `${getItemsObjectName(team, id)}-items-${index}`;
-
-/** Name of the object with an index of a job's items that is too large for its record. */
-export const getItemIndexObjectName = (team: string, id: string): string =>
-  `${getItemsObjectName(team, id)}-index`;
-
-/**
- * Name of the object of a result that is too large for its record. The name includes the owner,
- * because a run of one owner must not overwrite the object of another owner's run.
- */
-export const getLargeResultObjectName = (
-  { team, id, owner }: JobRecord,
-  position: number,
-): string => `${getItemsObjectName(team, id)}-${position}-${owner ?? ''}`;
-
 /** A value as JSON in bytes. */
 export const serializeJson = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 
@@ -117,7 +48,7 @@
 
 /** Whether a record of the job table is a submission guard, not a job. */
 export const isSubmissionGuard = ({ key }: Pick<StoredRecord, 'key'>): boolean =>
-  key.startsWith(SUBMISSION_GUARD_PREFIX);
+  isSubmissionGuardKey(key);
 
 /**
  * Job in a record of the job table; undefined for submission guards, removed records and those that
@@ -131,7 +62,9 @@
 }: StoredRecord): StoredJob | undefined => {
   if (isSubmissionGuard({ key }) || value === undefined) return undefined;
   const job = parseJson(jobSchema, value);
-  if (job === undefined || job.id !== key || job.team !== partition) return undefined;
+  if (job === undefined) return undefined;
+  const name = getJobName(job);
+  if (name.key !== key || name.partition !== partition) return undefined;
   const { configVersion, owner, resultBytes, ...record } = job;
   return { record: { ...record, configVersion, owner, resultBytes }, revision };
 };
@@ -165,44 +98,60 @@
     body: Buffer.from(item.body, 'base64'),
   }));
 
-/** Content of the record with an index of a job's items. */
-const itemIndexSchema = z.object({
-  segments: z.array(
-    z.object({
-      object: z.string(),
-      bytes: indexSchema,
-      items: z.array(z.object({ id: z.string(), promptParts: z.array(z.string()).optional() })),
-    }),
-  ),
+const segmentSchema = z.object({
+  object: z.string(),
+  bytes: indexSchema,
+  items: z.array(z.object({ id: z.string(), promptParts: z.array(z.string()).optional() })),
 });
-type StoredItemIndex = z.output<typeof itemIndexSchema>;
-
-/** Content of an index of items. */
-export const serializeItemIndex = (items: readonly ItemSummary[]): Buffer => {
-  const segments = new Map(
-    items.map(({ segment }) => [
-      segment,
-      { ...segment, items: [] as StoredItemIndex['segments'][0]['items'] },
-    ]),
-  );
-  items.forEach(({ id, promptParts, segment }) =>
-    segments
-      .get(segment)
-      ?.items.push({ id, ...(promptParts.length === 0 ? {} : { promptParts: [...promptParts] }) }),
-  );
-  return serializeJson({ segments: [...segments.values()] });
+type StoredSegment = z.output<typeof segmentSchema>;
+
+const itemIndexSchema = z.object({ segments: z.array(segmentSchema) });
+
+/** Index of a job's items, or the object that holds an index which is too large for its record. */
+export type StoredItemIndex = z.output<typeof itemIndexSchema> | { readonly object: string };
+
+/** Index of items. */
+export const newItemIndex = (items: readonly ItemSummary[]): StoredItemIndex => {
+  const segments = new Map<ItemSegment, StoredSegment>();
+  items.forEach(({ id, promptParts, segment }) => {
+    const stored = segments.get(segment) ?? { ...segment, items: [] };
+    segments.set(segment, stored);
+    stored.items.push(promptParts.length === 0 ? { id } : { id, promptParts: [...promptParts] });
+  });
+  return { segments: [...segments.values()] };
 };
 
-/** An index of items, or the name of the object that holds it; undefined if it makes no sense. */
-export const parseItemIndex = (
-  content: Buffer,
-): readonly ItemSummary[] | { readonly object: string } | undefined => {
-  const parsed = parseJson(z.union([itemIndexSchema, z.object({ object: z.string() })]), content);
-  if (parsed === undefined || 'object' in parsed) return parsed;
-  return parsed.segments.flatMap(({ object, bytes, items }) => {
+/** The items of an index. */
+export const getIndexedItems = ({
+  segments,
+}: Exclude<StoredItemIndex, { readonly object: string }>): ItemSummary[] =>
+  segments.flatMap(({ object, bytes, items }) => {
     const segment = { object, bytes };
     return items.map(({ id, promptParts = [] }, offset) => ({ id, promptParts, segment, offset }));
   });
+
+/** Content of the object with an index; undefined if it makes no sense. */
+export const parseItemIndex = (content: Buffer) => parseJson(itemIndexSchema, content);
+
+const itemIndexRecordSchema = z.object({
+  /** Submission time of the job that has the items; a record of another job of this id is out of date. */
+  submittedMs: z.number(),
+  index: z.union([itemIndexSchema, z.object({ object: z.string() })]),
+});
+
+/** Content of the record with an index. */
+export const serializeItemIndexRecord = (
+  { submittedMs }: JobRecord,
+  index: StoredItemIndex,
+): Buffer => serializeJson({ submittedMs, index });
+
+/** Index in the content of its record; undefined if that makes no sense, or is of another job. */
+export const parseItemIndexRecord = (
+  { submittedMs }: JobRecord,
+  value: Buffer,
+): StoredItemIndex | undefined => {
+  const parsed = parseJson(itemIndexRecordSchema, value);
+  return parsed?.submittedMs === submittedMs ? parsed.index : undefined;
 };
 
 const resultSchema = z.object({
--- a/anvilpaddle-app/gateway/jobs/jobResultStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobResultStore.ts
@@ -8,14 +8,23 @@
   type RoomWait,
   type StoredRooms,
 } from '@anvilpaddle/common';
-import type { ObjectStore, PlatformError, RecordStore, RecordWrite } from '@anvilpaddle/platform';
+import type {
+  ObjectStore,
+  PlatformError,
+  RecordReadOptions,
+  RecordStore,
+  RecordWrite,
+} from '@anvilpaddle/platform';
 import {
   getLargeResultObjectName,
   getPositionRange,
   getResultName,
+  isPositionOf,
+  type JobName,
+} from './jobNames';
+import {
   parseItemResult,
   parseStoredResult,
-  RESULT_TABLE,
   serializeJson,
   type ResultPointer,
   type StoredResult,
@@ -58,7 +67,7 @@
     wait: RoomWait,
   ): Promise<Result<HeldResults, PlatformError>>;
   /** Removes the objects of all results that are too large for their records. */
-  removeObjects(team: string, id: string): Promise<Result<void, PlatformError>>;
+  removeObjects(job: JobName): Promise<Result<void, PlatformError>>;
 }
 
 const isPointer = (stored: StoredResult): stored is ResultPointer => 'object' in stored;
@@ -94,26 +103,41 @@
   rooms: StoredRooms,
 ): JobResultStore => {
   const prepareWrite: JobResultStore['prepareWrite'] = async (record, result, position) => {
-    const name = getResultName(record.team, record.id, position);
+    const name = getResultName(record, position);
     const content = serializeJson(result);
     if (content.length <= MAX_INLINE_RESULT_BYTES) return newOk({ ...name, value: content });
-    const object = getLargeResultObjectName(record, position);
+    const object = getLargeResultObjectName(record, content);
     const stored = await objects.put(object, content);
     if (!stored.ok) return stored;
     return newOk({ ...name, value: serializeJson({ object, bytes: content.length }) });
   };
 
+  /** Values of the records of a job's results from a position on. */
+  const readRecords = async (
+    job: JobName,
+    from: number,
+    options: RecordReadOptions = {},
+  ): Promise<Result<Buffer[], PlatformError>> => {
+    const { table, partition } = getResultName(job, from);
+    const page = await records.read(table, partition, getPositionRange(job.id, from), options);
+    if (!page.ok) return page;
+    return newOk(
+      page.value.records.flatMap(({ key, value }) =>
+        value !== undefined && isPositionOf(job.id, key) ? [value] : [],
+      ),
+    );
+  };
+
   /** One response of the store with results from a position on. */
   const readPage = async (
-    { team, id }: JobRecord,
+    job: JobRecord,
     from: number,
   ): Promise<Result<PageEntry[], PlatformError>> => {
     const options = { isOnePage: true, expectedBytes: MAX_PAGE_BYTES };
-    const page = await records.read(RESULT_TABLE, team, getPositionRange(id, from), options);
+    const page = await readRecords(job, from, options);
     if (!page.ok) return page;
     const entries: PageEntry[] = [];
-    for (const { value } of page.value.records) {
-      if (value === undefined) continue;
+    for (const value of page.value) {
       const stored = parseStoredResult(value);
       if (stored === undefined) {
         return newFailure({ kind: 'invalid_answer', detail: 'a result can not be parsed' });
@@ -175,11 +199,11 @@
     }
   };
 
-  const removeObjects: JobResultStore['removeObjects'] = async (team, id) => {
-    const page = await records.read(RESULT_TABLE, team, getPositionRange(id, 0));
+  const removeObjects: JobResultStore['removeObjects'] = async (job) => {
+    const page = await readRecords(job, 0);
     if (!page.ok) return page;
-    for (const { value } of page.value.records) {
-      const result = value && parseStoredResult(value);
+    for (const value of page.value) {
+      const result = parseStoredResult(value);
       if (result !== undefined && isPointer(result)) {
         const removed = await objects.remove(result.object);
         if (!removed.ok) return removed;
--- a/anvilpaddle-app/gateway/jobs/jobRunner.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRunner.ts
@@ -270,7 +270,7 @@
     for (;;) {
       const [job] = claimer.getOwnedJobs();
       if (job === undefined) return;
-      const stored = await dependencies.store.read(job.team, job.id);
+      const stored = await dependencies.store.read(job);
       if (stored.ok) return;
       if (!isUnavailable) {
         log.info({ jobs: claimer.getOwnedJobs().length }, 'jobs kept while the store is away');
--- a/anvilpaddle-app/gateway/jobs/jobService.ts
+++ b/anvilpaddle-app/gateway/jobs/jobService.ts
@@ -176,7 +176,7 @@
 
   /** Finds a job of the caller's team; refuses the request and returns undefined if there is none. */
   const findJob = async (request: JobRequest, id: string): Promise<StoredJob | undefined> => {
-    const job = await store.read(request.team, id);
+    const job = await store.read({ team: request.team, id });
     if (!job.ok) refuseUnavailable(request, job.error);
     else if (job.value === undefined) {
       refuse(request, { status: STATUS.notFound, reason: 'no such job' });
@@ -239,7 +239,7 @@
       refuseUnavailable(request, summaries.error);
       return;
     }
-    const summary = summaries.value?.find((candidate) => candidate.id === itemId);
+    const summary = summaries.value.find((candidate) => candidate.id === itemId);
     if (summary === undefined || job.record.isEnded) {
       refuse(request, { status: STATUS.notFound, reason: 'no such item' });
       return;
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -10,16 +10,21 @@
 import type { ObjectStore, RecordCheck, RecordStore, RecordWrite } from '@anvilpaddle/platform';
 import { newJobItemStore, type JobItemStore } from './jobItemStore';
 import {
-  CHECKPOINT_TABLE,
   getCheckpointName,
   getItemIndexName,
   getJobName,
+  getPartition,
   getPositionRange,
   getResultName,
   getSubmissionGuardName,
+  CHECKPOINT_TABLE,
+  isPositionOf,
   JOB_TABLE,
+} from './jobNames';
+import {
   parseCheckpoint,
   parseStoredJob,
+  serializeItemIndexRecord,
   serializeJson,
 } from './jobRecords';
 import { newJobResultStore } from './jobResultStore';
@@ -59,7 +64,7 @@
 };
 
 /** Items that a submission has stored, for its further attempts. */
-type StoredItems = Awaited<ReturnType<JobItemStore['put']>>;
+type PutItems = Awaited<ReturnType<JobItemStore['put']>>;
 
 /** Job store on top of a record store and an object store. */
 export const newJobStore = (
@@ -70,10 +75,11 @@
   const items = newJobItemStore({ records, objects, ...options });
   const results = newJobResultStore(records, objects, options.rooms);
 
-  const read: JobStore['read'] = async (team, id) => {
-    const page = await records.read(JOB_TABLE, team, { from: id, to: `${id}\u0000` });
+  const read: JobStore['read'] = async (job) => {
+    const { table, partition, key } = getJobName(job);
+    const page = await records.read(table, partition, { from: key, to: `${key}\u0000` });
     if (!page.ok) return page;
-    const found = page.value.records.find(({ key }) => key === id);
+    const found = page.value.records.find((record) => record.key === key);
     return newOk(found && parseStoredJob(found));
   };
 
@@ -82,12 +88,13 @@
     record: JobRecord,
     { maxWaitingTokens }: SubmissionLimits,
     progress: SubmissionProgress,
-    putItems: () => Promise<StoredItems>,
+    putItems: () => Promise<PutItems>,
   ): Promise<SubmissionResult | 'again'> => {
     const { team, id, route } = record;
-    const page = await records.read(JOB_TABLE, team);
+    const name = getJobName(record);
+    const page = await records.read(JOB_TABLE, getPartition(team));
     if (!page.ok) return { kind: 'unavailable', error: page.error };
-    if (page.value.records.some(({ key }) => key === id)) return { kind: 'known' };
+    if (page.value.records.some(({ key }) => key === name.key)) return { kind: 'known' };
     const jobs = page.value.records
       .map(parseStoredJob)
       .flatMap((stored) => (stored?.record.route === route ? [stored.record] : []));
@@ -105,12 +112,15 @@
     const commit = await records.commit({
       checks: [
         { ...guard, revision: guardRevision },
-        { ...getJobName(team, id), revision: 0 },
+        { ...name, revision: 0 },
       ],
       writes: [
         { ...guard, value: serializeJson({ newest: id }) },
-        { ...getJobName(team, id), value: serializeJson(stampedRecord) },
-        stored.value.index,
+        { ...name, value: serializeJson(stampedRecord) },
+        {
+          ...getItemIndexName(record),
+          value: serializeItemIndexRecord(stampedRecord, stored.value.index),
+        },
       ],
     });
     if (!commit.ok) {
@@ -128,8 +138,8 @@
     limits,
     progress = { isCancelled: false, isCommitting: false },
   ) => {
-    let stored: Promise<StoredItems> | undefined;
-    const putItems = (): Promise<StoredItems> => {
+    let stored: Promise<PutItems> | undefined;
+    const putItems = (): Promise<PutItems> => {
       stored ??= items.put(record, job.items);
       return stored;
     };
@@ -149,44 +159,43 @@
   };
 
   const update: JobStore['update'] = async ({ record, revision }, change) => {
-    const { team, id } = record;
     const { record: next, results: added = [], checkpoints = [] } = change;
     const writes: RecordWrite[] = checkpoints.map((checkpoint) => ({
-      ...getCheckpointName(team, id, checkpoint.index),
+      ...getCheckpointName(record, checkpoint.index),
       value: serializeJson(checkpoint),
     }));
-    if (next !== undefined) writes.push({ ...getJobName(team, id), value: serializeJson(next) });
+    if (next !== undefined) writes.push({ ...getJobName(record), value: serializeJson(next) });
     const firstPosition = (next ?? record).listed.length - added.length;
     for (const [offset, result] of added.entries()) {
       const write = await results.prepareWrite(next ?? record, result, firstPosition + offset);
       if (!write.ok) return write;
       writes.push(write.value);
     }
-    const check: RecordCheck = { ...getJobName(team, id), revision };
+    const check: RecordCheck = { ...getJobName(record), revision };
     return records.commit({ checks: [check], writes });
   };
 
-  const readCheckpoints: JobStore['readCheckpoints'] = async (team, id) => {
-    const page = await records.read(CHECKPOINT_TABLE, team, getPositionRange(id, 0));
+  const readCheckpoints: JobStore['readCheckpoints'] = async ({ team, id }) => {
+    const range = getPositionRange(id, 0);
+    const page = await records.read(CHECKPOINT_TABLE, getPartition(team), range);
     if (!page.ok) return page;
     return newOk(
-      page.value.records.flatMap(({ value }) =>
-        value === undefined ? [] : (parseCheckpoint(value) ?? []),
+      page.value.records.flatMap(({ key, value }) =>
+        value === undefined || !isPositionOf(id, key) ? [] : (parseCheckpoint(value) ?? []),
       ),
     );
   };
 
   const remove: JobStore['remove'] = async ({ record, revision }) => {
-    const { team, id } = record;
-    const name = getJobName(team, id);
+    const name = getJobName(record);
     // The objects go before the record that tells of them, and before the same job can be submitted again.
-    const removedResults = await results.removeObjects(team, id);
+    const removedResults = await results.removeObjects(record);
     if (!removedResults.ok) return removedResults;
     const removedItems = await items.removeObjects(record);
     if (!removedItems.ok) return removedItems;
     const dependentRecords = record.tokens.flatMap((_, index) => [
-      getCheckpointName(team, id, index),
-      getResultName(team, id, index),
+      getCheckpointName(record, index),
+      getResultName(record, index),
     ]);
     for (let start = 0; start < dependentRecords.length; start += MAX_REMOVALS_PER_COMMIT) {
       const removals = dependentRecords.slice(start, start + MAX_REMOVALS_PER_COMMIT);
@@ -196,7 +205,7 @@
     return records.commit({
       checks: [{ ...name, revision }],
       writes: [],
-      removals: [name, getItemIndexName(team, id)],
+      removals: [name, getItemIndexName(record)],
     });
   };
 
--- a/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
@@ -2,6 +2,7 @@
 import type { Result, RoomWait } from '@anvilpaddle/common';
 import type { PlatformError, RecordCommitOutcome } from '@anvilpaddle/platform';
 import type { HeldItem } from './jobItemStore';
+import type { JobName } from './jobNames';
 import type { StoredJob } from './jobRecords';
 import type { HeldResults } from './jobResultStore';
 import type { ItemCheckpoint, ItemResult, ItemSummary, JobItem, JobRecord, NewJob } from './types';
@@ -49,13 +50,10 @@
     limits: SubmissionLimits,
     progress?: SubmissionProgress,
   ): Promise<SubmissionResult>;
-  read(team: string, id: string): Promise<Result<StoredJob | undefined, PlatformError>>;
+  read(name: JobName): Promise<Result<StoredJob | undefined, PlatformError>>;
   /** Commits changes if the stored record still has the revision of `job`. */
   update(job: StoredJob, change: JobChange): Promise<Result<RecordCommitOutcome, PlatformError>>;
-  readCheckpoints(
-    team: string,
-    id: string,
-  ): Promise<Result<readonly ItemCheckpoint[], PlatformError>>;
+  readCheckpoints(name: JobName): Promise<Result<readonly ItemCheckpoint[], PlatformError>>;
   /**
    * Results from a position on, up to `maxBytes` and to what one response of the store has; the first one is
    * included whatever its size. Rejects with `NoRoomError`.
@@ -66,11 +64,11 @@
     maxBytes: number,
     wait: RoomWait,
   ): Promise<Result<HeldResults, PlatformError>>;
-  /** Summaries of a job's items; undefined if there are none. Rejects with `NoRoomError`. */
+  /** Summaries of a job's items. Rejects with `NoRoomError`. */
   readItemSummaries(
     record: JobRecord,
     wait: RoomWait,
-  ): Promise<Result<readonly ItemSummary[] | undefined, PlatformError>>;
+  ): Promise<Result<readonly ItemSummary[], PlatformError>>;
   /** One item. Rejects with `NoRoomError`. */
   readItem(summary: ItemSummary, wait: RoomWait): Promise<Result<HeldItem, PlatformError>>;
   /** One item, if it is in memory. */
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -148,7 +148,7 @@
 
   /** Reads the record again after a commit that conflicted, or failed with an unknown outcome. */
   const reload = async (): Promise<void> => {
-    const job = await store.read(team, id);
+    const job = await store.read({ team, id });
     if (!job.ok) return;
     isStoreUnavailable = false;
     if (job.value === undefined) release('removed');
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -1,5 +1,10 @@
 /** One attempt to serve an online request on one upstream. */
-import { MS_PER_SECOND, SERVICE_CLASS, type HttpCallResult } from '@anvilpaddle/common';
+import {
+  getCompositeKey,
+  MS_PER_SECOND,
+  SERVICE_CLASS,
+  type HttpCallResult,
+} from '@anvilpaddle/common';
 import {
   ATTEMPT_RESULT,
   getTotalLoad,
@@ -14,7 +19,8 @@
 import type { OnlineRequest, OnlineDependencies } from './types';
 
 /** Kind of request for which durations of attempts are learned together. */
-export const getHedgingKind = ({ name }: Route, service: string): string => `${name}/${service}`;
+export const getHedgingKind = ({ name }: Route, service: string): string =>
+  getCompositeKey(name, service);
 
 /** Upstream and limits of one attempt. */
 export interface AttemptPlan {
--- a/anvilpaddle-app/gateway/recordWatch.ts
+++ b/anvilpaddle-app/gateway/recordWatch.ts
@@ -1,5 +1,5 @@
 /** Follows a table of the store by periodic full reads and optional watches in between. */
-import { MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
+import { getCompositeKey, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
 import {
   getPlatformErrorMessage,
   type HistoryGone,
@@ -82,7 +82,8 @@
   /** Revisions of the records that were passed on, by partition and key. */
   let passedRevisions = new Map<string, number>();
 
-  const getRecordKey = ({ partition, key }: StoredRecord): string => `${partition}\n${key}`;
+  const getRecordKey = ({ partition, key }: StoredRecord): string =>
+    getCompositeKey(partition, key);
 
   const advance = (nextRevision: number): void => {
     // There is no response before the first one.
--- a/anvilpaddle-app/gateway/tests/jobClaimer.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobClaimer.test.ts
@@ -72,7 +72,7 @@
     return submission.job;
   };
   const getOwner = async (): Promise<string | undefined> => {
-    const job = await store.read(TEAM, RECORD.id);
+    const job = await store.read(RECORD);
     return job.ok ? job.value?.record.owner : 'the store does not answer';
   };
   const readList = (revision: number): void => {
--- a/anvilpaddle-app/gateway/tests/jobStore.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobStore.test.ts
@@ -43,10 +43,12 @@
 
 /** All items of a job, read one after the other. */
 const readItems = async (store: JobStore, id: string) => {
-  const summaries = await store.readItemSummaries(newRecord(id), NO_WAIT);
+  const job = await store.read(newRecord(id));
+  if (!job.ok || job.value === undefined) throw new Error('the job is not stored');
+  const summaries = await store.readItemSummaries(job.value.record, NO_WAIT);
   if (!summaries.ok) return summaries;
   const items: JobItem[] = [];
-  for (const summary of summaries.value ?? []) {
+  for (const summary of summaries.value) {
     const read = await store.readItem(summary, NO_WAIT);
     if (!read.ok) return read;
     items.push(read.value.item);
@@ -114,7 +116,7 @@
     const results = [{ id: 'i1', state: 'succeeded' as const, output }];
     await store.update(job, { record: { ...job.record, listed: [0] }, results });
     const listed = await readResults(store, 'a');
-    const stored = await store.read('team', 'a');
+    const stored = await store.read(newRecord('a'));
     if (!stored.ok || stored.value === undefined) throw new Error('the job is not stored');
     await store.remove(stored.value);
 
@@ -132,11 +134,12 @@
       body: Buffer.alloc(15_000, index),
     }));
     const record = { ...newRecord('a'), tokens: items.map(({ tokens }) => tokens) };
-    await store.submit(record, { items }, NO_LIMIT);
+    const submission = await store.submit(record, { items }, NO_LIMIT);
+    if (submission.kind !== 'accepted') throw new Error('the submission was not accepted');
     const sizes = [...objectContents.values()].map(({ length }) => length);
     const reader = newJobStore(newTestStores().records, objects);
-    const summaries = await store.readItemSummaries(record, NO_WAIT);
-    const last = summaries.ok ? summaries.value?.at(-1) : undefined;
+    const summaries = await store.readItemSummaries(submission.job.record, NO_WAIT);
+    const last = summaries.ok ? summaries.value.at(-1) : undefined;
     if (last === undefined) throw new Error('no items');
     const read = await reader.readItem(last, NO_WAIT);
 
@@ -159,4 +162,31 @@
     expect(own).toEqual(newOk(JOB.items));
     expect(foreign.ok).toBe(false);
   });
+
+  // Guards against review case 7: what a submission stored before its commit replaced an accepted job's items.
+  it('keeps the items of the submission that was accepted, whatever others of the same id bring', async () => {
+    const { store, objects, records } = newTestStores();
+    const others = { items: JOB.items.map((item) => ({ ...item, id: `other-${item.id}` })) };
+    const submissions = await Promise.all([
+      store.submit(newRecord('a'), JOB, NO_LIMIT),
+      store.submit(newRecord('a'), others, NO_LIMIT),
+    ]);
+    const accepted = submissions[0].kind === 'accepted' ? JOB : others;
+
+    expect(submissions.map(({ kind }) => kind).sort()).toEqual(['accepted', 'known']);
+    expect(await readItems(newJobStore(records, objects), 'a')).toEqual(newOk(accepted.items));
+  });
+
+  it('does not take the index of an earlier job of the same id', async () => {
+    const { store, records } = newTestStores();
+    const submission = await store.submit(newRecord('a'), JOB, NO_LIMIT);
+    if (submission.kind !== 'accepted') throw new Error('the submission was not accepted');
+    const { record } = submission.job;
+    const stored = await readItems(newJobStore(records, newMemoryStore().objects), 'a');
+    const later = { ...record, submittedMs: record.submittedMs + 1 };
+
+    expect(stored.ok).toBe(false);
+    expect((await store.readItemSummaries(record, NO_WAIT)).ok).toBe(true);
+    expect((await store.readItemSummaries(later, NO_WAIT)).ok).toBe(false);
+  });
 });
--- a/anvilpaddle-app/gateway/tests/ownedJob.test.ts
+++ b/anvilpaddle-app/gateway/tests/ownedJob.test.ts
@@ -106,7 +106,7 @@
 /** Makes another gateway the owner, as a claim does; repeats until the store has committed it. */
 const claim = async (store: JobStore, owner: string): Promise<StoredJob> => {
   for (;;) {
-    const found = await store.read(TEAM, JOB_ID);
+    const found = await store.read({ team: TEAM, id: JOB_ID });
     if (!found.ok || found.value === undefined) throw new Error('the job is not stored');
     if (found.value.record.owner === owner) return found.value;
     await store.update(found.value, { record: { ...found.value.record, owner } });
@@ -149,7 +149,7 @@
               clock,
               log: newSilentLogger(),
             });
-          const submitted = await store.read(TEAM, JOB_ID);
+          const submitted = await store.read({ team: TEAM, id: JOB_ID });
           if (!submitted.ok || submitted.value === undefined) throw new Error('job not stored');
           const first = newOwner('first', submitted.value);
           addSomeResults(first, 'first', firstPicks);
@@ -162,7 +162,7 @@
             .forEach((pending) => second.addResult(pending, getResult('second', pending.item)));
           await waitUntilIdle();
 
-          const last = await store.read(TEAM, JOB_ID);
+          const last = await store.read({ team: TEAM, id: JOB_ID });
           if (!last.ok || last.value === undefined) throw new Error('not readable');
           const page = await store.readResults(last.value.record, 0, 1_000_000, { timeoutMs: 0 });
           if (!page.ok) throw new Error('not readable');
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -3,6 +3,7 @@
 export * from './byteBudget';
 export * from './byteCollector';
 export * from './clock';
+export * from './compositeKey';
 export * from './connectError';
 export * from './constants';
 export * from './eventTracker';
--- a/packages/decisions/scheduling/teamSlots.ts
+++ b/packages/decisions/scheduling/teamSlots.ts
@@ -1,4 +1,5 @@
 /** Slots that the online requests of each team hold, over all gateways. */
+import { getCompositeKey } from '@anvilpaddle/common';
 import { PEER_LOAD_TIMEOUT_MS } from '../placement/loadTracker';
 
 /** Requests of one team for one service with one priority, which share one count. */
@@ -55,7 +56,7 @@
 }
 
 const getKey = ({ service, team, priority }: SlotHolder): string =>
-  `${service}\n${priority}\n${team}`;
+  getCompositeKey(service, String(priority), team);
 
 const getHeldSlots = (count: Count, slots: number): HeldSlots => ({
   service: count.service,
