--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -122,7 +122,15 @@
       socket.once('connect', setConnected);
     };
     signal.addEventListener('abort', abort, { once: true });
-    outgoing.on('close', () => signal.removeEventListener('abort', abort));
+    outgoing.on('close', () => {
+      signal.removeEventListener('abort', abort);
+      connectTimer?.cancel();
+      // A response that changes the protocol closes the request without an error or a response.
+      const detail = 'closed without a response';
+      resolve(
+        isConnected ? { kind: 'lost', detail } : { kind: 'not_sent', detail, isRefused: false },
+      );
+    });
     let bytesBefore = 0;
     outgoing.on('socket', (socket) => {
       bytesBefore = socket.bytesRead;
--- a/packages/common/tests/oddCalls.test.ts
+++ b/packages/common/tests/oddCalls.test.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http';
+import { createServer, type AddressInfo } from 'node:net';
 import { SystemClock } from '../clock';
 import { parseAddress } from '../http';
 import { callHttp, type HttpCall } from '../httpCall';
@@ -35,6 +36,48 @@
   });
 });
 
+// Guards against review case 8: a call whose answer changes the protocol settled neither then nor at its abort.
+describe('a call whose answer changes the protocol', () => {
+  it.each([
+    ['at once', '', 'Connection: upgrade\r\nUpgrade: odd\r\n'],
+    [
+      'after an interim response',
+      'HTTP/1.1 100 Continue\r\n\r\n',
+      'Connection: upgrade\r\nUpgrade: odd\r\n',
+    ],
+    ['without a protocol', '', ''],
+    ['with a length', '', 'Connection: upgrade\r\nUpgrade: odd\r\nContent-Length: 2\r\n'],
+  ])('is lost: %s', async (_, interim, headers) => {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () =>
+        socket.write(`${interim}HTTP/1.1 101 Switching Protocols\r\n${headers}\r\nok`),
+      );
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const left = new AbortController();
+    const agent = new Agent({ keepAlive: true });
+    const call = callHttp(
+      { ...CALL, agent, address: { host: '127.0.0.1', port } },
+      left.signal,
+      new SystemClock(),
+    );
+    const timer = setTimeout(() => left.abort(), 1000);
+    const unsettled = new Promise((resolve) => {
+      setTimeout(() => resolve({ kind: 'never settled' }), 3000);
+    });
+    const result = await Promise.race([call, unsettled]);
+    clearTimeout(timer);
+    agent.destroy();
+    server.close();
+
+    expect(result).toMatchObject({ kind: 'lost' });
+  });
+});
+
 describe('a timer', () => {
   it.each([2 ** 31, 1e300, Infinity])('with a delay of %d ms does not fire at once', async (ms) => {
     let hasFired = false;
