--- a/anvilpaddle-app/gateway/jobs/jobItemStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobItemStore.ts
@@ -19,6 +19,7 @@
   getItemIndexObjectName,
   getOldItemsObjectName,
   getSegmentObjectName,
+  isOldItemsObject,
 } from './jobNames';
 import {
   getIndexedItems,
@@ -78,6 +79,8 @@
   prefetch(summaries: readonly ItemSummary[], wait: RoomWait): Promise<void>;
   /** Keeps the items of a job no longer in memory. */
   forget(summaries: readonly ItemSummary[]): void;
+  /** Removes a segment whose items are all listed, unless other jobs may have items in it. */
+  removeSegment(segment: ItemSegment): Promise<Result<void, PlatformError>>;
   /** Removes the objects with a job's items and their index. */
   removeObjects(record: JobRecord): Promise<Result<void, PlatformError>>;
 }
@@ -361,6 +364,10 @@
     fetch,
     prefetch,
     forget: (summaries) => getSegments(summaries).forEach(cache.forget),
+    removeSegment: async (segment) => {
+      cache.forget(segment);
+      return isOldItemsObject(segment.object) ? newOk(undefined) : objects.remove(segment.object);
+    },
     removeObjects,
   };
 };
--- a/anvilpaddle-app/gateway/jobs/jobNames.ts
+++ b/anvilpaddle-app/gateway/jobs/jobNames.ts
@@ -25,6 +25,8 @@
 const POSITION_DIGITS = 6;
 /** Largest size of a key in the store, without the position that results have in addition. */
 const MAX_KEY_BYTES = 200 - POSITION_DIGITS - 1;
+/** Prefix of the names of objects that earlier releases stored. */
+const OLD_PREFIX = 'job-';
 const POSITION_PATTERN = /^\d{6}$/;
 const ASCII_PATTERN = /^[ -~]*$/;
 
@@ -141,4 +143,8 @@
   getObjectName('result', job, content);
 
 /** Name of the object in which earlier releases stored all items of a job; other jobs may have the same. */
-export const getOldItemsObjectName = ({ team, id }: JobName): string => `job-${team}-${id}`;
+export const getOldItemsObjectName = ({ team, id }: JobName): string =>
+  `${OLD_PREFIX}${team}-${id}`;
+
+/** Whether an object may have the items of several jobs, so that the end of one doesn't show that nobody needs it. */
+export const isOldItemsObject = (object: string): boolean => object.startsWith(OLD_PREFIX);
--- a/anvilpaddle-app/gateway/jobs/jobService.ts
+++ b/anvilpaddle-app/gateway/jobs/jobService.ts
@@ -239,12 +239,17 @@
       refuseUnavailable(request, summaries.error);
       return;
     }
-    const summary = summaries.value.find((candidate) => candidate.id === itemId);
+    const index = summaries.value.findIndex((candidate) => candidate.id === itemId);
+    const summary = summaries.value[index];
     if (summary === undefined || job.record.isEnded) {
       refuse(request, { status: STATUS.notFound, reason: 'no such item' });
       return;
     }
     const read = await store.readItem(summary, wait);
+    if (!read.ok && job.record.listed.includes(index)) {
+      refuse(request, { status: STATUS.notFound, reason: 'the item is listed' });
+      return;
+    }
     if (!read.ok) {
       refuseUnavailable(request, read.error);
       return;
--- a/anvilpaddle-app/gateway/jobs/jobStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStore.ts
@@ -222,6 +222,7 @@
     fetchItem: items.fetch,
     prefetchItems: items.prefetch,
     forgetItems: items.forget,
+    removeSegment: items.removeSegment,
     remove,
   };
 };
--- a/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
+++ b/anvilpaddle-app/gateway/jobs/jobStoreTypes.ts
@@ -5,7 +5,15 @@
 import type { JobName } from './jobNames';
 import type { StoredJob } from './jobRecords';
 import type { HeldResults } from './jobResultStore';
-import type { ItemCheckpoint, ItemResult, ItemSummary, JobItem, JobRecord, NewJob } from './types';
+import type {
+  ItemCheckpoint,
+  ItemResult,
+  ItemSegment,
+  ItemSummary,
+  JobItem,
+  JobRecord,
+  NewJob,
+} from './types';
 
 /** Outcome of a submission. */
 export type SubmissionResult =
@@ -80,6 +88,8 @@
   prefetchItems(summaries: readonly ItemSummary[], wait: RoomWait): Promise<void>;
   /** Keeps the items of a job no longer in memory. */
   forgetItems(summaries: readonly ItemSummary[]): void;
+  /** Removes items that are all listed, unless other jobs may have items beside them. */
+  removeSegment(segment: ItemSegment): Promise<Result<void, PlatformError>>;
   /** Removes a job with its items, results and checkpoints. */
   remove(job: StoredJob): Promise<Result<RecordCommitOutcome, PlatformError>>;
 }
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -6,7 +6,7 @@
 import type { ItemProgress } from './runItem';
 import { serializeJson, type StoredJob } from './jobRecords';
 import type { JobStore } from './jobStoreTypes';
-import type { ItemCheckpoint, ItemResult, ItemSummary, JobRecord } from './types';
+import type { ItemCheckpoint, ItemResult, ItemSegment, ItemSummary, JobRecord } from './types';
 
 /** Delay before a commit that failed is retried. */
 const COMMIT_RETRY_MS = 200;
@@ -127,6 +127,33 @@
     pendingItems.set(index, newPendingItem(item, index, checkpoint));
   });
 
+  /** Numbers of unlisted items of the segments that have any. */
+  const unlistedCounts = new Map<string, number>();
+  pendingItems.forEach(({ item: { segment } }) =>
+    unlistedCounts.set(segment.object, (unlistedCounts.get(segment.object) ?? 0) + 1),
+  );
+
+  /** Removes a segment from the store, whose room others need; what fails is removed with the job. */
+  const removeSegment = async (segment: ItemSegment): Promise<void> => {
+    const removed = await store.removeSegment(segment);
+    if (removed.ok) return;
+    const reason = getPlatformErrorMessage(removed.error);
+    log.info({ job: id, object: segment.object, reason }, 'items not removed yet');
+  };
+
+  /** Learns that an item is listed, so that nobody asks for its body any more. */
+  const markListed = (index: number): void => {
+    if (listed.has(index)) return;
+    listed.add(index);
+    uncommittedResults.delete(index);
+    pendingItems.delete(index);
+    const segment = items[index]?.segment;
+    if (segment === undefined) return;
+    const left = (unlistedCounts.get(segment.object) ?? 0) - 1;
+    unlistedCounts.set(segment.object, left);
+    if (left === 0) void removeSegment(segment);
+  };
+
   const release = (reason: string): void => {
     if (isReleased) return;
     isReleased = true;
@@ -139,10 +166,7 @@
     storedJob = job;
     if (job.record.owner !== self) release(`owned by ${job.record.owner ?? 'no gateway'}`);
     else if (job.record.isEnded) release('ended');
-    job.record.listed.forEach((index) => {
-      uncommittedResults.delete(index);
-      pendingItems.delete(index);
-    });
+    job.record.listed.forEach(markListed);
     if (job.record.listed.length === job.record.tokens.length) release('complete');
   };
 
--- a/anvilpaddle-app/gateway/tests/ownedJob.test.ts
+++ b/anvilpaddle-app/gateway/tests/ownedJob.test.ts
@@ -185,3 +185,41 @@
     );
   });
 });
+
+// Guards against review case 9: items that nobody can ask for any more filled the store, so that results found no room.
+describe('items that are listed', () => {
+  it('leave the store as soon as all of their segment are, and others stay', async () => {
+    const memory = newMemoryStore();
+    const store = newJobStore(memory.records, memory.objects);
+    const items = newItems(3).map((item) => ({ ...item, body: Buffer.alloc(150_000) }));
+    const submission = await store.submit(newRecord(items), { items }, { maxWaitingTokens: 0 });
+    if (submission.kind !== 'accepted') throw new Error(submission.kind);
+    const { record } = submission.job;
+    const summaries = await store.readItemSummaries(record, { timeoutMs: 0 });
+    if (!summaries.ok) throw new Error('no items');
+    const job = newOwnedJob(
+      submission.job,
+      { items: summaries.value, checkpoints: [] },
+      () => undefined,
+      {
+        store,
+        jobCache: EMPTY_CACHE,
+        self: 'first',
+        clock: newInstantClock(),
+        log: newSilentLogger(),
+      },
+    );
+    const objects = [...memory.objectContents.keys()];
+    const listFirst = async (): Promise<string[]> => {
+      const [pending] = job.getPendingItems();
+      if (pending !== undefined) job.addResult(pending, getResult('first', pending.item));
+      await waitUntilIdle();
+      return [...memory.objectContents.keys()];
+    };
+
+    expect(objects).toHaveLength(3);
+    expect(await listFirst()).toEqual(objects.slice(1));
+    expect(await listFirst()).toEqual(objects.slice(2));
+    expect(await listFirst()).toEqual([]);
+  });
+});
