Objects of items that can't be read don't hold up others, and indexes of items take room, too

Indexes of items were read without room. Change: an object that could not be read is left alone for 2 s. An index takes room by its usual size, one that is an object by its size, which its record now has. Measured: the new test of itemFetcher.test.ts, in which 20 more urgent items can't be read, gets to the next one within 3 s.

--- a/anvilpaddle-app/gateway/jobs/itemFetcher.ts
+++ b/anvilpaddle-app/gateway/jobs/itemFetcher.ts
@@ -8,8 +8,10 @@
 
 /** Number of objects with items that are read at a time. */
 const MAX_FETCHES = 4;
-/** Pause after a read that failed. */
+/** Pause of all reads after one that failed. */
 const FAILURE_PAUSE_MS = 300;
+/** Pause of an object that could not be read, in which others get their turn. */
+const OBJECT_PAUSE_MS = 2 * MS_PER_SECOND;
 /** Longest wait for room. */
 const ROOM_TIMEOUT_MS = 2 * MS_PER_SECOND;
 
@@ -44,8 +46,17 @@
 ): ItemFetcher => {
   /** Objects that are being read. */
   const fetching = new Set<string>();
+  /** Times before which objects that could not be read are left alone. */
+  const pausedUntilMs = new Map<string, number>();
   let notBeforeMs = 0;
 
+  const isPaused = ({ pending }: ReadyItem, nowMs: number): boolean => {
+    const { object } = pending.item.segment;
+    const untilMs = pausedUntilMs.get(object);
+    if (untilMs !== undefined && untilMs <= nowMs) pausedUntilMs.delete(object);
+    return untilMs !== undefined && untilMs > nowMs;
+  };
+
   const fetch = async (summary: ItemSummary): Promise<void> => {
     const { object } = summary.segment;
     fetching.add(object);
@@ -58,14 +69,19 @@
     } finally {
       fetching.delete(object);
     }
-    notBeforeMs = clock.monotonic() + FAILURE_PAUSE_MS;
+    const nowMs = clock.monotonic();
+    notBeforeMs = nowMs + FAILURE_PAUSE_MS;
+    pausedUntilMs.set(object, nowMs + OBJECT_PAUSE_MS);
   };
 
   return {
     isInMemory: ({ pending }) => store.isItemInMemory(pending.item),
     fetchNext: (items, storeMs) => {
-      if (clock.monotonic() < notBeforeMs) return;
-      getMostUrgent(items, storeMs).forEach(({ pending: { item } }) => {
+      const nowMs = clock.monotonic();
+      if (nowMs < notBeforeMs) return;
+      const readable =
+        pausedUntilMs.size === 0 ? items : items.filter((item) => !isPaused(item, nowMs));
+      getMostUrgent(readable, storeMs).forEach(({ pending: { item } }) => {
         // Asked for, an item in memory is not the next to go.
         if (store.getItemInMemory(item) !== undefined) return;
         if (fetching.size < MAX_FETCHES && !fetching.has(item.segment.object)) void fetch(item);
--- a/anvilpaddle-app/gateway/jobs/jobItemStore.ts
+++ b/anvilpaddle-app/gateway/jobs/jobItemStore.ts
@@ -6,6 +6,7 @@
 import {
   BYTES_PER_KIB,
   BYTES_PER_MIB,
+  MS_PER_SECOND,
   newFailure,
   newOk,
   type Result,
@@ -29,6 +30,7 @@
   parseItems,
   serializeItems,
   serializeJson,
+  type ObjectPointer,
   type StoredItemIndex,
 } from './jobRecords';
 import type { SegmentCache } from './segmentCache';
@@ -36,6 +38,10 @@
 
 /** Size up to which successive items share a segment. */
 const MAX_SEGMENT_BYTES = 256 * BYTES_PER_KIB;
+/** Size of an item in an index, with an id and some parts of its prompt. */
+const USUAL_SUMMARY_BYTES = 200;
+/** Removals wait for room, and are tried again. */
+const REMOVAL_WAIT: RoomWait = { timeoutMs: 5 * MS_PER_SECOND };
 /** Number of objects of a job that are stored at a time. */
 const MAX_PARALLEL_PUTS = 4;
 /** Size limit of an index that is stored in its record. */
@@ -163,7 +169,7 @@
     if (content.length <= MAX_INLINE_INDEX_BYTES) return newOk(index);
     const object = getItemIndexObjectName(record, content);
     const stored = await objects.put(object, content);
-    return stored.ok ? newOk({ object }) : stored;
+    return stored.ok ? newOk({ object, bytes: content.length }) : stored;
   };
 
   const put: JobItemStore['put'] = async (record, items) => {
@@ -267,35 +273,51 @@
     });
   };
 
+  /** Reads with room for all copies, which it gives back. */
+  const readInRoom = async <T>(
+    bytes: number,
+    wait: RoomWait,
+    read: () => Promise<T>,
+  ): Promise<T> => {
+    const room = await rooms.take(COPIES * bytes, wait);
+    return read().finally(room.release);
+  };
+
   /** The index in a job's record of it; undefined if an earlier release has stored the job. */
-  const readIndex = async (
+  const readIndex = (
     record: JobRecord,
+    wait: RoomWait,
   ): Promise<Result<StoredItemIndex | undefined, PlatformError>> => {
     const { table, partition, key } = getItemIndexName(record);
-    const page = await records.read(table, partition, { from: key, to: `${key}\u0000` });
-    if (!page.ok) return page;
-    const value = page.value.records.find((found) => found.key === key)?.value;
-    return newOk(value && parseItemIndexRecord(record, value));
+    const usualBytes = record.tokens.length * USUAL_SUMMARY_BYTES;
+    return readInRoom(Math.min(usualBytes, MAX_INLINE_INDEX_BYTES), wait, async () => {
+      const page = await records.read(table, partition, { from: key, to: `${key}\u0000` });
+      if (!page.ok) return page;
+      const value = page.value.records.find((found) => found.key === key)?.value;
+      return newOk(value && parseItemIndexRecord(record, value));
+    });
   };
 
-  const readIndexObject = async (
-    object: string,
-  ): Promise<Result<readonly ItemSummary[], PlatformError>> => {
-    const content = await objects.get(object);
-    if (!content.ok) return content;
-    const index = content.value && parseItemIndex(content.value);
-    return index === undefined
-      ? newInvalidError(`${object} is missing or can not be parsed`)
-      : newOk(getIndexedItems(index));
-  };
+  const readIndexObject = (
+    { object, bytes }: ObjectPointer,
+    wait: RoomWait,
+  ): Promise<Result<readonly ItemSummary[], PlatformError>> =>
+    readInRoom(bytes, wait, async () => {
+      const content = await objects.get(object, { expectedBytes: bytes });
+      if (!content.ok) return content;
+      const index = content.value && parseItemIndex(content.value);
+      return index === undefined
+        ? newInvalidError(`${object} is missing or can not be parsed`)
+        : newOk(getIndexedItems(index));
+    });
 
   const readSummaries: JobItemStore['readSummaries'] = async (record, wait) => {
-    const index = await readIndex(record);
+    const index = await readIndex(record, wait);
     if (!index.ok) return index;
     if (index.value === undefined) return readUnindexed(record, wait);
     const items =
       'object' in index.value
-        ? await readIndexObject(index.value.object)
+        ? await readIndexObject(index.value, wait)
         : newOk(getIndexedItems(index.value));
     return items.ok && items.value.length !== record.tokens.length
       ? newInvalidError(`the index of job ${record.id} has ${items.value.length} items`)
@@ -323,13 +345,13 @@
 
   /** Names of all objects with items of a job, and of one with their index. */
   const getObjectNames = async (record: JobRecord): Promise<Result<string[], PlatformError>> => {
-    const index = await readIndex(record);
+    const index = await readIndex(record, REMOVAL_WAIT);
     if (!index.ok) return index;
     if (index.value === undefined) return newOk([getOldItemsObjectName(record)]);
     if (!('object' in index.value)) {
       return newOk(index.value.segments.map(({ object }) => object));
     }
-    const items = await readIndexObject(index.value.object);
+    const items = await readIndexObject(index.value, REMOVAL_WAIT);
     if (!items.ok) return items;
     return newOk([...getSegments(items.value).map(({ object }) => object), index.value.object]);
   };
--- a/anvilpaddle-app/gateway/jobs/jobRecords.ts
+++ b/anvilpaddle-app/gateway/jobs/jobRecords.ts
@@ -107,8 +107,15 @@
 
 const itemIndexSchema = z.object({ segments: z.array(segmentSchema) });
 
+/** Where a value is that is too large for its record. */
+export interface ObjectPointer {
+  readonly object: string;
+  /** Size of the object. */
+  readonly bytes: number;
+}
+
 /** Index of a job's items, or the object that holds an index which is too large for its record. */
-export type StoredItemIndex = z.output<typeof itemIndexSchema> | { readonly object: string };
+export type StoredItemIndex = z.output<typeof itemIndexSchema> | ObjectPointer;
 
 /** Index of items. */
 export const newItemIndex = (items: readonly ItemSummary[]): StoredItemIndex => {
@@ -124,7 +131,7 @@
 /** The items of an index. */
 export const getIndexedItems = ({
   segments,
-}: Exclude<StoredItemIndex, { readonly object: string }>): ItemSummary[] =>
+}: Exclude<StoredItemIndex, ObjectPointer>): ItemSummary[] =>
   segments.flatMap(({ object, bytes, items }) => {
     const segment = { object, bytes };
     return items.map(({ id, promptParts = [] }, offset) => ({ id, promptParts, segment, offset }));
@@ -136,7 +143,7 @@
 const itemIndexRecordSchema = z.object({
   /** Submission time of the job that has the items; a record of another job of this id is out of date. */
   submittedMs: z.number(),
-  index: z.union([itemIndexSchema, z.object({ object: z.string() })]),
+  index: z.union([itemIndexSchema, z.object({ object: z.string(), bytes: indexSchema })]),
 });
 
 /** Content of the record with an index. */
@@ -164,12 +171,8 @@
 export const parseItemResult = (content: Buffer): ItemResult | undefined =>
   parseJson(resultSchema, content);
 
-/** Where a result is that is too large for its record. */
-export interface ResultPointer {
-  readonly object: string;
-  /** Size of the object; earlier releases did not store it. */
-  readonly bytes?: number | undefined;
-}
+/** Where a result is that is too large for its record; earlier releases did not store its size. */
+export type ResultPointer = Pick<ObjectPointer, 'object'> & Partial<ObjectPointer>;
 
 /** Content of a result's record: the result itself, or the object that holds it. */
 export type StoredResult = ItemResult | ResultPointer;
--- a/anvilpaddle-app/gateway/tests/itemFetcher.test.ts
+++ b/anvilpaddle-app/gateway/tests/itemFetcher.test.ts
@@ -19,7 +19,7 @@
   })) as unknown as ReadyItem[];
 
 /** A fetcher on a store that reads what is asked for at once, or fails. */
-const newScene = (isDown = false) => {
+const newScene = (isLost: (id: string) => boolean = () => false) => {
   const clock = new ManualClock();
   const inMemory = new Set<string>();
   const fetched: string[] = [];
@@ -28,7 +28,7 @@
     getItemInMemory: (item: ItemSummary) => (inMemory.has(item.id) ? item : undefined),
     fetchItem: ({ id }: ItemSummary) => {
       fetched.push(id);
-      if (isDown) return Promise.resolve(newFailure({ kind: 'unavailable', detail: 'down' }));
+      if (isLost(id)) return Promise.resolve(newFailure({ kind: 'unavailable', detail: 'down' }));
       inMemory.add(id);
       return Promise.resolve(newOk(undefined));
     },
@@ -50,7 +50,7 @@
   });
 
   it('are not asked for again at once while the store is away', async () => {
-    const { clock, fetcher, fetched } = newScene(true);
+    const { clock, fetcher, fetched } = newScene(() => true);
     for (let tick = 0; tick < 10; tick += 1) {
       fetcher.fetchNext(newReadyItems(100), 0);
       await settle();
@@ -59,4 +59,15 @@
 
     expect(fetched).toHaveLength(4);
   });
+
+  it('get their turn although more urgent ones can’t be read', async () => {
+    const { clock, fetcher, fetched } = newScene((id) => Number(id.slice(1)) < 20);
+    for (let tick = 0; tick < 100; tick += 1) {
+      fetcher.fetchNext(newReadyItems(30), 0);
+      await settle();
+      clock.advance(30);
+    }
+
+    expect(fetched).toContain('i20');
+  });
 });
