Comments of the fetcher say what they mean

Cause: two of them stopped a reader of the diff. Change: comments only. Measured: prettier is clean on the file; no test was run, no statement is changed.

--- a/anvilpaddle-app/gateway/jobs/itemFetcher.ts
+++ b/anvilpaddle-app/gateway/jobs/itemFetcher.ts
@@ -25,7 +25,7 @@
   fetchNext(items: readonly ReadyItem[], storeMs: number): void;
 }
 
-/** The most urgent items, of which most have far more behind them. */
+/** The most urgent items, in order. */
 const getMostUrgent = (items: readonly ReadyItem[], storeMs: number): ReadyItem[] => {
   const first: ReadyItem[] = [];
   items.forEach((item) => {
@@ -82,7 +82,7 @@
       const readable =
         pausedUntilMs.size === 0 ? items : items.filter((item) => !isPaused(item, nowMs));
       getMostUrgent(readable, storeMs).forEach(({ pending: { item } }) => {
-        // Asked for, an item in memory is not the next to go.
+        // The look-up counts as a use, so that the item stays in memory.
         if (store.getItemInMemory(item) !== undefined) return;
         if (fetching.size < MAX_FETCHES && !fetching.has(item.segment.object)) void fetch(item);
       });
