Review, cases 12 and 13: the trouble stays inside the site's dose

Answers were spoiled for 10 to 19 s in a row, where the site's garble lasts 5 s. Now it is 5 s at a time.

--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -18,6 +18,9 @@
 
 /** Every so many answers of the worker in trouble are spoiled: under three in a hundred. */
 const SPOILED_EVERY = 34;
+/** The trouble lasts 5 s at a time, with 5 s between. */
+const TROUBLE_MS = 5000;
+const isInTrouble = () => performance.now() % (2 * TROUBLE_MS) < TROUBLE_MS;
 const REQUESTS = 300;
 const JOBS = 10;
 const ITEMS_PER_JOB = 40;
@@ -42,7 +45,7 @@
       answers += 1;
       const isStream = message.url.includes('/stream/');
       note(`${id} runs ${requestId}`);
-      if (isSpoiling && answers % SPOILED_EVERY === 0) {
+      if (isSpoiling && isInTrouble() && answers % SPOILED_EVERY === 0) {
         note(`${id} sends bytes that are no answer in place of the answer to ${requestId}`);
         const type = isStream ? 'text/event-stream' : 'text/plain';
         const body = isStream ? 'id: 1\ndata: no answer\n\n' : 'no answer';
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -17,6 +17,9 @@
 
 /** Every so many answers of the worker in trouble are spoiled: under three in a hundred. */
 const SPOILED_EVERY = 34;
+/** The trouble lasts 5 s at a time, with 5 s between. */
+const TROUBLE_MS = 5000;
+const isInTrouble = () => performance.now() % (2 * TROUBLE_MS) < TROUBLE_MS;
 const JOBS = 20;
 const ITEMS = 40;
 const EVENTS = 8;
@@ -64,7 +67,7 @@
         ...newAnswerHeaders(id, message),
         'Content-Type': 'text/event-stream',
       });
-      if (isSpoiling && answers % SPOILED_EVERY === 0) {
+      if (isSpoiling && isInTrouble() && answers % SPOILED_EVERY === 0) {
         spoiled += 1;
         note(`${id} sends bytes that are no answer to ${requestId}, and resets the connection`);
         response.write('data: no answer\n\n');
@@ -87,8 +90,8 @@
     store.putRow('servers', worker.id, newWorkerRow(worker));
   }
   const machines = [
-    await newMachine('vm-1', '127.0.0.11', store.address),
-    await newMachine('vm-2', '127.0.0.12', store.address),
+    await newMachine('vm-1', '127.0.0.21', store.address),
+    await newMachine('vm-2', '127.0.0.22', store.address),
   ];
   machines.forEach((machine) => machine.start());
   await Promise.all(machines.map(waitUntilReady));
