A response's head no longer ends the gateway that reads it

Callers saw all requests of a gateway cut, after one upstream had sent a stream with a spoilt head.

Cause: the parser of Node.js 20.18.0, the oldest version that the project allows, passes on field names with blanks. A stream writes its head to the caller in a listener of the upstream's data, where writeHead throws ERR_INVALID_HTTP_TOKEN: the process ends. Other responses write theirs in a promise, whose failure costs one request.

Ruled out: errors without a listener of messages, requests and sockets; entries and sidecars, which write heads in promises.

Change: getHeadFault decides what a sound head is, by RFC 9110 and RFC 9112, whatever the parser lets pass. callHttp, through which all calls to upstreams go, takes the others for lost responses, with the reason in the log. An error of a reader of a stream or an item fails that response, not the process.

All pass on 20.18.0, 20.20.2 and 24.11.0. Both tests of failingReaders.test.ts failed before.

--- a/anvilpaddle-app/gateway/bulkReader.ts
+++ b/anvilpaddle-app/gateway/bulkReader.ts
@@ -1,6 +1,12 @@
 /** Reads a response that need not be delivered chunk by chunk, in fewer and larger reads. */
 import type { IncomingMessage } from 'node:http';
-import { waitForBodyEnd, type BodyEnd, type Clock, type Timer } from '@anvilpaddle/common';
+import {
+  readOrFail,
+  waitForBodyEnd,
+  type BodyEnd,
+  type Clock,
+  type Timer,
+} from '@anvilpaddle/common';
 
 /**
  * Interval at which connections with data are read. All are read at the same multiples of it, so
@@ -29,7 +35,7 @@
     for (;;) {
       const chunk = message.read() as Buffer | null;
       if (chunk === null) return;
-      onData(chunk);
+      readOrFail(message, () => onData(chunk));
     }
   };
   const stopReading = (): void => {
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -5,6 +5,7 @@
   breakOffResponse,
   HELD_FOR,
   NoMemoryForResponseError,
+  readOrFail,
   ResponseTooLargeError,
   waitForBodyEnd,
   type ByteBudget,
@@ -52,8 +53,8 @@
   /** Writes to the caller; false when its buffer is full. */
   const write = (message: IncomingMessage, bytes: Buffer): boolean => {
     if (!isStarted) {
-      isStarted = true;
       response.writeHead(message.statusCode ?? 502, getHeaders(message));
+      isStarted = true;
       onFirstEvent();
     }
     return response.write(bytes);
@@ -71,8 +72,9 @@
   const relayEvents = (message: IncomingMessage, events: Buffer): boolean => {
     const unseenEvents = getUnseenEvents(events);
     if (unseenEvents.length === 0) return true;
+    const hasRoom = write(message, unseenEvents);
     lastEvents = unseenEvents;
-    return write(message, unseenEvents);
+    return hasRoom;
   };
 
   const relayUntilEnd = async (
@@ -83,7 +85,7 @@
     const splitter = newEventSplitter();
     const holder = byteBudget.newHolder(HELD_FOR.response);
     let hasWaited = false;
-    message.on('data', (chunk: Buffer) => {
+    const relayChunk = (chunk: Buffer): void => {
       const events = splitter.feed(chunk);
       if (events.length > 0) hooks.onContent();
       if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
@@ -107,14 +109,16 @@
       }
       message.pause();
       hooks.onBlocked();
+      const resume = (): void => {
+        hooks.onContent();
+        message.resume();
+      };
       once(response, 'drain', { signal }).then(
-        () => {
-          hooks.onContent();
-          message.resume();
-        },
+        () => readOrFail(message, resume),
         () => message.destroy(),
       );
-    });
+    };
+    message.on('data', (chunk: Buffer) => readOrFail(message, () => relayChunk(chunk)));
     const bodyEnd = await waitForBodyEnd(message);
     const hasEvents = isResumption || lastEvents !== undefined;
     const end = getStreamEnd(message, bodyEnd, splitter, hasEvents);
--- a/anvilpaddle-app/gateway/responseEnd.ts
+++ b/anvilpaddle-app/gateway/responseEnd.ts
@@ -4,6 +4,7 @@
   BODY_DELIMITER,
   BODY_END,
   getBodyDelimiter,
+  ReaderError,
   type BodyDelimiter,
   type BodyEnd,
 } from '@anvilpaddle/common';
@@ -17,6 +18,8 @@
   readonly unfinishedBytes: number;
   /** Whether the upstream had to wait for a caller that reads slowly. */
   readonly waitedForCaller?: true;
+  /** Why the response could not be read on, if its reader threw. */
+  readonly readerError?: string;
 }
 
 /** Whether nothing of the response is missing. */
@@ -47,7 +50,7 @@
  * event comes too early.
  */
 export const getStreamEnd = (
-  { headers }: IncomingMessage,
+  { headers, errored }: IncomingMessage,
   bodyEnd: BodyEnd,
   splitter: EventSplitter,
   hasEvents: boolean,
@@ -58,5 +61,6 @@
     delimiter,
     bodyEnd: isTooEarly && bodyEnd === BODY_END.complete ? BODY_END.closed : bodyEnd,
     unfinishedBytes: splitter.getUnfinishedBytes(),
+    ...(errored instanceof ReaderError ? { readerError: errored.message } : {}),
   };
 };
--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -14,14 +14,9 @@
 import type { Clock, Timer } from './clock';
 import { watchCloseDelimitedEnd } from './closeDelimitedEnd';
 import type { Address } from './http';
-import {
-  BODY_DELIMITER,
-  getBodyDelimiter,
-  isFinalStatus,
-  STATUSES_WITHOUT_BODY,
-} from './responseEnd';
-import { InvalidStatusError } from './invalidStatusError';
+import { BODY_DELIMITER, getBodyDelimiter, STATUSES_WITHOUT_BODY } from './responseEnd';
 import { getErrorMessage } from './logging';
+import { getHeadFault, UnsoundHeadError } from './responseHead';
 
 /** Number of interim responses (status 1xx) to one request before its response. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -146,10 +141,11 @@
       }
     });
     outgoing.on('response', (message) => {
-      const { statusCode = 0 } = message;
-      if (!isFinalStatus(statusCode)) {
+      const { statusCode = 0, rawHeaders } = message;
+      const fault = getHeadFault({ status: statusCode, fields: rawHeaders });
+      if (fault !== undefined) {
         outgoing.destroy();
-        resolve({ kind: 'lost', detail: getErrorMessage(new InvalidStatusError(statusCode)) });
+        resolve({ kind: 'lost', detail: getErrorMessage(new UnsoundHeadError(fault)) });
         return;
       }
       response = message;
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -15,17 +15,6 @@
 /** Statuses whose responses have no body, and so no delimiter. */
 export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
-/** Lowest and highest status of a final response. */
-const MIN_FINAL_STATUS = 200;
-const MAX_FINAL_STATUS = 599;
-
-/**
- * Whether a final response may have the status. The parsers of Node.js and undici pass on any three
- * digits, and Node.js writes all from 100 to 999.
- */
-export const isFinalStatus = (status: number): boolean =>
-  status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
-
 /** How a response's body ended. */
 export const BODY_END = {
   /** All that the delimiter announces has arrived. */
