Responses with an unsound first line or transfer coding are refused

Callers got a 200 where an upstream's head was spoilt: a control byte in the reason phrase, the versions HTTP/0.9 and HTTP/2.0, or a transfer coding other than chunks. With gzip, identity, "chunked, gzip", an unknown coding or none the sizes of the chunks stood in the body, which passed as whole.

Cause: the parsers read such heads, and take a body whose coding does not end in chunks to last as long as its connection. No reader asks for a coding, so that none may come but chunks, once, and not in HTTP/1.0 (RFC 9112, 6.1).

--- a/packages/common/httpCall.ts
+++ b/packages/common/httpCall.ts
@@ -16,7 +16,7 @@
 import type { Address } from './http';
 import { BODY_DELIMITER, getBodyDelimiter, STATUSES_WITHOUT_BODY } from './responseEnd';
 import { getErrorMessage } from './logging';
-import { getHeadFault, UnsoundHeadError } from './responseHead';
+import { getHeadFault, UnsoundHeadError, type ResponseHead } from './responseHead';
 
 /** Number of interim responses (status 1xx) to one request before its response. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -57,6 +57,13 @@
 const isCloseDelimited = ({ headers }: IncomingMessage): boolean =>
   getBodyDelimiter(headers) === BODY_DELIMITER.close;
 
+const getResponseHead = ({
+  httpVersion: version,
+  statusCode: status = 0,
+  statusMessage: reason = '',
+  rawHeaders: fields,
+}: IncomingMessage): ResponseHead => ({ version, status, reason, fields });
+
 /** Creates the request, which is sent by its `end`. */
 const newOutgoingRequest = ({
   agent,
@@ -141,8 +148,8 @@
       }
     });
     outgoing.on('response', (message) => {
-      const { statusCode = 0, rawHeaders } = message;
-      const fault = getHeadFault({ status: statusCode, fields: rawHeaders });
+      const { statusCode = 0 } = message;
+      const fault = getHeadFault(getResponseHead(message));
       if (fault !== undefined) {
         outgoing.destroy();
         resolve({ kind: 'lost', detail: getErrorMessage(new UnsoundHeadError(fault)) });
