Successes without a signature are no longer passed on

Callers got a 200 without Server-Stamp, or one that named no request, where a worker in trouble had lost or damaged the line; jobs listed the text of such a response as the output of an item.

Cause: isResponseTo took a response without an id for the request's own, and nothing asked for the stamp of a success.

Change: getResponseFault of the platform's protocol refuses a success without the id of its request, without a stamp, with a stamp that Connection names, or with encoded content. The log has the fault, and the upstream's health counts it, for items too; an item looks at it before the status.

--- a/anvilpaddle-app/gateway/callerProtocol.ts
+++ b/anvilpaddle-app/gateway/callerProtocol.ts
@@ -78,8 +78,12 @@
   isMisdirected(status: number): boolean;
   /** What a response says of its upstream, from its status code and headers. */
   getUpstreamStatus(status: number, headers: IncomingHttpHeaders): StatusReading;
-  /** Whether a response belongs to the request with this id. */
-  isResponseTo(headers: IncomingHttpHeaders, requestId: string): boolean;
+  /** Why a response is not an upstream's to the request with this id; undefined if it is. */
+  getResponseFault(
+    status: number,
+    headers: IncomingHttpHeaders,
+    requestId: string,
+  ): string | undefined;
   /** Job in the body of a submission; undefined when the body is invalid. */
   parseJob(body: Buffer): NewJob | undefined;
   /** Headers (alternating names and values) of an item's request, as if its caller had sent it. */
--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -23,6 +23,8 @@
 /** Outcome of an attempt, with how the body of its response ended if it was read. */
 export interface AttemptReport extends AttemptOutcome {
   readonly responseEnd?: ResponseEnd;
+  /** Why the response is not an upstream's to this request. */
+  readonly fault?: string;
   /** Parts of the input that the upstream may have broken off for. */
   readonly suspectedParts?: readonly string[];
 }
@@ -129,9 +131,10 @@
   };
 
   /** Outcome of a response that is not this request's answer, or says that it has not run. */
-  const getMismatch = (message: IncomingMessage): AttemptOutcome | undefined => {
-    if (!protocol.isResponseTo(message.headers, head.id)) return UNKNOWN;
+  const getMismatch = (message: IncomingMessage): AttemptReport | undefined => {
     const status = message.statusCode ?? STATUS.badGateway;
+    const fault = protocol.getResponseFault(status, message.headers, head.id);
+    if (fault !== undefined) return { ...UNKNOWN, fault };
     if (protocol.isNotRun(status, message.headers)) return NOT_RUN;
     return isStarted() && !isRelayedAsStream(message) ? UNKNOWN : undefined;
   };
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -61,6 +61,8 @@
   notSent: 'notSent',
   /** The connection was lost before a response; the item may have run. */
   lost: 'lost',
+  /** The response is not an upstream's to the item. */
+  foreign: 'foreign',
   /** The response says that the upstream works, but it is not the item's output. */
   status: 'status',
   /** The stream ended before its last event. */
@@ -179,7 +181,12 @@
     const { message } = callResult;
     const status = message.statusCode ?? 0;
     if (protocol.isMisdirected(status)) view.reportReplaced(upstream);
-    if (status !== 200 || !protocol.isResponseTo(message.headers, item.id)) {
+    const fault = protocol.getResponseFault(status, message.headers, item.id);
+    if (fault !== undefined) {
+      message.destroy();
+      return { kind: 'broken', detail: fault, cause: BREAK_CAUSE.foreign };
+    }
+    if (status !== 200) {
       message.destroy();
       if (status === UNPROCESSABLE) return { kind: 'impossible' };
       const detail = `status ${status}`;
@@ -239,7 +246,7 @@
       outcome.cause !== BREAK_CAUSE.status &&
       outcome.cause !== BREAK_CAUSE.noMemory;
     if (isUpstreamFailure) {
-      if (outcome.cause !== BREAK_CAUSE.notSent) {
+      if (outcome.cause === BREAK_CAUSE.lost || outcome.cause === BREAK_CAUSE.cut) {
         crashDetector.reportLost(upstream, {
           id: item.id,
           promptParts,
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -77,8 +77,10 @@
   return !isResponseComplete(responseEnd);
 };
 
-const getDetail = (callResult: HttpCallResult): string =>
-  callResult.kind === 'answered' ? `status ${callResult.message.statusCode}` : callResult.detail;
+const getDetail = (callResult: HttpCallResult, { fault }: AttemptReport): string => {
+  if (callResult.kind !== 'answered') return callResult.detail;
+  return fault ?? `status ${callResult.message.statusCode}`;
+};
 
 /** Sends the request to the upstream; `signal` aborts the attempt. */
 export const openAttempt = (
@@ -200,7 +202,7 @@
       }
       return;
     }
-    const detail = getDetail(callResult);
+    const detail = getDetail(callResult, outcome);
     log.warn(
       {
         request: head.id,
--- a/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
+++ b/anvilpaddle-app/gateway/tests/jobRunnerMoves.test.ts
@@ -111,7 +111,7 @@
       getUpstreamHeaders: (_: unknown, { resumeAfterId }: { resumeAfterId?: string }) =>
         resumeAfterId === undefined ? {} : { 'resume-after': resumeAfterId },
       isMisdirected: () => false,
-      isResponseTo: () => true,
+      getResponseFault: () => undefined,
     },
     upstreamClient: {
       send: (
