Heads that come over undici are judged as all others

Callers of an entry got a 500 for a whole response with a byte from 128 on in a header's value, and a 502 for one with a header named constructor. The clients of stores, peers, sidecars and operators took heads with blank or empty names, control bytes in the reason phrase, and codings beside chunks.

Cause: undici decodes values as UTF-8, and what it makes of other bytes can't be written again; it collects headers in an object that inherits names; and its parser passes on more than that of Node.js 20.20.

Change: requestHttp, through which all requests over undici go, asks getHeadFault before undici reads the fields, and hands on a character for each byte. The checks of the status that stood at each client are gone.

--- a/anvilpaddle-app/cli/operatorClient.ts
+++ b/anvilpaddle-app/cli/operatorClient.ts
@@ -1,12 +1,10 @@
 /** HTTP client of the operators' API. */
-import { request } from 'undici';
 import {
   getErrorMessage,
-  InvalidStatusError,
   isConnectError,
-  isFinalStatus,
   newFailure,
   newOk,
+  requestHttp,
   type Result,
 } from '@anvilpaddle/common';
 
@@ -37,16 +35,12 @@
     body?: unknown,
   ): Promise<Result<unknown, OperatorError>> => {
     try {
-      const response = await request(`${baseUrl}/operator/v1${path}`, {
+      const response = await requestHttp(`${baseUrl}/operator/v1${path}`, {
         method,
         headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
-      if (!isFinalStatus(response.statusCode)) {
-        response.body.on('error', () => undefined).destroy();
-        throw new InvalidStatusError(response.statusCode);
-      }
       const json = (await response.body.json()) as { error?: Omit<OperatorError, 'kind'> };
       if (json.error === undefined) return newOk(json);
       const { code, message, details, run } = json.error;
--- a/anvilpaddle-app/entry/attemptClient.ts
+++ b/anvilpaddle-app/entry/attemptClient.ts
@@ -1,14 +1,13 @@
 /** HTTP client with which the entry process sends attempts to sidecars. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent, type Dispatcher } from 'undici';
 import {
   BODY_DELIMITER,
   getBodyDelimiter,
   getErrorMessage,
-  InvalidStatusError,
   isConnectError,
-  isFinalStatus,
+  requestHttp,
   STATUSES_WITHOUT_BODY,
 } from '@anvilpaddle/common';
 import {
@@ -66,10 +65,6 @@
   response: Dispatcher.ResponseData,
   attempt: Attempt,
 ): Promise<AttemptReply> => {
-  if (!isFinalStatus(response.statusCode)) {
-    response.body.on('error', () => undefined).destroy();
-    throw new InvalidStatusError(response.statusCode);
-  }
   const namedAttempt = response.headers[HEADER.attemptId];
   if (namedAttempt !== attempt.attempt) {
     response.body.on('error', () => undefined).destroy();
@@ -108,7 +103,7 @@
   return {
     send: async (member, attempt, body, signal) => {
       try {
-        const response = await request(`http://${member.address}${PEER_PATH.attempts}`, {
+        const response = await requestHttp(`http://${member.address}${PEER_PATH.attempts}`, {
           method: 'POST',
           headers: {
             authorization: `Bearer ${secret}`,
--- a/anvilpaddle-app/gateway/storeRelay.ts
+++ b/anvilpaddle-app/gateway/storeRelay.ts
@@ -3,7 +3,6 @@
  * a peer, which forwards them directly to the store and never through a third gateway.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { request } from 'undici';
 import { z } from 'zod';
 import {
   BODY_DELIMITER,
@@ -18,6 +17,7 @@
   NoRoomError,
   readBody,
   readStream,
+  requestHttp,
   sendJson,
   BYTES_PER_MIB,
   MS_PER_MINUTE,
@@ -182,7 +182,7 @@
 ): Promise<Result<HttpResponse, PlatformError>> => {
   const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
   try {
-    const response = await request(`http://${formatAddress(peer)}${path}`, {
+    const response = await requestHttp(`http://${formatAddress(peer)}${path}`, {
       method,
       body: body ?? null,
       headers: {
--- a/anvilpaddle-app/peers/peerClient.ts
+++ b/anvilpaddle-app/peers/peerClient.ts
@@ -5,14 +5,13 @@
   type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import {
   getErrorMessage,
-  InvalidStatusError,
-  isFinalStatus,
   newFailure,
   newId,
   newOk,
+  requestHttp,
   type Clock,
   type Result,
   isConnectError,
@@ -94,7 +93,7 @@
   const post = async (address: string, payload: unknown): Promise<unknown> => {
     const sequence = (sequences.get(address) ?? 0) + 1;
     sequences.set(address, sequence);
-    const response = await request(`http://${address}${PEER_PATH.rpc}`, {
+    const response = await requestHttp(`http://${address}${PEER_PATH.rpc}`, {
       method: 'POST',
       body: JSON.stringify(payload),
       headers: {
@@ -106,7 +105,6 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const body = await response.body.text();
-    if (!isFinalStatus(response.statusCode)) throw new InvalidStatusError(response.statusCode);
     if (response.statusCode !== 200) throw newCodedError(body, RPC_REFUSED);
     return JSON.parse(body);
   };
--- a/anvilpaddle-app/tests/kit/child.ts
+++ b/anvilpaddle-app/tests/kit/child.ts
@@ -17,6 +17,8 @@
   readonly pid: number;
   /** Text that the process has written to standard error so far. */
   logs(): string;
+  /** Whether the process has ended, by itself or by a signal. */
+  hasEnded(): boolean;
   /** Sends SIGTERM and resolves with the exit code; null if a signal ended the process. */
   stop(): Promise<number | null>;
   /** Sends SIGKILL and waits until the process has ended. */
@@ -62,6 +64,7 @@
   return {
     pid: child.pid ?? 0,
     logs: () => logs,
+    hasEnded: () => child.exitCode !== null || child.signalCode !== null,
     stop: () => {
       child.kill('SIGTERM');
       return waitForExit(child);
--- a/anvilpaddle-app/tests/kit/fleet.ts
+++ b/anvilpaddle-app/tests/kit/fleet.ts
@@ -43,6 +43,8 @@
   readonly engines: number;
   /** Number of plain upstreams, each with a sidecar. */
   readonly plainUpstreams: number;
+  /** Base URLs of further plain upstreams, each with a sidecar. */
+  readonly plainUrls?: readonly string[];
   readonly engine?: Partial<EngineOptions>;
   /** Settings that are added to the settings file of every process. */
   readonly ini?: Ini;
@@ -192,7 +194,11 @@
   );
   const upstreams = [
     ...engines.map(({ url }, index) => ({ vm: `llm-${index + 1}`, kind: 'engine', url })),
-    ...plains.map(({ url }, index) => ({ vm: `plain-${index + 1}`, kind: 'plain', url })),
+    ...[...plains.map(({ url }) => url), ...(options.plainUrls ?? [])].map((url, index) => ({
+      vm: `plain-${index + 1}`,
+      kind: 'plain',
+      url,
+    })),
   ];
   const entries = await Promise.all(
     Array.from({ length: options.entries }, (_, index) =>
--- a/packages/common/responseHead.ts
+++ b/packages/common/responseHead.ts
@@ -59,8 +59,7 @@
   return `the field ${bad.isName ? 'name' : 'value'} ${quote(bad.text)}`;
 };
 
-/** Whether a final response may have the status. */
-export const isFinalStatus = (status: number): boolean =>
+const isFinalStatus = (status: number): boolean =>
   status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
 
 const getFirstLineFault = ({ version, status, reason }: ResponseHead): string | undefined => {
--- a/packages/platform/httpClient.ts
+++ b/packages/platform/httpClient.ts
@@ -1,16 +1,15 @@
 /** HTTP client for calls to one platform service. */
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import {
   BODY_DELIMITER,
   BYTES_PER_MIB,
   getBodyDelimiter,
   getErrorMessage,
-  InvalidStatusError,
   isConnectError,
-  isFinalStatus,
   newFailure,
   newOk,
   readStream,
+  requestHttp,
   ResponseTooLargeError,
   MS_PER_SECOND,
   type Result,
@@ -74,7 +73,7 @@
   return {
     call: async (method, path, body, options = {}) => {
       try {
-        const response = await request(`${baseUrl}${path}`, {
+        const response = await requestHttp(`${baseUrl}${path}`, {
           method,
           body: body ?? null,
           headers:
@@ -86,7 +85,6 @@
         });
         const content = await readStream(response.body, MAX_RESPONSE_BYTES);
         if (content === undefined) throw new ResponseTooLargeError();
-        if (!isFinalStatus(response.statusCode)) throw new InvalidStatusError(response.statusCode);
         const isDelimited = getBodyDelimiter(response.headers) !== BODY_DELIMITER.close;
         if (options.needsDelimiter === true && response.statusCode === 200 && !isDelimited) {
           const detail = `${method} ${path}: the response has neither a length nor chunks`;
