A Trailer line beside a length no longer fails a whole response

Callers of an entry got a 502 for a whole response whose head had a Trailer line beside its length.

Cause: sidecars passed the line on, where writeHead throws ERR_HTTP_TRAILER_INVALID. Gateways and entries drop it by lists of their own.

Sidecars no longer pass on Trailer, TE and the headers of proxies; trailers were never passed on.

"sound heads are read by the reader of a response through entry and sidecar" failed with the new row and passes.

--- a/anvilpaddle-app/entry/upstreamResponse.ts
+++ b/anvilpaddle-app/entry/upstreamResponse.ts
@@ -2,6 +2,7 @@
 import {
   HELD_FOR,
   HISTOGRAM,
+  HOP_BY_HOP_HEADERS,
   newFailure,
   newOk,
   NoMemoryForResponseError,
@@ -31,16 +32,7 @@
 const EVENT_STREAM_TYPE = 'text/event-stream';
 const STATUS_OK = 200;
 const ATTEMPT_ID = /att_[0-9a-f]{24}/;
-const REMOVED_HEADERS = new Set<string>([
-  'connection',
-  'content-length',
-  'keep-alive',
-  'proxy-authenticate',
-  'set-cookie',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const REMOVED_HEADERS = new Set<string>([...HOP_BY_HOP_HEADERS, 'content-length', 'set-cookie']);
 
 /** Whether the response is a stream of server-sent events. */
 export const isEventStream = (response: UpstreamResponse): boolean =>
--- a/anvilpaddle-app/sidecar/attemptServer.ts
+++ b/anvilpaddle-app/sidecar/attemptServer.ts
@@ -3,6 +3,7 @@
 import { pipeline } from 'node:stream/promises';
 import {
   BYTES_PER_MIB,
+  HOP_BY_HOP_HEADERS,
   readBody,
   sendJson,
   STATUSES_WITHOUT_BODY,
@@ -28,7 +29,6 @@
 const MAX_BODY_BYTES = 64 * BYTES_PER_MIB;
 const REFUSED_STATUS = 503;
 const FULL_LEDGER_RETRY_AFTER_MS = 1000;
-const HOP_BY_HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade']);
 
 /** What the attempt server needs from its sidecar. */
 export interface AttemptServerDependencies {
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -8,6 +8,7 @@
 export * from './constants';
 export * from './eventTracker';
 export * from './hashing';
+export * from './hopByHopHeaders';
 export * from './http';
 export * from './httpCall';
 export * from './httpRequest';
