--- a/packages/common/responseHead.ts
+++ b/packages/common/responseHead.ts
@@ -51,12 +51,13 @@
 
 const getFieldFault = (fields: readonly string[]): string | undefined => {
   if (fields.length > MAX_FIELD_TEXTS) return 'too many fields';
-  const texts = fields.map((text, index) => ({ text, isName: index % 2 === 0 }));
-  const bad = texts.find(({ text, isName }) =>
-    isName ? !TOKEN.test(text) : NOT_OF_TEXT.test(text),
+  const isName = (index: number): boolean => index % 2 === 0;
+  const bad = fields.findIndex((text, index) =>
+    isName(index) ? !TOKEN.test(text) : NOT_OF_TEXT.test(text),
   );
-  if (bad === undefined) return undefined;
-  return `the field ${bad.isName ? 'name' : 'value'} ${quote(bad.text)}`;
+  const text = fields[bad];
+  if (text === undefined) return undefined;
+  return `the field ${isName(bad) ? 'name' : 'value'} ${quote(text)}`;
 };
 
 const isFinalStatus = (status: number): boolean =>
