--- a/anvilpaddle-app/gateway/callerResponse.ts
+++ b/anvilpaddle-app/gateway/callerResponse.ts
@@ -33,6 +33,8 @@
 export interface RelayHooks extends StreamHooks {
   /** Whether no other upstream may be tried after this one. */
   readonly isLast: () => boolean;
+  /** Event after which the upstream was asked to go on; undefined if it was to begin. */
+  readonly resumeAfterId: string | undefined;
   /** Called when the response begins to go to the caller: no other attempt may answer any more. */
   readonly onAnswer: () => void;
 }
@@ -152,7 +154,8 @@
       if (stream === undefined || !isRelayedAsStream(message)) {
         return relayBuffered(message, signal, hooks);
       }
-      const responseEnd = await stream.relay(message, signal, {
+      const resumeAfterId = hooks.resumeAfterId ?? head.resumesAfterId;
+      const responseEnd = await stream.relay(message, resumeAfterId, signal, {
         ...hooks,
         onContent: () => {
           hooks.onAnswer();
@@ -164,7 +167,7 @@
     lastEventId: () => stream?.lastEventId(),
     canRetry: () => {
       if (stream === undefined) return route.kind === ROUTE_KIND.repeatable;
-      return route.isResumable && (!isStarted() || stream.lastEventId() !== undefined);
+      return route.isResumable;
     },
     refuse: (refusal) => {
       if (stream !== undefined && isStarted()) stream.abort();
--- a/anvilpaddle-app/gateway/callerStream.ts
+++ b/anvilpaddle-app/gateway/callerStream.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   breakOffResponse,
+  ForeignBytesError,
   HELD_FOR,
   NoMemoryForResponseError,
   readOrFail,
@@ -10,7 +11,8 @@
   waitForBodyEnd,
   type ByteBudget,
 } from '@anvilpaddle/common';
-import { splitEvents, getLastEventId, isEventAfter, newEventSplitter } from './eventSplitter';
+import { newEventSequence, type RunPart } from './eventSequence';
+import { newEventSplitter } from './eventSplitter';
 import { holdUntilRead } from './unreadResponse';
 import { getStreamEnd, isResponseComplete, type ResponseEnd } from './responseEnd';
 import { MAX_EVENT_BYTES } from './upstreamCall';
@@ -25,10 +27,18 @@
 
 /** Stream to one caller. */
 export interface CallerStream {
-  /** Relays an upstream's complete events until its response ends or is cut off. */
-  relay(message: IncomingMessage, signal: AbortSignal, hooks: StreamHooks): Promise<ResponseEnd>;
+  /**
+   * Relays an upstream's complete events until its response ends, is cut off or has anything else. The
+   * upstream was asked to go on after an event, or to begin.
+   */
+  relay(
+    message: IncomingMessage,
+    resumeAfterId: string | undefined,
+    signal: AbortSignal,
+    hooks: StreamHooks,
+  ): Promise<ResponseEnd>;
   isStarted(): boolean;
-  /** Id of the last relayed event. */
+  /** Id of the last relayed event, after which another upstream can go on. */
   lastEventId(): string | undefined;
   /** Closes the caller's connection, so that the caller can tell that the stream is incomplete. */
   abort(): void;
@@ -46,9 +56,7 @@
   onFirstEvent: () => void,
 ): CallerStream => {
   let isStarted = false;
-  let upstreamCount = 0;
-  /** Events that were relayed last; they contain the last event id. */
-  let lastEvents: Buffer | undefined;
+  let lastId: number | undefined;
 
   /** Writes to the caller; false when its buffer is full. */
   const write = (message: IncomingMessage, bytes: Buffer): boolean => {
@@ -60,40 +68,44 @@
     return response.write(bytes);
   };
 
-  const lastEventId = (): string | undefined => lastEvents && getLastEventId(lastEvents);
-
-  /** Events that the caller does not have yet; only a resumed stream may repeat some. */
-  const getUnseenEvents = (events: Buffer): Buffer => {
-    if (upstreamCount === 1 || events.length === 0) return events;
-    const lastId = lastEventId();
-    return Buffer.concat(splitEvents(events).filter((event) => isEventAfter(event, lastId)));
+  /** Bytes that the caller does not have yet: another upstream may have gone on with the stream. */
+  const getUnseenBytes = ({ events, bytes }: RunPart): Buffer => {
+    const firstId = events[0]?.id;
+    if (lastId === undefined || firstId === undefined || firstId > lastId) return bytes;
+    const seenId = lastId;
+    return Buffer.concat(events.filter(({ id }) => id > seenId).map((event) => event.bytes));
   };
 
-  const relayEvents = (message: IncomingMessage, events: Buffer): boolean => {
-    const unseenEvents = getUnseenEvents(events);
-    if (unseenEvents.length === 0) return true;
-    const hasRoom = write(message, unseenEvents);
-    lastEvents = unseenEvents;
+  const relayPart = (message: IncomingMessage, part: RunPart): boolean => {
+    const bytes = getUnseenBytes(part);
+    if (bytes.length === 0) return true;
+    const hasRoom = write(message, bytes);
+    const id = part.events.at(-1)?.id;
+    if (id !== undefined) lastId = Math.max(id, lastId ?? id);
     return hasRoom;
   };
 
   const relayUntilEnd = async (
     message: IncomingMessage,
+    resumeAfterId: string | undefined,
     signal: AbortSignal,
     hooks: StreamHooks,
   ): Promise<ResponseEnd> => {
     const splitter = newEventSplitter();
+    const sequence = newEventSequence(resumeAfterId);
     const holder = byteBudget.newHolder(HELD_FOR.response);
     let hasWaited = false;
     const relayChunk = (chunk: Buffer): void => {
-      const events = splitter.feed(chunk);
-      if (events.length > 0) hooks.onContent();
-      if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
+      const part = sequence.take(splitter.feed(chunk));
+      if (part.bytes.length > 0) hooks.onContent();
+      if (part.fault !== undefined) {
+        message.destroy(new ForeignBytesError(part.fault));
+      } else if (splitter.getPendingBytes() > MAX_EVENT_BYTES || splitter.isWasteful()) {
         message.destroy(new ResponseTooLargeError());
       } else if (!holder.canHold(splitter.getCapacity())) {
         message.destroy(new NoMemoryForResponseError());
       }
-      if (relayEvents(message, events)) {
+      if (relayPart(message, part)) {
         holder.force(splitter.getCapacity());
         return;
       }
@@ -120,7 +132,7 @@
     };
     message.on('data', (chunk: Buffer) => readOrFail(message, () => relayChunk(chunk)));
     const bodyEnd = await waitForBodyEnd(message);
-    const hasEvents = isResumption || lastEvents !== undefined;
+    const hasEvents = isResumption || lastId !== undefined;
     const end = getStreamEnd(message, bodyEnd, splitter, hasEvents);
     if (isResponseComplete(end)) {
       write(message, splitter.rest());
@@ -133,12 +145,9 @@
   };
 
   return {
-    relay: (message, signal, hooks) => {
-      upstreamCount += 1;
-      return relayUntilEnd(message, signal, hooks);
-    },
+    relay: relayUntilEnd,
     isStarted: () => isStarted,
-    lastEventId,
+    lastEventId: () => lastId?.toString(),
     abort: () => breakOffResponse(response),
   };
 };
--- a/anvilpaddle-app/gateway/eventSplitter.ts
+++ b/anvilpaddle-app/gateway/eventSplitter.ts
@@ -20,9 +20,10 @@
 const EMPTY: Buffer = Buffer.alloc(0);
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const EVENT_ID = /^id:[ ]?(.*?)\r?$/gm;
-const LINE_END = /\r\n|\n|\r(?!\n)/;
-const EVENT_END = new RegExp(`(?:${LINE_END.source}){2}`);
+/** End of a line in a stream of events. */
+export const LINE_END = /\r\n|\n|\r(?!\n)/;
+/** Ends of events; the group keeps them as parts of a split text. */
+const EVENT_ENDS = new RegExp(`((?:${LINE_END.source}){2})`);
 
 const isLineEnd = (byte: number | undefined): boolean =>
   byte === LINE_FEED || byte === CARRIAGE_RETURN;
@@ -77,40 +78,12 @@
   };
 };
 
-/** Last event id in the given events; undefined when none of them has an id. */
-export const getLastEventId = (events: Buffer): string | undefined =>
-  [...events.toString().matchAll(EVENT_ID)].at(-1)?.[1];
-
-/** Splits complete events into the bytes of each event. */
+/** Splits complete events into the bytes of each event; further blank lines are parts of their own. */
 export const splitEvents = (events: Buffer): Buffer[] => {
   // In latin1 each byte is one character, so splitting the text keeps the bytes unchanged.
-  const parts = events.toString('latin1').split(new RegExp(`(${EVENT_END.source})`));
-  return parts.flatMap((part, index) =>
-    index % 2 === 0 && part !== '' ? [Buffer.from(part + (parts[index + 1] ?? ''), 'latin1')] : [],
-  );
-};
-
-/** Whether an event has data; comments, which only keep a connection open, have none. */
-export const hasEventData = (event: Buffer): boolean =>
-  event
-    .toString()
-    .split(LINE_END)
-    .some((line) => line.startsWith('data:'));
-
-/** Data of an event, with its lines joined by line feeds. */
-export const getEventData = (event: Buffer): string =>
-  event
-    .toString()
-    .split(LINE_END)
-    .filter((line) => line.startsWith('data:'))
-    .map((line) => line.slice('data:'.length).replace(/^ /, ''))
-    .join('\n');
-
-/**
- * Whether an event comes after the event with `lastId`, by its numeric id. An event without an id
- * counts as later.
- */
-export const isEventAfter = (event: Buffer, lastId: string | undefined): boolean => {
-  const id = lastId === undefined ? undefined : getLastEventId(event);
-  return id === undefined || Number(id) > Number(lastId);
+  const parts = events.toString('latin1').split(EVENT_ENDS);
+  return parts.flatMap((part, index) => {
+    const bytes = part + (parts[index + 1] ?? '');
+    return index % 2 === 0 && bytes !== '' ? [Buffer.from(bytes, 'latin1')] : [];
+  });
 };
--- a/anvilpaddle-app/gateway/jobs/ownedJob.ts
+++ b/anvilpaddle-app/gateway/jobs/ownedJob.ts
@@ -2,6 +2,7 @@
 import { getErrorMessage, type Clock, type Logger } from '@anvilpaddle/common';
 import { getPlatformErrorMessage } from '@anvilpaddle/platform';
 import { sleep, waitUntil } from '../../process/program';
+import { parseEventId } from '../eventSequence';
 import type { JobCache } from './jobCache';
 import type { ItemProgress } from './runItem';
 import { serializeJson, type StoredJob } from './jobRecords';
@@ -76,6 +77,10 @@
   readonly checkpoints: readonly ItemCheckpoint[];
 }
 
+/** Whether a checkpoint has just the events up to its last one; earlier versions kept foreign ones too. */
+const isSound = ({ events, lastEventId }: ItemCheckpoint): boolean =>
+  parseEventId(lastEventId) === events;
+
 const newPendingItem = (
   item: ItemSummary,
   index: number,
@@ -123,7 +128,9 @@
   const listed = new Set(initialJob.record.listed);
   items.forEach((item, index) => {
     if (listed.has(index)) return;
-    const checkpoint = checkpoints.find((candidate) => candidate.index === index);
+    const checkpoint = checkpoints.find(
+      (candidate) => candidate.index === index && isSound(candidate),
+    );
     pendingItems.set(index, newPendingItem(item, index, checkpoint));
   });
 
--- a/anvilpaddle-app/gateway/jobs/runItem.ts
+++ b/anvilpaddle-app/gateway/jobs/runItem.ts
@@ -1,5 +1,6 @@
 /** Runs a batch item at one upstream, resuming where the item's previous run stopped. */
 import {
+  ForeignBytesError,
   HELD_FOR,
   NoMemoryForResponseError,
   ResponseTooLargeError,
@@ -16,18 +17,18 @@
 } from '@anvilpaddle/decisions';
 import type { CallerProtocol } from '../callerProtocol';
 import { readInBulk } from '../bulkReader';
-import {
-  getEventData,
-  hasEventData,
-  splitEvents,
-  getLastEventId,
-  isEventAfter,
-  newEventSplitter,
-} from '../eventSplitter';
+import { newEventSequence, parseEventId, type StreamEvent } from '../eventSequence';
+import { newEventSplitter } from '../eventSplitter';
 import type { CrashDetector } from '../crashDetector';
 import type { FleetView } from '../fleetView';
 import type { GatewayMetrics } from '../gatewayMetrics';
-import { getStreamEnd, isOutOfMemory, isResponseComplete, type ResponseEnd } from '../responseEnd';
+import {
+  getStreamEnd,
+  isForeign,
+  isOutOfMemory,
+  isResponseComplete,
+  type ResponseEnd,
+} from '../responseEnd';
 import type { Upstream } from '../types';
 import { MAX_EVENT_BYTES, MAX_RUN_BYTES } from '../upstreamCall';
 import { SEND_REASON, type UpstreamClient } from '../upstreamClient';
@@ -61,7 +62,7 @@
   notSent: 'notSent',
   /** The connection was lost before a response; the item may have run. */
   lost: 'lost',
-  /** The response is not an upstream's to the item. */
+  /** The response, or a part of it, is not an upstream's to the item. */
   foreign: 'foreign',
   /** The response says that the upstream works, but it is not the item's output. */
   status: 'status',
@@ -114,6 +115,12 @@
   readonly metrics: Pick<GatewayMetrics, 'countResponseEnd'>;
 }
 
+/** Why a run with an incomplete stream broke. */
+const getBreakCause = (responseEnd: ResponseEnd): BreakCause => {
+  if (isOutOfMemory(responseEnd)) return BREAK_CAUSE.noMemory;
+  return isForeign(responseEnd) ? BREAK_CAUSE.foreign : BREAK_CAUSE.cut;
+};
+
 /** Runs an item until it is done, fails, breaks or is aborted; updates `progress` as events arrive. */
 export const runItem = async (
   item: JobItem,
@@ -142,17 +149,19 @@
   const abortSignal = AbortSignal.any([signal, silenceTimeout.signal]);
 
   /** Adds events to the progress, without those that another run has already received. */
-  const addEvents = (events: readonly Buffer[]): void => {
+  const addEvents = (events: readonly StreamEvent[]): void => {
+    const lastId = parseEventId(progress.lastEventId) ?? 0;
     events
-      .filter((event) => isEventAfter(event, progress.lastEventId))
-      .forEach((event) => {
-        progress.texts.push(getEventData(event));
+      .filter(({ id }) => id > lastId)
+      .forEach(({ id, data }) => {
+        progress.texts.push(data);
         progress.events += 1;
-        progress.lastEventId = getLastEventId(event) ?? progress.lastEventId;
+        progress.lastEventId = String(id);
       });
   };
 
   const run = async (): Promise<RunOutcome> => {
+    const resumeAfterId = progress.lastEventId;
     const callResult = await upstreamClient.send(
       upstream,
       {
@@ -162,7 +171,7 @@
           upstreamId: upstream.id,
           team: team === '' ? undefined : team,
           timeLeftMs: undefined,
-          resumeAfterId: progress.lastEventId,
+          resumeAfterId,
           bodyBytes: item.body.length,
         }),
         body: item.body,
@@ -181,10 +190,10 @@
     const { message } = callResult;
     const status = message.statusCode ?? 0;
     if (protocol.isMisdirected(status)) view.reportReplaced(upstream);
-    const fault = protocol.getResponseFault(status, message.headers, item.id);
-    if (fault !== undefined) {
+    const headFault = protocol.getResponseFault(status, message.headers, item.id);
+    if (headFault !== undefined) {
       message.destroy();
-      return { kind: 'broken', detail: fault, cause: BREAK_CAUSE.foreign };
+      return { kind: 'broken', detail: headFault, cause: BREAK_CAUSE.foreign };
     }
     if (status !== 200) {
       message.destroy();
@@ -195,6 +204,7 @@
         : { kind: 'broken', detail, cause: BREAK_CAUSE.status };
     }
     const splitter = newEventSplitter();
+    const sequence = newEventSequence(resumeAfterId);
     const holder = byteBudget.newHolder(HELD_FOR.response);
     let runBytes = 0;
     const bodyEnd = await readInBulk(
@@ -212,9 +222,10 @@
           message.destroy(new NoMemoryForResponseError());
           return;
         }
-        const events = splitEvents(splitter.feed(chunk)).filter(hasEventData);
+        const { events, fault } = sequence.take(splitter.feed(chunk));
+        if (fault !== undefined) message.destroy(new ForeignBytesError(fault));
         if (events.length > 0) restartTimers();
-        observer.onData(events.length > 0);
+        if (events.length > 0 || fault === undefined) observer.onData(events.length > 0);
         addEvents(events);
       },
       abortSignal,
@@ -224,8 +235,8 @@
     const responseEnd = getStreamEnd(message, bodyEnd, splitter, progress.events > 0);
     if (!signal.aborted) metrics.countResponseEnd(responseEnd);
     if (!isResponseComplete(responseEnd)) {
-      const cause = isOutOfMemory(responseEnd) ? BREAK_CAUSE.noMemory : BREAK_CAUSE.cut;
-      return { kind: 'broken', detail: 'the stream was cut', cause, responseEnd };
+      const detail = isForeign(responseEnd) ? 'foreign bytes' : 'the stream was cut';
+      return { kind: 'broken', detail, cause: getBreakCause(responseEnd), responseEnd };
     }
     return { kind: 'done' };
   };
--- a/anvilpaddle-app/gateway/online/onlineAttempt.ts
+++ b/anvilpaddle-app/gateway/online/onlineAttempt.ts
@@ -12,7 +12,7 @@
   type AttemptResult,
 } from '@anvilpaddle/decisions';
 import type { AttemptReport, CallerResponse } from '../callerResponse';
-import { isEndBlameless, isResponseComplete } from '../responseEnd';
+import { isEndBlameless, isForeign, isResponseComplete } from '../responseEnd';
 import { newSilenceTimer, SILENCE_TIMEOUT_MS } from '../silenceTimer';
 import type { Route, Upstream } from '../types';
 import { SEND_REASON, type SendReason } from '../upstreamClient';
@@ -74,6 +74,7 @@
 const isLost = (callResult: HttpCallResult, { responseEnd }: AttemptReport): boolean => {
   if (callResult.kind !== 'answered') return callResult.kind === 'lost';
   if (responseEnd === undefined || isEndBlameless(responseEnd)) return false;
+  if (isForeign(responseEnd)) return false;
   return !isResponseComplete(responseEnd);
 };
 
@@ -94,6 +95,7 @@
     dependencies;
   const { teamSlots, upstreamClient, hedging, clock, log, metrics } = dependencies;
   const sentMs = clock.monotonic();
+  const resumeAfterId = callerResponse.lastEventId();
   const wasCold = view.isCold(upstream);
   const holder = team === undefined ? undefined : { service: upstream.service, team, priority };
   upstreamLoads.begin(upstream.id, SERVICE_CLASS.online);
@@ -163,7 +165,7 @@
       upstreamId: upstream.id,
       team,
       timeLeftMs,
-      resumeAfterId: callerResponse.lastEventId(),
+      resumeAfterId,
       bodyBytes: body.length,
     });
     const { method = 'GET', url: path = '/' } = message;
@@ -249,6 +251,7 @@
       callResult.kind === 'answered'
         ? await callerResponse.relay(callResult.message, attemptSignal, {
             isLast,
+            resumeAfterId,
             onContent,
             onAnswer,
             onBlocked: silenceTimer.pause,
--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -44,6 +44,8 @@
   switch (responseEnd?.bodyEnd) {
     case BODY_END.tooLarge:
       return 'the answer was too large';
+    case BODY_END.foreign:
+      return 'the answer had foreign bytes';
     case BODY_END.noMemory:
       return 'the gateway has no memory for the answer';
     default:
--- a/anvilpaddle-app/gateway/responseEnd.ts
+++ b/anvilpaddle-app/gateway/responseEnd.ts
@@ -3,6 +3,7 @@
 import {
   BODY_DELIMITER,
   BODY_END,
+  ForeignBytesError,
   getBodyDelimiter,
   ReaderError,
   type BodyDelimiter,
@@ -20,6 +21,8 @@
   readonly waitedForCaller?: true;
   /** Why the response could not be read on, if its reader threw. */
   readonly readerError?: string;
+  /** What in a stream is no event of the output. */
+  readonly fault?: string;
 }
 
 /** Whether nothing of the response is missing. */
@@ -30,12 +33,17 @@
 export const isOutOfMemory = (end: ResponseEnd | undefined): boolean =>
   end?.bodyEnd === BODY_END.noMemory;
 
+/** Whether the upstream sent what does not belong to the response. */
+export const isForeign = (end: ResponseEnd | undefined): boolean =>
+  end?.bodyEnd === BODY_END.foreign;
+
 /**
  * Whether the response is incomplete for the sake of this gateway or its caller, which says nothing of
  * the upstream: one cuts off a response that stays unread.
  */
 export const isEndBlameless = (end: ResponseEnd | undefined): boolean =>
-  isOutOfMemory(end) || (end?.waitedForCaller === true && !isResponseComplete(end));
+  isOutOfMemory(end) ||
+  (end?.waitedForCaller === true && !isForeign(end) && !isResponseComplete(end));
 
 /** End of a response that is not a stream. */
 export const getResponseEnd = ({ headers }: IncomingMessage, bodyEnd: BodyEnd): ResponseEnd => ({
@@ -62,5 +70,6 @@
     bodyEnd: isTooEarly && bodyEnd === BODY_END.complete ? BODY_END.closed : bodyEnd,
     unfinishedBytes: splitter.getUnfinishedBytes(),
     ...(errored instanceof ReaderError ? { readerError: errored.message } : {}),
+    ...(errored instanceof ForeignBytesError ? { fault: errored.message } : {}),
   };
 };
--- a/anvilpaddle-app/gateway/tests/callerStreamAbort.test.ts
+++ b/anvilpaddle-app/gateway/tests/callerStreamAbort.test.ts
@@ -44,7 +44,7 @@
     () => undefined,
   );
   setTimeout(() => controller.abort(), 200);
-  const end = await stream.relay(result.message, controller.signal, {
+  const end = await stream.relay(result.message, undefined, controller.signal, {
     onContent: () => undefined,
     onBlocked: () => undefined,
   });
@@ -110,7 +110,7 @@
       );
       if (result.kind !== 'answered') throw new Error(result.detail);
       setTimeout(() => controller.abort(), 2000);
-      const end = await stream.relay(result.message, controller.signal, {
+      const end = await stream.relay(result.message, undefined, controller.signal, {
         onContent: () => undefined,
         onBlocked: () => undefined,
       });
--- a/anvilpaddle-app/gateway/tests/eventSplitter.test.ts
+++ b/anvilpaddle-app/gateway/tests/eventSplitter.test.ts
@@ -1,12 +1,5 @@
 import fc from 'fast-check';
-import {
-  getEventData,
-  hasEventData,
-  splitEvents,
-  getLastEventId,
-  isEventAfter,
-  newEventSplitter,
-} from '../eventSplitter';
+import { splitEvents, newEventSplitter } from '../eventSplitter';
 
 const lineEnd = fc.constantFrom('\n', '\r\n', '\r');
 const event = fc
@@ -43,26 +36,9 @@
     );
   });
 
-  it('finds the last event id and the data', () => {
-    const bytes = Buffer.from('id: 3\ndata: a\ndata:b\n\nid: 4\ndata:  c\n\n');
+  it('keeps blank lines between events', () => {
+    const parts = splitEvents(Buffer.from('id: 3\ndata: a\n\n\n\n: b\n\n'));
 
-    expect(getLastEventId(bytes)).toBe('4');
-    expect(splitEvents(bytes).map(getEventData)).toEqual(['a\nb', ' c']);
-  });
-
-  it.each([
-    ['id: 1\ndata: a\n\n', true],
-    ['data:\n\n', true],
-    [': alive\n\n', false],
-  ])('tells events with data from comments: %j', (text, hasData) => {
-    expect(hasEventData(Buffer.from(text))).toBe(hasData);
-  });
-
-  it('recognizes events that were already relayed', () => {
-    const [third, tenth] = splitEvents(Buffer.from('id: 3\ndata: a\n\nid: 10\ndata: b\n\n'));
-
-    expect(isEventAfter(third ?? Buffer.alloc(0), '3')).toBe(false);
-    expect(isEventAfter(tenth ?? Buffer.alloc(0), '9')).toBe(true);
-    expect(isEventAfter(third ?? Buffer.alloc(0), undefined)).toBe(true);
+    expect(parts.map(String)).toEqual(['id: 3\ndata: a\n\n', '\n\n', ': b\n\n']);
   });
 });
--- a/anvilpaddle-app/gateway/tests/failingReaders.test.ts
+++ b/anvilpaddle-app/gateway/tests/failingReaders.test.ts
@@ -44,7 +44,7 @@
     newByteBudget(Infinity),
     nothing,
   );
-  const end = await stream.relay(await getMessage(), new AbortController().signal, {
+  const end = await stream.relay(await getMessage(), undefined, new AbortController().signal, {
     onContent: nothing,
     onBlocked: nothing,
   });
--- a/anvilpaddle-app/gateway/tests/ownedJob.test.ts
+++ b/anvilpaddle-app/gateway/tests/ownedJob.test.ts
@@ -223,3 +223,33 @@
     expect(await listFirst()).toEqual([]);
   });
 });
+
+// Guards against review/13 over an upgrade: earlier versions stored foreign text with an item's output.
+describe('an item with a stored checkpoint', () => {
+  it.each([
+    ['goes on after it if it has just the events up to the last one', 2, ['a\nb'], '2'],
+    ['begins anew if it has more', 3, [], undefined],
+    ['begins anew if it has fewer', 1, [], undefined],
+  ])('%s', async (_, events, texts, lastEventId) => {
+    const memory = newMemoryStore();
+    const store = newJobStore(memory.records, memory.objects);
+    const items = newItems(1);
+    const submission = await store.submit(newRecord(items), { items }, { maxWaitingTokens: 0 });
+    if (submission.kind !== 'accepted') throw new Error(submission.kind);
+    const checkpoint = { index: 0, text: 'a\nb', events, runMs: 100, lastEventId: '2' };
+    const job = newOwnedJob(
+      submission.job,
+      { items: getSummaries(items), checkpoints: [checkpoint] },
+      () => undefined,
+      {
+        store,
+        jobCache: EMPTY_CACHE,
+        self: 'first',
+        clock: newInstantClock(),
+        log: newSilentLogger(),
+      },
+    );
+
+    expect(job.getPendingItems()).toMatchObject([{ texts, lastEventId }]);
+  });
+});
--- a/packages/common/index.ts
+++ b/packages/common/index.ts
@@ -7,6 +7,7 @@
 export * from './connectError';
 export * from './constants';
 export * from './eventTracker';
+export * from './foreignBytesError';
 export * from './hashing';
 export * from './hopByHopHeaders';
 export * from './http';
--- a/packages/common/responseEnd.ts
+++ b/packages/common/responseEnd.ts
@@ -1,5 +1,6 @@
 /** How HTTP/1.1 responses mark the end of their bodies, and how a body that was read ended. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { ForeignBytesError } from './foreignBytesError';
 import { NoMemoryForResponseError } from './noMemoryForResponseError';
 import { ResponseTooLargeError } from './responseTooLargeError';
 
@@ -27,6 +28,8 @@
   tooLarge: 'tooLarge',
   /** The reader stopped: the process held too many bytes already. */
   noMemory: 'noMemory',
+  /** The reader stopped: what arrived does not belong to the response. */
+  foreign: 'foreign',
 } as const;
 export type BodyEnd = (typeof BODY_END)[keyof typeof BODY_END];
 
@@ -54,6 +57,7 @@
 const getBodyEndAtError = (error: NodeJS.ErrnoException | null): BodyEnd => {
   if (error instanceof ResponseTooLargeError) return BODY_END.tooLarge;
   if (error instanceof NoMemoryForResponseError) return BODY_END.noMemory;
+  if (error instanceof ForeignBytesError) return BODY_END.foreign;
   return error !== null && isReset(error) ? BODY_END.reset : BODY_END.closed;
 };
 
