--- a/anvilpaddle-app/gateway/online/onlineRequest.ts
+++ b/anvilpaddle-app/gateway/online/onlineRequest.ts
@@ -6,6 +6,7 @@
   PART_STATE,
   type AttemptOutcome,
   type InputAssessment,
+  type QuarantineAssessment,
   type TeamShare,
 } from '@anvilpaddle/decisions';
 import { newCallerResponse, type AttemptReport } from '../callerResponse';
@@ -164,12 +165,15 @@
     return refuse(getShortageReason(step), getRetryAfterMs(service, step));
   };
 
-  /** Takes a trial of a quarantined request, if an upstream has a free slot for it. */
-  const takeTrial = async (assessment: InputAssessment, { choice }: SendStep): Promise<boolean> =>
+  /** Takes a trial of quarantined input, if an upstream has a free slot for it. */
+  const takeTrial = async (
+    assessment: QuarantineAssessment,
+    { choice }: SendStep,
+  ): Promise<boolean> =>
     budget.isUnused() &&
     choice.waitMs === 0 &&
     quarantine.trials.isDue(assessment) &&
-    (await quarantine.trials.take(digest.get())) &&
+    (await quarantine.trials.take(assessment.part)) &&
     !abortSignal.aborted;
 
   const open = (
--- a/anvilpaddle-app/gateway/quarantineTrials.ts
+++ b/anvilpaddle-app/gateway/quarantineTrials.ts
@@ -1,6 +1,7 @@
 /**
- * Trials of quarantined requests. A sound request may have been aboard at three crashes by chance: its
- * next attempt is let through as a trial, is answered, and so releases it. The store counts the trials of all gateways together, so that a
+ * Trials of quarantined input. A sound request may have been aboard at three crashes by chance, and a sound
+ * part of prompts where several upstreams lost their power: the next attempt is let through as a trial, is
+ * answered, and so releases it. The store counts the trials of all gateways together, so that a
  * harmful request gets no more of them for ever, whatever restarts or is cut off.
  */
 import { MS_PER_MINUTE, MS_PER_SECOND, type Clock, type Logger } from '@anvilpaddle/common';
@@ -10,7 +11,7 @@
 
 /** Table of the quarantined parts and requests. */
 export const QUARANTINE_TABLE = 'quarantine';
-/** Number of trials of a request. */
+/** Number of trials of a request or a part. */
 const MAX_TRIALS = 2;
 /** Time from the last crash to the first trial: crashed upstreams need some seconds to restart. */
 const FIRST_TRIAL_DELAY_MS = 3 * MS_PER_SECOND;
@@ -28,12 +29,12 @@
 } as const;
 type Reply = (typeof REPLY)[keyof typeof REPLY];
 
-/** Trials of requests, for one gateway. */
+/** Trials for one gateway. */
 export interface QuarantineTrials {
-  /** Whether a trial may be asked for now: of a quarantined request, not of a part of prompts. */
+  /** Whether a trial may be asked for now: of a request, or a part that crashed upstreams at few moments. */
   isDue(assessment: InputAssessment): boolean;
-  /** Takes a trial of a request; false if it has none, or if the store doesn't say so. */
-  take(digest: string): Promise<boolean>;
+  /** Takes a trial of a request or a part; false if it has none, or if the store doesn't say so. */
+  take(part: string): Promise<boolean>;
 }
 
 /** Trials that the store has counted. */
@@ -64,13 +65,13 @@
 const isAllowed = ({ trials, lastTrialMs }: TrialCount, storeMs: number): boolean =>
   trials === 0 || (trials < MAX_TRIALS && storeMs - lastTrialMs >= SECOND_TRIAL_DELAY_MS);
 
-/** Creates the trials of the requests whose rows the store has. */
+/** Creates the trials of what the store has in quarantine. */
 export const newQuarantineTrials = (
   store: RecordStore,
   clock: Clock,
   log: Logger,
 ): QuarantineTrials => {
-  /** Time of the next question to the store, by digest; those that have passed are dropped. */
+  /** Time of the next question to the store, by part; those that have passed are dropped. */
   const nextAskMs = new Map<string, number>();
 
   const commitTrial = async (row: StoredRecord, storeMs: number): Promise<Reply> => {
@@ -89,33 +90,33 @@
     return commit.ok && commit.value.committed ? REPLY.granted : REPLY.unknown;
   };
 
-  const ask = async (digest: string): Promise<Reply> => {
-    const range = { from: digest, to: `${digest}\u0001` };
+  const ask = async (part: string): Promise<Reply> => {
+    const range = { from: part, to: `${part}\u0001` };
     const page = await store.read(QUARANTINE_TABLE, '', range);
     if (!page.ok) return REPLY.unknown;
-    const row = page.value.records.find(({ key }) => key === digest);
+    const row = page.value.records.find(({ key }) => key === part);
     return row === undefined ? REPLY.unknown : commitTrial(row, page.value.storeMs);
   };
 
-  const hasAskedLately = (digest: string): boolean =>
-    clock.monotonic() < (nextAskMs.get(digest) ?? 0);
+  const hasAskedLately = (part: string): boolean => clock.monotonic() < (nextAskMs.get(part) ?? 0);
 
   return {
     isDue: (assessment) =>
       assessment.state === PART_STATE.quarantined &&
-      assessment.part.startsWith(DIGEST_MARK) &&
+      assessment.isTriable &&
       assessment.ageMs >= FIRST_TRIAL_DELAY_MS &&
       !hasAskedLately(assessment.part),
-    take: async (digest) => {
-      if (hasAskedLately(digest)) return false;
+    take: async (part) => {
+      if (hasAskedLately(part)) return false;
       const nowMs = clock.monotonic();
       nextAskMs.forEach((askMs, asked) => {
         if (askMs <= nowMs) nextAskMs.delete(asked);
       });
-      nextAskMs.set(digest, nowMs + ASK_INTERVAL_MS);
-      const reply = await ask(digest);
-      log.warn({ part: digest, reply }, 'trial of a quarantined request');
-      if (reply !== REPLY.unknown) nextAskMs.set(digest, nowMs + SECOND_TRIAL_DELAY_MS);
+      nextAskMs.set(part, nowMs + ASK_INTERVAL_MS);
+      const reply = await ask(part);
+      const subject = part.startsWith(DIGEST_MARK) ? 'request' : 'part';
+      log.warn({ part, reply }, `trial of a quarantined ${subject}`);
+      if (reply !== REPLY.unknown) nextAskMs.set(part, nowMs + SECOND_TRIAL_DELAY_MS);
       return reply === REPLY.granted;
     },
   };
--- a/anvilpaddle-app/gateway/refusal.ts
+++ b/anvilpaddle-app/gateway/refusal.ts
@@ -37,7 +37,7 @@
 /** Refusal of a request that has not run, because something in its input crashes upstreams. */
 export const getQuarantineRefusal = (assessment: QuarantineAssessment): Required<Refusal> => {
   const isRequest = assessment.part.startsWith(DIGEST_MARK);
-  const mayBeReleased = isRequest && assessment.ageMs <= TRIAL_PERIOD_MS;
+  const mayBeReleased = assessment.isTriable && assessment.ageMs <= TRIAL_PERIOD_MS;
   return {
     status: STATUS.unavailable,
     reason: `${isRequest ? 'the request' : 'a part of the prompt'} crashes upstreams`,
--- a/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
+++ b/anvilpaddle-app/gateway/tests/quarantineTrials.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock, newFailure, newSilentLogger } from '@anvilpaddle/common';
-import { PART_STATE, type InputAssessment, type PartReport } from '@anvilpaddle/decisions';
+import { PART_STATE, type QuarantineAssessment, type PartReport } from '@anvilpaddle/decisions';
 import type { RecordStore } from '@anvilpaddle/platform';
 import { newQuarantineTrials, QUARANTINE_TABLE } from '../quarantineTrials';
 import { COMMIT_FAULT, newMemoryStore } from './kit/memoryStore';
@@ -15,11 +15,12 @@
 };
 const LATER_MS = 10 * 60 * 1000;
 
-const assess = (crashes: number, ageMs: number): InputAssessment => ({
+const assess = (crashes: number, ageMs: number): QuarantineAssessment => ({
   state: PART_STATE.quarantined,
   part: DIGEST,
   crashes,
   ageMs,
+  isTriable: true,
 });
 
 /** A store whose clock runs, with the row of the quarantined request. */
@@ -55,10 +56,10 @@
     expect(trials.isDue(assess(crashes, ageMs))).toBe(isDue);
   });
 
-  it('are for whole requests, not for parts of prompts', async () => {
+  it('are not for parts of prompts that crashed upstreams at many moments', async () => {
     const { trials } = newGateway((await newStore()).records);
 
-    expect(trials.isDue({ ...assess(4, 3000), part: 'bad0bad0' } as InputAssessment)).toBe(false);
+    expect(trials.isDue({ ...assess(4, 3000), part: 'bad0bad0', isTriable: false })).toBe(false);
   });
 
   it('are two for ever, of all gateways and over their restarts', async () => {
@@ -88,7 +89,7 @@
     ['after minutes if the store has granted or denied one', DIGEST, 300_000],
   ])('are asked for again %s', async (_, part, delayMs) => {
     const { trials, clock } = newGateway((await newStore()).records);
-    const assessment = { ...assess(3, 3000), part } as InputAssessment;
+    const assessment = { ...assess(3, 3000), part } as QuarantineAssessment;
     await trials.take(part);
     clock.advance(delayMs - 1);
     expect(trials.isDue(assessment)).toBe(false);
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -26,8 +26,12 @@
 export const QUARANTINE_CRASHES = 3;
 /** Number of changed or other requests that are reported at most; those with more crashes go first. */
 export const MAX_REQUESTS_REPORTED = 8;
-/** Crashes of several upstreams within this time count once: they have a common cause. */
+/** Crashes of several upstreams within this time may have a common cause. */
 export const COMMON_CAUSE_MS = 50;
+/** Time before and after such crashes in which another one, without the part, shows a common cause. */
+export const COMPANION_CRASH_MS = 500;
+/** Number of crashes whose times are remembered. */
+export const MAX_KNOWN_CRASHES = 256;
 /** Time without a crash after which a part that is not quarantined is forgotten. */
 export const MEMORY_MS = 24 * 60 * 60 * 1000;
 /** Half-life of the rate at which sound requests are lost. */
--- a/packages/decisions/quarantine/promptQuarantine.ts
+++ b/packages/decisions/quarantine/promptQuarantine.ts
@@ -7,6 +7,7 @@
 import {
   EXONERATION_EVIDENCE,
   MAX_EARLIER_SURVIVALS,
+  MAX_KNOWN_CRASHES,
   MAX_OTHERS_REPORTED,
   MAX_RECENT_REPORTED,
   MAX_SERVED_PARTS,
@@ -19,13 +20,17 @@
   SUSPECT_EVIDENCE,
 } from './constants';
 import {
+  countMoments,
+  getBurstShare,
   getEvidence,
   getMaxEvidence,
   getRunTimeShare,
-  getSeparateCrashes,
+  getTellingCrashes,
   RARE_PART_RATES,
   type Crash,
+  type CrashContext,
   type Crashes,
+  type TellingCrash,
 } from './crashEvidence';
 import { getLossRate, getRoundedCounts, newSoundLossRate, type LossCounts } from './soundLossRate';
 import {
@@ -39,6 +44,7 @@
   getReport,
   getReportedCrash,
   getServedTime,
+  isAnswered,
   newSuspect,
   setPeerLosses,
   setPeerServed,
@@ -118,6 +124,8 @@
   const suspects = new Map<string, Suspect>();
   /** Suspects that may be quarantined, or are: of hundreds, only these need a decision at each crash. */
   const candidates = new Set<Suspect>();
+  /** Times of the crashes that this gateway or a peer has seen, the latest known at the end. */
+  const crashTimes = new Map<string, number>();
   /** Served requests and their run time by part, the parts that were served last at the end. */
   const servedByPart = new Map<string, Served>();
   let servedMs = 0;
@@ -155,16 +163,33 @@
   const getSoundRates = (suspect: Suspect, nowMs: number): SoundRates => {
     if (suspect.isQuarantined || suspect.isClaimed) return RARE_PART_RATES;
     const served = getServedTime(suspect, getOwnServed(suspect.part));
+    const loss = getLossRate([getOwnLosses(suspect, nowMs), suspect.peerLossTotal]);
     return {
-      loss: getLossRate([getOwnLosses(suspect, nowMs), suspect.peerLossTotal]),
+      loss,
       share: getRunTimeShare(served),
+      burstShare: getBurstShare(served, loss.meanRunMs),
     };
   };
 
-  /** Odds that a part is harmful, without the crashes that other parts explain. */
+  const addCrashTime = (upstream: string, atMs: number): void => {
+    if (crashTimes.has(upstream)) return;
+    crashTimes.set(upstream, atMs);
+    removeOldest(crashTimes, MAX_KNOWN_CRASHES);
+  };
+
+  const getContext = (suspect: Suspect, explained: ReadonlySet<string>): CrashContext => ({
+    crashTimes,
+    explained,
+    isAnswered: isAnswered(suspect),
+  });
+
+  /** Crashes that speak against a part, without those that other parts explain. */
+  const getTelling = (suspect: Suspect, explained: ReadonlySet<string>): TellingCrash[] =>
+    getTellingCrashes(suspect.crashes, getContext(suspect, explained));
+
+  /** Odds that a part is harmful. */
   const getOdds = (suspect: Suspect, explained: ReadonlySet<string>, nowMs: number): number => {
-    const hasOtherCause = isExplained(suspect.crashes);
-    const crashes = hasOtherCause ? [] : getSeparateCrashes(suspect.crashes, explained);
+    const crashes = isExplained(suspect.crashes) ? [] : getTelling(suspect, explained);
     return getEvidence(crashes, countSurvivals(suspect), getSoundRates(suspect, nowMs));
   };
 
@@ -204,6 +229,7 @@
 
   /** Adds a crash to a suspect; returns false if it was known or does not count. */
   const addCrashTo = (suspect: Suspect, upstream: string, crash: Crash, nowMs: number): boolean => {
+    addCrashTime(upstream, crash.atMs);
     if (!addCrash(suspect, upstream, crash, nowMs)) return false;
     if (suspect.crashes.size >= MIN_QUARANTINE_CRASHES) candidates.add(suspect);
     return true;
@@ -222,7 +248,10 @@
     removeFormerCandidates();
     [...candidates]
       .filter(canChange)
-      .map((suspect) => ({ suspect, evidence: getFullEvidence(suspect) }))
+      .map((suspect) => ({
+        suspect,
+        evidence: getFullEvidence(suspect, getContext(suspect, NONE_EXPLAINED)),
+      }))
       .sort((a, b) => b.evidence - a.evidence || b.suspect.position - a.suspect.position)
       .forEach(({ suspect }) => {
         decide(suspect, explained, nowMs);
@@ -244,11 +273,13 @@
   const assessPart = (part: string, nowMs: number): InputAssessment => {
     const record = suspects.get(part);
     if (record === undefined || record.crashes.size === 0) return CLEAR;
-    const crashes = getSeparateCrashes(record.crashes).length;
+    const crashes = getTelling(record, NONE_EXPLAINED).length;
     const ageMs = nowMs - getLastCrashMs(record);
     if (record.isQuarantined) {
       record.usedMs = nowMs;
-      return { state: PART_STATE.quarantined, part, crashes, ageMs };
+      // What crashed several upstreams at one moment may not have been the part after all.
+      const isTriable = countMoments(record.crashes) < MIN_QUARANTINE_CRASHES;
+      return { state: PART_STATE.quarantined, part, crashes, ageMs, isTriable };
     }
     const isSuspect =
       crashes >= MIN_SUSPECT_CRASHES && getOdds(record, NONE_EXPLAINED, nowMs) >= SUSPECT_EVIDENCE;
@@ -301,6 +332,7 @@
     },
     recordCrash: (upstream, lost) => {
       lost.forEach(({ promptParts, crash }) => {
+        addCrashTime(upstream, crash.atMs);
         lossRate.recordLoss(upstream, crash.runMs, crash.atMs);
         promptParts.forEach((part, position) =>
           addCrashTo(getOrAddSuspect(part, position, crash.atMs), upstream, crash, crash.atMs),
@@ -309,6 +341,7 @@
       if (lost.length > 0) decideOnCandidates(getLatestMs(lost));
     },
     recordLostItems: (upstream, lost) => {
+      lost.forEach(({ crash }) => addCrashTime(upstream, crash.atMs));
       const isNews = lost.map(({ promptParts, crash }) =>
         promptParts
           .flatMap((part) => suspects.get(part) ?? [])
--- a/packages/decisions/quarantine/requestQuarantine.ts
+++ b/packages/decisions/quarantine/requestQuarantine.ts
@@ -154,12 +154,10 @@
       if (suspect === undefined || crashes < MIN_SUSPECT_CRASHES) return CLEAR;
       const { isQuarantined } = suspect;
       if (isQuarantined) suspect.usedMs = nowMs;
-      return {
-        state: isQuarantined ? PART_STATE.quarantined : PART_STATE.suspect,
-        part: digest,
-        crashes,
-        ageMs: nowMs - getLastCrashMs(suspect),
-      };
+      const ageMs = nowMs - getLastCrashMs(suspect);
+      return isQuarantined
+        ? { state: PART_STATE.quarantined, part: digest, crashes, ageMs, isTriable: true }
+        : { state: PART_STATE.suspect, part: digest, crashes, ageMs };
     },
     getCrashedUpstreams: (digest) => [...(suspects.get(digest)?.crashes.keys() ?? [])],
     explains: (crashes) =>
--- a/packages/decisions/quarantine/suspect.ts
+++ b/packages/decisions/quarantine/suspect.ts
@@ -1,6 +1,12 @@
 /** A part of the input that was present at a crash, with what speaks for and against it. */
 import { DEFAULT_CONCURRENCY, DEFAULT_RUN_MS, MAX_CRASHES_PER_PART } from './constants';
-import { getEvidence, getSeparateCrashes, RARE_PART_RATES, type Crash } from './crashEvidence';
+import {
+  getEvidence,
+  getTellingCrashes,
+  RARE_PART_RATES,
+  type Crash,
+  type CrashContext,
+} from './crashEvidence';
 import type { LossCounts } from './soundLossRate';
 import type { CrashReport, PartReport, ServedTime } from './types';
 
@@ -139,9 +145,17 @@
   peerSurvivalTotal,
 }: Suspect): number => earlierSurvivals + survivals + peerSurvivalTotal;
 
+/** Whether a request with the part has been answered since its first crash. */
+export const isAnswered = ({ survivals, peerSurvivalTotal }: Suspect): boolean =>
+  survivals + peerSurvivalTotal > 0;
+
 /** Evidence against a part if all its crashes count and nothing else explains them. */
-export const getFullEvidence = (suspect: Suspect): number =>
-  getEvidence(getSeparateCrashes(suspect.crashes), countSurvivals(suspect), RARE_PART_RATES);
+export const getFullEvidence = (suspect: Suspect, context: CrashContext): number =>
+  getEvidence(
+    getTellingCrashes(suspect.crashes, context),
+    countSurvivals(suspect),
+    RARE_PART_RATES,
+  );
 
 /** Run time of all gateways' served requests, from this gateway's own and its peers'. */
 export const getServedTime = ({ peerServedTotal }: Suspect, own: ServedTime): ServedTime => ({
--- a/packages/decisions/quarantine/tests/promptQuarantine.test.ts
+++ b/packages/decisions/quarantine/tests/promptQuarantine.test.ts
@@ -145,14 +145,69 @@
     `);
   });
 
-  it('counts crashes of many upstreams at one moment once', () => {
-    const quarantine = newUsedQuarantine();
-    Array.from({ length: 8 }, (_, index) =>
-      quarantine.recordCrash(`upstream-${index}`, newLost(['part'], 100 + index * 5)),
+  /** Crashes of many upstreams at one moment, at each of which the part was aboard. */
+  const crashTogether = (quarantine: PromptQuarantine, parts: readonly string[]): void =>
+    Array.from({ length: 8 }, (_, index) => index).forEach((index) =>
+      quarantine.recordCrash(`upstream-${index}`, newLost(parts, 100 + index * 5)),
     );
+
+  it('counts crashes of many upstreams at one moment once if another crashed then without the part', () => {
+    const quarantine = newUsedQuarantine();
+    quarantine.recordCrash('upstream-without', newLost(['other'], 90));
+    crashTogether(quarantine, ['part']);
+    expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
+  });
+
+  it('counts them once if only an item was at the other one', () => {
+    const quarantine = newUsedQuarantine();
+    quarantine.recordLostItems('upstream-without', newLost(['other'], 90));
+    crashTogether(quarantine, ['part']);
+    expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
+  });
+
+  it('counts them once as soon as it hears from a peer of another one', () => {
+    const quarantine = newUsedQuarantine();
+    crashTogether(quarantine, ['part']);
+    const report = { ...newReport(0, false), part: 'other', crashes: [['u', 10] as const] };
+    quarantine.updatePeer('peer', [report], 140);
+    expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
+  });
+
+  it('counts them once as soon as a request with the part is answered', () => {
+    const quarantine = newUsedQuarantine();
+    crashTogether(quarantine, ['part']);
+    quarantine.recordSurvival(['part'], RUN_MS, 4000);
     expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
   });
 
+  it('counts them once for a part that many requests have', () => {
+    const quarantine = newUsedQuarantine();
+    Array.from({ length: 50 }, () => quarantine.recordSurvival(['part'], RUN_MS, 0));
+    crashTogether(quarantine, ['part']);
+    expect(getState(quarantine, ['part'])).toBe(PART_STATE.clear);
+  });
+
+  it('counts little where nothing has been served yet', () => {
+    const quarantine = newPromptQuarantine();
+    crashTogether(quarantine, ['part']);
+    expect(getState(quarantine, ['part'])).not.toBe(PART_STATE.quarantined);
+  });
+
+  it('counts each for a part that was aboard at all crashes and never answered, and allows a trial', () => {
+    const quarantine = newUsedQuarantine();
+    crashTogether(quarantine, ['part']);
+    expect(quarantine.assess(['part'], 60_000)).toMatchObject({
+      state: PART_STATE.quarantined,
+      isTriable: true,
+    });
+  });
+
+  it('allows no trial of a part that crashed upstreams at many moments', () => {
+    const quarantine = newUsedQuarantine();
+    crash(quarantine, ['part'], 4);
+    expect(quarantine.assess(['part'], 60_000)).toMatchObject({ isTriable: false });
+  });
+
   it('takes the part, not another that is present each time but is served elsewhere', () => {
     const quarantine = newUsedQuarantine();
     crash(quarantine, ['neighbour', 'part'], 4);
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -11,6 +11,8 @@
   readonly loss: LossRate;
   /** Share of the upstreams' run time that requests with the part take. */
   readonly share: number;
+  /** The same if one more request with the part had been served: parts come in bursts. */
+  readonly burstShare: number;
 }
 
 /** What is known of the most suspicious part of a request's input. */
@@ -35,7 +37,10 @@
 }
 
 /** Assessment of input that must reach no upstream. */
-export type QuarantineAssessment = PartAssessment<typeof PART_STATE.quarantined>;
+export interface QuarantineAssessment extends PartAssessment<typeof PART_STATE.quarantined> {
+  /** Whether a trial may tell that the part is sound. */
+  readonly isTriable: boolean;
+}
 
 /** Assessment of a request's input by its parts. */
 export type InputAssessment =
