--- a/packages/decisions/quarantine/tests/crashGroups.test.ts
+++ b/packages/decisions/quarantine/tests/crashGroups.test.ts
@@ -22,8 +22,11 @@
 
 beforeAll(loadHashing);
 
-const runAll = (scenario: Partial<GroupScenario>): GroupResult[] =>
-  SEEDS.map((seed) => simulateGroups({ ...CALM, ...scenario }, newSeededRandom(seed)));
+const runAll = (scenario: Partial<GroupScenario>): (GroupResult & { seed: number })[] =>
+  SEEDS.map((seed) => ({
+    seed,
+    ...simulateGroups({ ...CALM, ...scenario }, newSeededRandom(seed)),
+  }));
 
 /** Times after these pauses, from the first one on. */
 const getTimes = (pausesMs: readonly number[]): number[] =>
